--- /dev/null
+++ b/src/tamaracktide/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks."""
--- /dev/null
+++ b/src/tamaracktide/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that callers reach over HTTP."""
--- /dev/null
+++ b/src/tamaracktide/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator and answer checker."""
--- /dev/null
+++ b/src/tamaracktide/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: object API and instance list."""
--- /dev/null
+++ b/src/tamaracktide/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The inner protocol between the project's own processes."""
--- /dev/null
+++ b/src/tamaracktide/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon that owns upstreams and admits requests to them."""
--- /dev/null
+++ b/src/tamaracktide/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings files: types, checks and JSON schemas."""
--- /dev/null
+++ b/src/tamaracktide/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems outside the product."""
--- /dev/null
+++ b/src/tamaracktide/tables/__init__.py
@@ -0,0 +1,1 @@
+"""Reading, checking and editing the routes and pools tables."""
--- /dev/null
+++ b/src/tamaracktide/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the upstreams: model engines and plain services."""
