--- a/src/tamaracktide/settings/files.py
+++ b/src/tamaracktide/settings/files.py
@@ -2,7 +2,8 @@
 
 import json
 import pathlib
-from typing import Any, TypeVar
+from typing import Any
+from typing import TypeVar
 
 import jsonschema
 import msgspec
