Add the committer of idempotency claims

A claim is granted after the head that holds it is in the store; the conditional write of the shard's head alone decides. A hypothesis machine with two committers, lost, late and stale replies finds no key that runs twice in 300 runs of 40 steps; with the condition taken away it finds one.

--- /dev/null
+++ b/src/tamaracktide/core/claim_records.py
@@ -0,0 +1,167 @@
+"""Records of claimed idempotency keys, as kept in the platform's store.
+
+A shard has one head object, `claims/SHARD/head`, that changes by conditional
+update only, and immutable segments that hold finished records by age. Each
+segment has a Bloom filter beside it, so that a committer finds a repeated
+key without holding every key. All are CBOR.
+"""
+
+import dataclasses
+import enum
+import hashlib
+
+import cbor2
+import msgspec
+import rbloom
+import xxhash
+
+SHARD_COUNT = 16
+KEY_HASH_BYTES = 16
+FILTER_FALSE_POSITIVE_RATE = 0.001
+
+
+class ClaimState(enum.StrEnum):
+    """What is known of the request that holds a claim."""
+
+    PENDING = "pending"
+    COMPLETED = "completed"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimRecord:
+    """One claimed key.
+
+    Attributes:
+        key_hash: 16-byte hash of customer and key.
+        attempt_id: The attempt that holds the claim; never changes.
+        fingerprint: Hash of the request that the key stands for.
+        claimed_unix_s: When it was claimed, seconds since 1970.
+        state: What is known of the request.
+        status: HTTP status of a completed answer.
+        content_type: Content type of a completed answer.
+        body: A completed answer, empty if too large to keep.
+    """
+
+    key_hash: bytes
+    attempt_id: str
+    fingerprint: str
+    claimed_unix_s: float
+    state: ClaimState = ClaimState.PENDING
+    status: int = 0
+    content_type: str = ""
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SegmentEntry:
+    """Where a sealed segment is and what it spans.
+
+    Attributes:
+        segment_id: Hash of the segment's content, part of its object key.
+        newest_unix_s: Claim time of its newest record.
+        count: Records in it.
+    """
+
+    segment_id: str
+    newest_unix_s: float
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ClaimHead:
+    """The changing part of a shard: recent records and the list of segments.
+
+    Attributes:
+        records: Recent records, one per key.
+        segments: Sealed segments, oldest first.
+    """
+
+    records: tuple[ClaimRecord, ...] = ()
+    segments: tuple[SegmentEntry, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Segment:
+    """An immutable set of finished records."""
+
+    records: tuple[ClaimRecord, ...]
+
+
+def hash_key(customer: str, key: str) -> bytes:
+    """Returns the 16-byte hash under which a customer's key is kept."""
+    digest = hashlib.sha256(f"{customer}\x00{key}".encode())
+    return digest.digest()[:KEY_HASH_BYTES]
+
+
+def find_shard(customer: str, key: str) -> int:
+    """Returns the shard of a customer's key."""
+    return xxhash.xxh64_intdigest(f"{customer}\x00{key}".encode()) % SHARD_COUNT
+
+
+def name_shard(shard: int) -> str:
+    """Returns the name by which a shard's committer is chosen."""
+    return f"claims/{shard}"
+
+
+def name_head(shard: int) -> str:
+    """Returns the object key of a shard's head."""
+    return f"claims/{shard}/head"
+
+
+def name_segment(shard: int, segment_id: str) -> str:
+    """Returns the object key of a segment."""
+    return f"claims/{shard}/segments/{segment_id}"
+
+
+def name_filter(shard: int, segment_id: str) -> str:
+    """Returns the object key of a segment's filter."""
+    return f"claims/{shard}/filters/{segment_id}"
+
+
+def encode_value(value: ClaimHead | Segment) -> bytes:
+    """Returns the CBOR form of a head or segment."""
+    plain = msgspec.to_builtins(value, builtin_types=(bytes,))
+    return cbor2.dumps(plain)
+
+
+def decode_head(data: bytes) -> ClaimHead:
+    """Returns the head in CBOR data.
+
+    Raises:
+        msgspec.ValidationError: The data has another shape.
+    """
+    return msgspec.convert(cbor2.loads(data), ClaimHead, builtin_types=(bytes,))
+
+
+def decode_segment(data: bytes) -> Segment:
+    """Returns the segment in CBOR data.
+
+    Raises:
+        msgspec.ValidationError: The data has another shape.
+    """
+    return msgspec.convert(cbor2.loads(data), Segment, builtin_types=(bytes,))
+
+
+def identify_segment(data: bytes) -> str:
+    """Returns the id of a segment from its encoded content."""
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def build_filter(segment: Segment) -> bytes:
+    """Returns the saved Bloom filter over a segment's key hashes."""
+    bloom = rbloom.Bloom(
+        max(len(segment.records), 1), FILTER_FALSE_POSITIVE_RATE, _hash_member
+    )
+    for record in segment.records:
+        bloom.add(record.key_hash)
+    return bytes(bloom.save_bytes())
+
+
+def load_filter(data: bytes) -> rbloom.Bloom:
+    """Returns the Bloom filter saved by `build_filter`."""
+    return rbloom.Bloom.load_bytes(data, _hash_member)
+
+
+def _hash_member(key_hash: bytes) -> int:
+    return int.from_bytes(key_hash, "big", signed=True)
--- a/src/tamaracktide/errors.py
+++ b/src/tamaracktide/errors.py
@@ -64,3 +64,7 @@
 
 class SettingsError(TamaracktideError):
     """A settings file has faults; `detail` names each by its path."""
+
+
+class InvariantError(AssertionError):
+    """An invariant of the program does not hold; a defect, never load."""
--- /dev/null
+++ b/tests/core/test_committer.py
@@ -0,0 +1,318 @@
+"""Tests of the committer: a key runs at most once, whatever the store does."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from tamaracktide.core import claim_events as ce
+from tamaracktide.core import claim_records as cr
+from tamaracktide.core import committer
+
+SETTINGS = committer.CommitterSettings(
+    commit_period_s=0.0, finish_delay_s=0.0, seal_bytes=1000, retry_s=0.1
+)
+
+
+Reply = ce.Claimed | ce.Repeated | ce.Mismatched | ce.Unavailable | ce.Finished
+
+
+class Store:
+    """The object API as one committer's actions see it."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.version = 0
+        self.head = b""
+        self.old: tuple[int, bytes] = (0, b"")
+        self.segments: dict[str, tuple[bytes, bytes]] = {}
+        self.writes = 0
+        self.late: list[ce.WriteHead] = []
+        self.is_conditional = True
+
+    def write(self, action: ce.WriteHead) -> bool:
+        """Applies a conditional write; returns whether it took effect."""
+        expected = action.expected_version == self.version
+        if self.is_conditional and not expected:
+            return False
+        self.old = (self.version, self.head)
+        self.version += 1
+        self.head = action.data
+        self.writes += 1
+        return True
+
+
+class Node:
+    """A committer with the calls that it has under way."""
+
+    def __init__(self, store: Store) -> None:
+        """Starts a committer in front of the store."""
+        self.store = store
+        self.core = committer.Committer(SETTINGS)
+        self.calls: list[ce.CommitterAction] = []
+        self.replies: list[Reply] = []
+
+    def feed(self, event: ce.CommitterEvent, now: float) -> None:
+        """Feeds one event; sorts the actions into calls and replies."""
+        for action in self.core.handle(event, now, 1e9 + now):
+            match action:
+                case (
+                    ce.Claimed()
+                    | ce.Repeated()
+                    | ce.Mismatched()
+                    | ce.Unavailable()
+                    | ce.Finished()
+                ):
+                    self.replies.append(action)
+                case ce.WakeAt():
+                    pass
+                case _:
+                    self.calls.append(action)
+
+    def answer(
+        self, action: ce.CommitterAction, fault: str
+    ) -> ce.CommitterEvent | None:
+        """Carries one call out against the store, with a fault."""
+        store = self.store
+        match action:
+            case ce.ReadHead():
+                if fault == "lost":
+                    return ce.StoreFailed()
+                version, head = (
+                    store.old
+                    if fault == "stale"
+                    else (store.version, store.head)
+                )
+                return ce.HeadRead(head, version)
+            case ce.WriteHead():
+                if fault == "late":
+                    store.late.append(action)
+                    return ce.HeadUnsure()
+                applied = store.write(action)
+                if fault == "lost":
+                    return ce.HeadUnsure()
+                if applied:
+                    return ce.HeadWritten(store.version)
+                return ce.HeadRefused()
+            case ce.StoreSegment(segment_id, data, filter_data):
+                store.segments[segment_id] = (data, filter_data)
+                return ce.SegmentStored(segment_id)
+            case ce.ReadFilter(segment_id):
+                return ce.FilterRead(segment_id, store.segments[segment_id][1])
+            case ce.ReadSegment(segment_id):
+                return ce.SegmentRead(segment_id, store.segments[segment_id][0])
+        return None
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Gateways resend keys to two committers over a faulty store."""
+
+    def __init__(self) -> None:
+        """Starts two committers over one store."""
+        super().__init__()
+        self.store = Store()
+        self.nodes = [Node(self.store), Node(self.store)]
+        self.now = 0.0
+        self.attempts: dict[str, tuple[str, bytes]] = {}
+        self.waiting: set[str] = set()
+        self.ran: dict[bytes, str] = {}
+
+    @stateful.rule(key=st.integers(0, 1), node=st.integers(0, 1))
+    def claim(self, key: int, node: int) -> None:
+        """A caller sends a key to some gateway."""
+        attempt_id = f"a{len(self.attempts)}"
+        key_hash = cr.hash_key("customer", str(key))
+        self.attempts[attempt_id] = ("waiting", key_hash)
+        self.nodes[node].feed(
+            ce.Claim(attempt_id=attempt_id, key_hash=key_hash, fingerprint="f"),
+            self.now,
+        )
+
+    @stateful.rule(node=st.integers(0, 1), data=st.data())
+    def resend(self, node: int, data: st.DataObject) -> None:
+        """A gateway without a reply asks again, perhaps elsewhere."""
+        waiting = [a for a, (s, _) in self.attempts.items() if s == "waiting"]
+        if not waiting:
+            return
+        attempt_id = data.draw(st.sampled_from(waiting))
+        key_hash = self.attempts[attempt_id][1]
+        claim = ce.Claim(
+            attempt_id=attempt_id, key_hash=key_hash, fingerprint="f"
+        )
+        self.nodes[node].feed(claim, self.now)
+
+    @stateful.rule(
+        node=st.integers(0, 1),
+        fault=st.sampled_from(["", "", "", "lost", "late", "stale"]),
+    )
+    def answer_calls(self, node: int, fault: str) -> None:
+        """The calls that a committer has under way are answered."""
+        calls, self.nodes[node].calls = self.nodes[node].calls, []
+        for action in calls:
+            event = self.nodes[node].answer(action, fault)
+            if event is not None:
+                self.nodes[node].feed(event, self.now)
+
+    @stateful.rule()
+    def land_late_write(self) -> None:
+        """A write whose sender gave up on it reaches the store."""
+        if self.store.late:
+            self.store.write(self.store.late.pop(0))
+
+    @stateful.rule(node=st.integers(0, 1))
+    def tick(self, node: int) -> None:
+        """Time passes."""
+        self.now += 1.0
+        self.nodes[node].feed(ce.Tick(), self.now)
+
+    @stateful.rule(
+        node=st.integers(0, 1),
+        outcome=st.sampled_from(["completed", "unknown", "released"]),
+    )
+    def read_replies(self, node: int, outcome: str) -> None:
+        """A gateway reads the replies and acts on them."""
+        replies, self.nodes[node].replies = self.nodes[node].replies, []
+        for reply in replies:
+            self.act_on(reply, self.nodes[node], outcome)
+
+    def act_on(self, reply: Reply, node: Node, outcome: str) -> None:
+        """Runs a claimed request once, or gives the attempt up."""
+        if isinstance(reply, ce.Finished):
+            return
+        state, key_hash = self.attempts[reply.attempt_id]
+        if state != "waiting":
+            return
+        self.attempts[reply.attempt_id] = ("done", key_hash)
+        if isinstance(reply, ce.Repeated | ce.Mismatched):
+            return
+        final: cr.ClaimState | None = None
+        if isinstance(reply, ce.Claimed) and outcome != "released":
+            assert key_hash not in self.ran, "the key ran twice"
+            self.ran[key_hash] = reply.attempt_id
+            final = cr.ClaimState(outcome)
+        finish = ce.Finish(
+            attempt_id=reply.attempt_id, key_hash=key_hash, state=final
+        )
+        node.feed(finish, self.now)
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = hypothesis.settings(
+    max_examples=300,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+)
+
+
+class UnconditionalMachine(ClaimMachine):
+    """The same run over a store that ignores the condition."""
+
+    def __init__(self) -> None:
+        """Takes the condition away."""
+        super().__init__()
+        self.store.is_conditional = False
+
+
+def test_claims_need_the_conditional_write() -> None:
+    """Without the condition the machine finds a key that runs twice."""
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            UnconditionalMachine,
+            settings=hypothesis.settings(
+                TestClaimMachine.settings,
+                phases=[hypothesis.Phase.generate],
+            ),
+        )
+
+
+def drain(node: Node, now: float) -> None:
+    """Answers every call without faults."""
+    while node.calls:
+        event = node.answer(node.calls.pop(0), "")
+        if event is not None:
+            node.feed(event, now)
+
+
+def make_claim(number: int) -> ce.Claim:
+    """Returns the claim of one distinct key."""
+    return ce.Claim(
+        attempt_id=f"a{number}",
+        key_hash=cr.hash_key("customer", str(number)),
+        fingerprint="f",
+    )
+
+
+def test_claims_that_wait_together_share_one_write() -> None:
+    """A group of claims costs one conditional write."""
+    node = Node(Store())
+    for number in range(50):
+        node.feed(make_claim(number), 0.0)
+    drain(node, 0.0)
+    claimed = [r for r in node.replies if isinstance(r, ce.Claimed)]
+    assert len(claimed) == 50
+    assert node.store.writes <= 2
+
+
+def test_sealed_key_is_still_found_by_a_new_committer() -> None:
+    """A repeat of a sealed key is answered from its segment."""
+    store = Store()
+    node = Node(store)
+    rng = random.Random(1)
+    for number in range(40):
+        claim = make_claim(number)
+        node.feed(claim, float(number))
+        drain(node, float(number))
+        finish = ce.Finish(
+            attempt_id=claim.attempt_id,
+            key_hash=claim.key_hash,
+            state=cr.ClaimState.COMPLETED,
+            status=200,
+            body=rng.randbytes(20),
+        )
+        node.feed(finish, float(number))
+        drain(node, float(number))
+    assert store.segments
+    late = Node(store)
+    late.feed(dataclasses.replace(make_claim(0), attempt_id="again"), 99.0)
+    drain(late, 99.0)
+    (reply,) = late.replies
+    assert isinstance(reply, ce.Repeated)
+    assert reply.record.state is cr.ClaimState.COMPLETED
+
+
+def test_outage_refuses_waiting_claims_at_once() -> None:
+    """A failed read answers every waiting claim as unavailable."""
+    node = Node(Store())
+    node.feed(make_claim(0), 0.0)
+    node.feed(ce.StoreFailed(), 0.0)
+    assert node.replies == [ce.Unavailable("a0")]
+
+
+def test_other_request_under_the_same_key_is_told() -> None:
+    """A key that stands for another request is not run."""
+    node = Node(Store())
+    node.feed(make_claim(0), 0.0)
+    drain(node, 0.0)
+    other = dataclasses.replace(
+        make_claim(0), attempt_id="b", fingerprint="other"
+    )
+    node.feed(other, 1.0)
+    drain(node, 1.0)
+    assert node.replies[-1] == ce.Mismatched("b")
+
+
+def test_claim_of_a_vanished_gateway_becomes_unknown() -> None:
+    """A claim without an outcome is told as unknown after its limit."""
+    node = Node(Store())
+    node.feed(make_claim(0), 0.0)
+    drain(node, 0.0)
+    late = SETTINGS.pending_limit_s + 1.0
+    node.feed(dataclasses.replace(make_claim(0), attempt_id="b"), late)
+    drain(node, late)
+    reply = node.replies[-1]
+    assert isinstance(reply, ce.Repeated)
+    assert reply.record.state is cr.ClaimState.UNKNOWN
