--- /dev/null
+++ b/scripts/quickstart.py
@@ -0,0 +1,121 @@
+"""Runs the main job on stand-ins: a few hundred mixed requests."""
+
+import argparse
+import json
+import pathlib
+import subprocess
+import sys
+
+import deployment
+import topology
+
+PROBLEMS = ("wrong", "truncated", "effects_doubled")
+
+
+def run_program(program: str, *arguments: str) -> str:
+    """Runs one of the project's programs to its end; returns its output.
+
+    Raises:
+        SystemExit: The program failed.
+    """
+    path = pathlib.Path(sys.executable).parent / program
+    result = subprocess.run(
+        [str(path), *arguments], capture_output=True, text=True, check=False
+    )
+    if result.returncode != 0:
+        sys.exit(f"{program} failed:\n{result.stdout}{result.stderr}")
+    return result.stdout
+
+
+def start_all(running: deployment.Deployment) -> None:
+    """Starts every node and waits until all are ready."""
+    daemons = []
+    for name, node in running.nodes.items():
+        running.start(name)
+        if node.program == "tamaracktide-platform":
+            running.wait_ready(name, "/instances")
+        if node.inner_port:
+            daemons.append(name)
+    apply_tables(running)
+    for name in daemons:
+        running.wait_ready(name)
+
+
+def apply_tables(running: deployment.Deployment) -> None:
+    """Applies the sample tables through the operators' client."""
+    output = run_program(
+        "tamaracktidectl",
+        *make_ctl_flags(running),
+        "apply",
+        str(running.directory / "tables.json"),
+    )
+    print(output, end="")
+
+
+def make_ctl_flags(running: deployment.Deployment) -> list[str]:
+    """Returns the flags by which the client reaches the platform."""
+    settings = running.directory / "ctl.json"
+    platform = running.nodes["platform"]
+    content = {
+        "platform": {"address": platform.address, "token": deployment.TOKEN},
+    }
+    settings.write_text(json.dumps(content))
+    return ["--settings", str(settings)]
+
+
+def run_load(running: deployment.Deployment, requests: int, seed: int) -> str:
+    """Sends the mix to every gateway and returns the load tool's output."""
+    secret = running.directory / "secret"
+    secret.write_text(deployment.SECRET)
+    gateways = []
+    services = []
+    for node in running.nodes.values():
+        if node.program == "tamaracktide-gateway":
+            gateways.append(node.address)
+        if node.program == "tamaracktide-service":
+            services.append(node.address)
+    return run_program(
+        "tamaracktide-load",
+        f"--targets={','.join(gateways)}",
+        f"--services={','.join(services)}",
+        f"--service-token={deployment.TOKEN}",
+        f"--key-secret-file={secret}",
+        f"--routes={running.directory / 'tables.json'}",
+        f"--seed={seed}",
+        f"--requests={requests}",
+    )
+
+
+def main() -> int:
+    """Returns 0 if no answer was wrong, truncated or doubled."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--requests", type=int, default=300)
+    parser.add_argument("--directory", type=pathlib.Path, default="run")
+    flags = parser.parse_args()
+    shape = topology.Topology(seed=flags.seed)
+    running = topology.build_deployment(shape, flags.directory.resolve())
+    tables = running.directory / "tables.json"
+    tables.write_text(json.dumps(topology.make_tables(shape), indent=2))
+    try:
+        start_all(running)
+        output = run_load(running, flags.requests, flags.seed)
+    finally:
+        statuses = running.stop_all()
+    print(output, end="")
+    print(f"logs, traces and settings: {running.directory}", file=sys.stderr)
+    for node in running.nodes.values():
+        if node.program in ("tamaracktide-gateway", "tamaracktide-scheduler"):
+            print(
+                f"metrics of {node.name} were at http://{node.address}/metrics",
+                file=sys.stderr,
+            )
+    summary = json.loads(output.splitlines()[-1])
+    failed = [name for name, status in statuses.items() if status != 0]
+    if failed:
+        print(f"ended with an error: {failed}", file=sys.stderr)
+    return 1 if failed or any(summary[key] for key in PROBLEMS) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/tamaracktide/modelcheck/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocol and their check by z3."""
