--- a/src/tamaracktide/modelcheck/checker.py
+++ b/src/tamaracktide/modelcheck/checker.py
@@ -15,6 +15,7 @@
 
 State = Mapping[str, z3.ArithRef]
 Predicate = Callable[[State], z3.BoolRef]
+Update = Callable[[State], z3.ArithRef]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,7 +30,7 @@
 
     name: str
     guard: Predicate
-    updates: Mapping[str, Callable[[State], z3.ArithRef]]
+    updates: Mapping[str, Update]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
