--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -77,8 +77,7 @@
     return run_program(
         "tamaracktide-load",
         f"--targets={','.join(gateways)}",
-        f"--services={','.join(services)}",
-        f"--service-token={deployment.TOKEN}",
+        f"--effects={','.join(services)}",
         f"--key-secret-file={secret}",
         f"--routes={running.directory / 'tables.json'}",
         f"--seed={seed}",
--- /dev/null
+++ b/src/tamaracktide/bench/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmark of the scheduling policy in virtual time."""
--- /dev/null
+++ b/src/tamaracktide/core/cell.py
@@ -0,0 +1,270 @@
+"""Decides for one cell: admission, order, placement, loads and evictions."""
+
+import heapq
+
+from tamaracktide import result_codes
+from tamaracktide.core import cell_actions
+from tamaracktide.core import cell_events
+from tamaracktide.core import cell_parts
+from tamaracktide.core import cell_settings
+from tamaracktide.core import cell_state
+from tamaracktide.core import granting
+from tamaracktide.core import invariants
+from tamaracktide.core import load_planner
+from tamaracktide.core import loading
+from tamaracktide.core import randomness
+from tamaracktide.core import routing
+from tamaracktide.core import rows
+
+_Code = result_codes.ResultCode
+
+
+class Cell:
+    """The owner's view of a cell and its decisions.
+
+    Attributes:
+        settings: The cell's settings.
+    """
+
+    def __init__(
+        self, settings: cell_settings.CellSettings, rng: randomness.Random
+    ) -> None:
+        """Starts without engines; `UpstreamRead` adds them."""
+        self.settings = settings
+        self._parts = cell_parts.make_parts(settings, rng)
+        self._granter = granting.Granter(self._parts)
+        self._planner = load_planner.LoadPlanner(self._parts)
+        self._expiries: list[tuple[float, int, str]] = []
+        self._sequence = 0
+        self._actions: list[cell_actions.CellAction] = []
+
+    def handle(
+        self, event: cell_events.CellEvent, now: float
+    ) -> list[cell_actions.CellAction]:
+        """Takes an event in and returns what to do, in order.
+
+        Args:
+            event: What happened.
+            now: Seconds on the caller's monotonic clock.
+
+        Raises:
+            invariants.InvariantError: A decision would break an invariant.
+        """
+        self._actions = []
+        virtual_time = self._parts.queue.virtual_time
+        self._apply(event, now)
+        self._refuse_expired(now)
+        self._actions.extend(self._granter.grant_waiting(now))
+        self._load(now)
+        after = self._parts.queue.virtual_time
+        invariants.check_virtual_time(virtual_time, after)
+        self._check_longest_wait(now)
+        self._plan_wake_up()
+        return self._actions
+
+    def measure_use(self) -> routing.CellUse:
+        """Returns how busy the cell is, for the gateways' choice of cells.
+
+        An engine whose slots are scarcer than its places counts as being as
+        full as its slots are.
+        """
+        admission = self._parts.admission
+        usable = self._parts.inventory.list_usable()
+        capacity = admission.count_places()
+        slots = max(1, sum(engine.slot_limit for engine in usable))
+        used_slots = sum(e.slot_limit - e.idle_slots for e in usable)
+        running = sum(engine.running for engine in usable)
+        return routing.CellUse(
+            running=max(running, used_slots * capacity // slots),
+            capacity=capacity,
+            waiting=admission.count_waiting() + len(self._granter.alone),
+        )
+
+    def _apply(self, event: cell_events.CellEvent, now: float) -> None:
+        match event:
+            case cell_events.Submit():
+                self._submit(event, now)
+            case cell_events.Withdraw():
+                self._withdraw(event, now)
+            case cell_events.GrantEnded():
+                self._granter.end_grant(event, now)
+            case cell_events.GrantAdopted():
+                self._adopt(event, now)
+            case cell_events.LoadEnded():
+                self._end_load(event, now)
+            case cell_events.StoreShareChanged():
+                self._parts.budget.set_share(
+                    event.loads_per_s, event.in_flight, now
+                )
+            case _:
+                self._apply_upstream(event, now)
+
+    def _apply_upstream(self, event: cell_events.CellEvent, now: float) -> None:
+        inventory = self._parts.inventory
+        match event:
+            case cell_events.UpstreamRead():
+                self._read_engine(event, now)
+            case cell_events.UpstreamLost():
+                lost = inventory.forget_engine(event.upstream)
+                self._granter.forget_grants(lost)
+            case cell_events.UpstreamLeaving():
+                inventory.set_leaving(event)
+            case cell_events.EvictionsSuspended():
+                inventory.suspend_evictions(event)
+            case cell_events.LoadReported():
+                inventory.take_report(event)
+            case cell_events.PrefixReported():
+                inventory.take_prefix(event)
+
+    def _read_engine(self, event: cell_events.UpstreamRead, now: float) -> None:
+        inventory = self._parts.inventory
+        known = inventory.engines.get(event.upstream)
+        if known is None or known.incarnation != event.incarnation:
+            self._parts.placer.backoff.forget_engine(event.upstream)
+        lost = inventory.read_engine(event, now)
+        self._granter.forget_grants(lost)
+        invariants.check_engine(inventory.engines[event.upstream])
+
+    def _adopt(self, event: cell_events.GrantAdopted, now: float) -> None:
+        grant = self._parts.inventory.adopt_grant(event, now)
+        if grant is not None:
+            self._parts.queue.add_running(grant.customer, grant.weight)
+
+    def _submit(self, event: cell_events.Submit, now: float) -> None:
+        request_id = event.request_id
+        granted = self._granter.granted.get(request_id)
+        if granted is not None:
+            self._actions.append(granted)
+            return
+        waiting = self._parts.queue.waiters
+        if request_id in waiting or request_id in self._granter.alone:
+            return
+        self._parts.placer.popularity.add_request(
+            event.key, event.customer, now
+        )
+        code = self._parts.admission.find_refusal(event, now)
+        if code is not None:
+            self._refuse(event, code, now)
+            return
+        self._add_waiter(event, now)
+        self._refuse_displaced(event, now)
+
+    def _add_waiter(self, event: cell_events.Submit, now: float) -> None:
+        self._sequence += 1
+        waiter = cell_state.Waiter(
+            submit=event,
+            submitted_at=now,
+            sequence=self._sequence,
+            cost=self._parts.estimates.predict_cost(
+                event.prompt_tokens, event.max_tokens
+            ),
+            expires_at=self._parts.admission.find_expiry(event, now),
+        )
+        if event.alone:
+            self._granter.alone[event.request_id] = waiter
+        else:
+            self._parts.queue.add(waiter)
+        heapq.heappush(
+            self._expiries,
+            (waiter.expires_at, waiter.sequence, event.request_id),
+        )
+
+    def _refuse_displaced(self, event: cell_events.Submit, now: float) -> None:
+        """Refuses one request of the longest queue if there are too many."""
+        displaced = self._parts.admission.find_displaced()
+        if displaced is None:
+            return
+        own = displaced.submit.customer == event.customer
+        code = _Code.QUEUE_FULL if own else _Code.CUSTOMER_OVER_SHARE
+        self._refuse(displaced.submit, code, now)
+
+    def _withdraw(self, event: cell_events.Withdraw, now: float) -> None:
+        self._remove_waiter(event.request_id)
+        granted = self._granter.granted.get(event.request_id)
+        if granted is not None:
+            ended = cell_events.GrantEnded(grant_id=granted.grant_id)
+            self._granter.end_grant(ended, now)
+
+    def _remove_waiter(self, request_id: str) -> cell_state.Waiter | None:
+        waiter = self._parts.queue.remove(request_id)
+        return waiter or self._granter.drop_alone(request_id)
+
+    def _refuse(
+        self, submit: cell_events.Submit, code: _Code, now: float
+    ) -> None:
+        request_id = submit.request_id
+        invariants.check_refusal(
+            request_id, request_id in self._granter.granted
+        )
+        retry_after_s = self._parts.admission.find_retry_after_s(
+            submit.customer
+        )
+        self._remove_waiter(request_id)
+        self._actions.append(
+            cell_actions.Refuse(
+                request_id=request_id, code=code, retry_after_s=retry_after_s
+            )
+        )
+
+    def _refuse_expired(self, now: float) -> None:
+        """Refuses what can no longer be answered by its deadline."""
+        usable = self._parts.inventory.list_usable()
+        while self._expiries:
+            expires_at, _, request_id = self._expiries[0]
+            waiter = self._find_waiter(request_id)
+            if waiter is not None and expires_at > now and usable:
+                return
+            heapq.heappop(self._expiries)
+            if waiter is None or waiter.expires_at != expires_at:
+                continue
+            late = _Code.DEADLINE_UNREACHABLE
+            code = late if usable else _Code.NO_UPSTREAM
+            self._refuse(waiter.submit, code, now)
+
+    def _check_longest_wait(self, now: float) -> None:
+        if not self._expiries:
+            return
+        waiter = self._find_waiter(self._expiries[0][2])
+        if waiter is not None:
+            invariants.check_wait(waiter, now)
+
+    def _find_waiter(self, request_id: str) -> cell_state.Waiter | None:
+        waiter = self._parts.queue.waiters.get(request_id)
+        return waiter or self._granter.alone.get(request_id)
+
+    def _end_load(self, event: cell_events.LoadEnded, now: float) -> None:
+        failed = self._planner.end_load(event, now)
+        if failed is None:
+            return
+        key, count = failed
+        if count >= loading.MOST_FAILURES:
+            self._refuse_unloadable(key, now)
+
+    def _refuse_unloadable(self, key: rows.AdapterKey, now: float) -> None:
+        """Refuses the requests of an adapter that fails to load."""
+        if self._parts.inventory.count_replicas(key):
+            return
+        waiters = [
+            *self._parts.queue.waiters.values(),
+            *self._granter.alone.values(),
+        ]
+        for waiter in waiters:
+            if waiter.submit.key == key:
+                self._refuse(waiter.submit, _Code.LOAD_FAILED, now)
+
+    def _load(self, now: float) -> None:
+        self._actions.extend(self._planner.load_for_waiting(now))
+        for waiter in self._granter.alone.values():
+            engine = self._granter.find_kept_engine(waiter.submit.request_id)
+            if engine is not None:
+                self._actions.extend(
+                    self._planner.load_alone(engine, waiter.submit.key, now)
+                )
+        self._actions.extend(self._planner.prefetch(now))
+
+    def _plan_wake_up(self) -> None:
+        at = self._planner.recheck_at
+        if self._expiries:
+            at = min(at, self._expiries[0][0])
+        if at != float("inf"):
+            self._actions.append(cell_actions.WakeAt(at))
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -36,6 +36,8 @@
         loaded: Adapters in its slots.
         running: Requests running on it, whoever admitted them.
         checks_fencing: Whether it refuses orders with an old fencing token.
+        withheld: Engine-side names that an order of an earlier owner may
+            still unload; they are never granted.
     """
 
     upstream: str
@@ -45,6 +47,7 @@
     loaded: tuple[LoadedAdapter, ...] = ()
     running: int = 0
     checks_fencing: bool = True
+    withheld: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,9 +59,50 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLeaving:
-    """An upstream is leaving or drained; it gets no new work."""
+    """An upstream is leaving or drained; it gets no new work.
 
+    Attributes:
+        upstream: Instance id.
+        leaving: False when an operator's drain was taken back.
+    """
+
+    upstream: str
+    leaving: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EvictionsSuspended:
+    """An engine's adapters may not be unloaded for now, or may be again.
+
+    Attributes:
+        upstream: Instance id.
+        suspended: False once evictions are safe again.
+    """
+
+    upstream: str
+    suspended: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GrantAdopted:
+    """A gateway holds a grant of an earlier owner of the cell.
+
+    It is sent after the `UpstreamRead` of its engine; the request counts as
+    one of those that the engine reported as running.
+
+    Attributes:
+        request_id: The request.
+        grant_id: The grant; `GrantEnded` gives the place back.
+        upstream: Instance id of the engine.
+        lora_name: Engine-side name that it pins.
+        customer: Customer to account the cost to.
+    """
+
+    request_id: str
+    grant_id: str
     upstream: str
+    lora_name: str
+    customer: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -175,6 +219,8 @@
     UpstreamRead
     | UpstreamLost
     | UpstreamLeaving
+    | EvictionsSuspended
+    | GrantAdopted
     | Submit
     | Withdraw
     | GrantEnded
--- /dev/null
+++ b/src/tamaracktide/core/cell_parts.py
@@ -0,0 +1,64 @@
+"""The parts of a cell that its decisions share."""
+
+import dataclasses
+
+from tamaracktide.core import admission
+from tamaracktide.core import cell_settings
+from tamaracktide.core import estimates
+from tamaracktide.core import fairness
+from tamaracktide.core import inventory
+from tamaracktide.core import loading
+from tamaracktide.core import placement
+from tamaracktide.core import randomness
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CellParts:
+    """State and advisers that granting and loading work with.
+
+    Attributes:
+        settings: The cell's settings.
+        rng: Random numbers.
+        inventory: Engines, slots, loads and grants.
+        queue: Waiting requests by customer.
+        estimates: How long things take.
+        budget: The cell's share of the store.
+        placer: Chooses engines and slots.
+        admission: Predicts waits.
+    """
+
+    settings: cell_settings.CellSettings
+    rng: randomness.Random
+    inventory: inventory.Inventory
+    queue: fairness.FairQueue
+    estimates: estimates.Estimates
+    budget: loading.LoadBudget
+    placer: placement.Placer
+    admission: admission.Admission
+
+    def make_id(self, kind: str) -> str:
+        """Returns an id that no other owner of the cell makes."""
+        return f"{kind}{self.rng.getrandbits(64):016x}"
+
+
+def make_parts(
+    settings: cell_settings.CellSettings, rng: randomness.Random
+) -> CellParts:
+    """Returns the parts of a cell without engines."""
+    inventory_ = inventory.Inventory()
+    queue = fairness.FairQueue()
+    estimates_ = estimates.Estimates(settings)
+    return CellParts(
+        settings=settings,
+        rng=rng,
+        inventory=inventory_,
+        queue=queue,
+        estimates=estimates_,
+        budget=loading.LoadBudget(
+            settings.loads_per_s, settings.loads_in_flight
+        ),
+        placer=placement.Placer(settings, inventory_, queue, estimates_),
+        admission=admission.Admission(
+            settings, inventory_, queue, estimates_, rng
+        ),
+    )
--- /dev/null
+++ b/src/tamaracktide/core/cell_settings.py
@@ -0,0 +1,28 @@
+"""Settings of the decision core for one cell."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CellSettings:
+    """What a cell's decisions depend on besides events.
+
+    Attributes:
+        stall_weight: Importance of few load stalls, relative.
+        batch_weight: Importance of full batches, relative.
+        max_queue_s: Longest wait for a grant, seconds.
+        max_waiting: Requests that may wait in the cell.
+        loads_per_s: Loads that the cell may start a second at first.
+        loads_in_flight: Loads that the cell may have under way at first.
+        load_s: Expected duration of a load before any was measured.
+        token_s: Expected seconds per generated token before any answer.
+    """
+
+    stall_weight: float = 1.0
+    batch_weight: float = 1.0
+    max_queue_s: float = 30.0
+    max_waiting: int = 1024
+    loads_per_s: float = 8.0
+    loads_in_flight: float = 4.0
+    load_s: float = 0.25
+    token_s: float = 0.03
--- /dev/null
+++ b/src/tamaracktide/core/load_planner.py
@@ -0,0 +1,204 @@
+"""Orders loads: for waiting requests first, then ahead of demand."""
+
+import math
+
+from tamaracktide.core import cell_actions
+from tamaracktide.core import cell_events
+from tamaracktide.core import cell_parts
+from tamaracktide.core import cell_state
+from tamaracktide.core import fairness
+from tamaracktide.core import invariants
+from tamaracktide.core import placement
+from tamaracktide.core import rows
+
+PREFETCH_PERIOD_S = 0.25
+"""Shortest time between two looks for loads ahead of demand."""
+
+RECHECK_PERIOD_S = 0.1
+"""Time after which a load that found no place is considered again."""
+
+STARVED_AFTER_S = 3.0
+"""Wait after which even a customer beyond its share gets a slot freed."""
+
+
+class LoadPlanner:
+    """Spends the cell's share of the store.
+
+    Attributes:
+        recheck_at: When a load that could not start may start; infinite if
+            only an event can change that.
+    """
+
+    def __init__(self, parts: cell_parts.CellParts) -> None:
+        """Starts without loads."""
+        self.recheck_at = math.inf
+        self._parts = parts
+        self._prefetch_at = 0.0
+        self._retiring: list[cell_state.Slot] = []
+
+    def load_for_waiting(self, now: float) -> list[cell_actions.Load]:
+        """Orders loads for waiting requests in the order of fairness."""
+        self.recheck_at = math.inf
+        parts = self._parts
+        loads: list[cell_actions.Load] = []
+        starved: list[fairness.GroupKey] = []
+        level = parts.queue.find_level(parts.admission.count_places())
+        for account, group_key, group in parts.queue.iterate_groups():
+            needed, replica = parts.placer.needs_load(
+                group_key, parts.queue.count_waiting(group_key.key)
+            )
+            if not needed or self._is_held_back(group_key, now):
+                continue
+            beyond = account.exceeds(level)
+            if not self._may_start(beyond, now):
+                break
+            plan = parts.placer.find_load(
+                account.customer, group_key, beyond, replica, now
+            )
+            if plan is not None:
+                loads.append(self._start(plan, now))
+                continue
+            self._recheck(now + RECHECK_PERIOD_S)
+            waited_s = now - group[0].submitted_at
+            if not replica and (not beyond or waited_s > STARVED_AFTER_S):
+                starved.append(group_key)
+        self._retire_slots(starved, level, now)
+        return loads
+
+    def _recheck(self, at: float) -> None:
+        self.recheck_at = min(self.recheck_at, at)
+
+    def _is_held_back(self, group_key: fairness.GroupKey, now: float) -> bool:
+        retry_at = self._parts.placer.backoff.find_retry(group_key.key)
+        if now >= retry_at:
+            return False
+        self._recheck(retry_at)
+        return True
+
+    def _may_start(self, beyond_share: bool, now: float) -> bool:
+        """Returns whether the store's share allows a load.
+
+        Customers beyond their share leave the last one in flight free.
+        """
+        budget = self._parts.budget
+        under_way = len(self._parts.inventory.loads)
+        if not budget.allows(under_way, now):
+            if under_way < budget.most_in_flight:
+                self._recheck(budget.find_next(now))
+            return False
+        last = budget.most_in_flight > 1 and (
+            under_way + 1 >= budget.most_in_flight
+        )
+        return not (beyond_share and last)
+
+    def load_alone(
+        self, engine: cell_state.Engine, key: rows.AdapterKey, now: float
+    ) -> list[cell_actions.Load]:
+        """Loads the adapter of a request that is to run alone."""
+        parts = self._parts
+        if parts.inventory.find_slot(engine, key) is not None:
+            return []
+        self._recheck(now + RECHECK_PERIOD_S)
+        if parts.placer.backoff.blocks(key, engine.name, now):
+            return []
+        victim = parts.placer.find_victim(engine, now)
+        if victim is None or not self._may_start(False, now):
+            return []
+        plan = placement.LoadPlan(engine, key, "", victim.lora_name)
+        return [self._start(plan, now)]
+
+    def prefetch(self, now: float) -> list[cell_actions.Load]:
+        """Orders at most one load ahead of demand."""
+        if now < self._prefetch_at:
+            return []
+        self._prefetch_at = now + PREFETCH_PERIOD_S
+        loads = self._parts.inventory.loads
+        if any(load.prefetch for load in loads.values()):
+            return []
+        if not self._may_start(True, now):
+            return []
+        slots = sum(
+            engine.slot_limit for engine in self._parts.inventory.list_usable()
+        )
+        plan = self._parts.placer.find_prefetch(now, slots)
+        return [] if plan is None else [self._start(plan, now)]
+
+    def _start(self, plan: placement.LoadPlan, now: float) -> cell_actions.Load:
+        parts, engine = self._parts, plan.engine
+        invariants.check_load(
+            engine,
+            plan.key,
+            plan.evict,
+            len(parts.inventory.loads),
+            parts.budget.most_in_flight,
+        )
+        load = cell_actions.Load(
+            load_id=parts.make_id("l"),
+            upstream=engine.name,
+            incarnation=engine.incarnation,
+            lora_name=parts.make_id(f"{plan.key.text}#"),
+            key=plan.key,
+            evict=plan.evict,
+        )
+        parts.budget.take()
+        parts.inventory.start_load(
+            cell_state.LoadRecord(
+                load_id=load.load_id,
+                upstream=engine.name,
+                lora_name=load.lora_name,
+                key=plan.key,
+                customer=plan.customer,
+                started_at=now,
+                evicted=plan.evict,
+                prefetch=plan.prefetch,
+            )
+        )
+        return load
+
+    def end_load(
+        self, event: cell_events.LoadEnded, now: float
+    ) -> tuple[rows.AdapterKey, int] | None:
+        """Takes in the answer to a load.
+
+        Returns:
+            The adapter and its failures in a row, None if it is loaded or
+            the load is not known.
+        """
+        parts = self._parts
+        load = parts.inventory.end_load(event, now)
+        if load is None:
+            return None
+        backoff = parts.placer.backoff
+        if event.succeeded:
+            backoff.add_success(load.key, load.upstream)
+            parts.estimates.add_load(now - load.started_at)
+            return None
+        count = backoff.add_failure(load.key, load.upstream, now)
+        return load.key, count
+
+    def _retire_slots(
+        self, starved: list[fairness.GroupKey], level: float, now: float
+    ) -> None:
+        """Frees slots for adapters that found none; undoes it afterwards."""
+        placer = self._parts.placer
+        surplus = [] if math.isinf(level) else placer.find_surplus(level)
+        self._retire(surplus)
+        if not starved and not surplus:
+            self._reinstate()
+            return
+        for group_key in starved[len(self._retiring) :]:
+            slot = placer.find_retiring(group_key, level, now)
+            if slot is None:
+                return
+            self._retire([slot])
+
+    def _retire(self, slots: list[cell_state.Slot]) -> None:
+        for slot in slots:
+            slot.retiring = True
+            self._retiring.append(slot)
+
+    def _reinstate(self) -> None:
+        """Lets retiring slots that are still in use be granted again."""
+        for slot in self._retiring:
+            slot.retiring = False
+        self._retiring.clear()
--- /dev/null
+++ b/src/tamaracktide/core/placement.py
@@ -0,0 +1,363 @@
+"""Where requests run, where adapters are loaded, and what gives way."""
+
+import dataclasses
+
+from tamaracktide.core import cell_settings
+from tamaracktide.core import cell_state
+from tamaracktide.core import estimates
+from tamaracktide.core import fairness
+from tamaracktide.core import inventory
+from tamaracktide.core import loading
+from tamaracktide.core import popularity
+from tamaracktide.core import rendezvous
+from tamaracktide.core import rows
+
+RESERVED_PLACES_PART = 0.0625
+"""Part of a batch that a customer beyond its share leaves free."""
+
+RESERVED_SLOTS_PART = 0.25
+"""Part of the slots that a customer beyond its share leaves unused."""
+
+EVICTION_HORIZON_S = 30.0
+"""Time over which the requests for an evicted adapter count against it."""
+
+REPLICATE_FACTOR = 1.5
+"""Loads that a wait for a place must exceed before a replica is loaded."""
+
+PREFETCH_FACTOR = 1.5
+"""How much likelier a prefetched adapter must be than the one it evicts."""
+
+WAITING_RATE = 10.0
+"""Requests a second that a known waiter counts for."""
+
+_IDLE_ENGINE_COST_S = 0.3
+_EMPTY_PLACE_COST_S = 0.1
+_RENDEZVOUS_COST_S = 0.02
+_PREFIX_SCORE = 0.5
+_MOST_PENDING = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Victim:
+    """What a load puts out of a slot.
+
+    Attributes:
+        rate: Requests a second that will miss it.
+        lora_name: Engine-side name, empty for a free slot.
+    """
+
+    rate: float
+    lora_name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """A load that is to start.
+
+    Attributes:
+        engine: Where.
+        key: Adapter and version.
+        customer: Customer that it counts for.
+        evict: Engine-side name to unload first, or empty.
+        prefetch: Whether no request waits for it.
+    """
+
+    engine: cell_state.Engine
+    key: rows.AdapterKey
+    customer: str
+    evict: str
+    prefetch: bool = False
+
+
+class Placer:
+    """Chooses engines and slots by cost, in seconds of expected delay."""
+
+    def __init__(
+        self,
+        settings: cell_settings.CellSettings,
+        inventory_: inventory.Inventory,
+        queue: fairness.FairQueue,
+        estimates_: estimates.Estimates,
+    ) -> None:
+        """Reads the given state; it changes none of it."""
+        self.popularity = popularity.Popularity()
+        self.backoff = loading.Backoff()
+        self._settings = settings
+        self._inventory = inventory_
+        self._queue = queue
+        self._estimates = estimates_
+
+    def find_ready(
+        self, waiter: cell_state.Waiter, beyond_share: bool
+    ) -> tuple[cell_state.Engine, cell_state.Slot] | None:
+        """Returns a place on an engine that has the adapter loaded."""
+        submit = waiter.submit
+        best: tuple[cell_state.Engine, cell_state.Slot] | None = None
+        best_score = -1.0
+        for engine, slot in self._inventory.find_slots(submit.key):
+            if slot.state is not cell_state.SlotState.READY or slot.retiring:
+                continue
+            if engine.name in submit.avoid:
+                continue
+            if not _has_place(engine, slot, beyond_share):
+                continue
+            score = self._score_ready(engine, submit.prefix)
+            if score > best_score:
+                best, best_score = (engine, slot), score
+        return best
+
+    def _score_ready(self, engine: cell_state.Engine, prefix: str) -> float:
+        cached = bool(prefix) and prefix in engine.prefixes
+        fill = engine.running / engine.batch_limit
+        return self._settings.batch_weight * fill + _PREFIX_SCORE * cached
+
+    def needs_load(
+        self, group_key: fairness.GroupKey, waiting: int
+    ) -> tuple[bool, bool]:
+        """Returns whether to load an adapter, and whether as a replica.
+
+        A replica is loaded if a place at the engines that have the adapter
+        is expected later than a load ends.
+        """
+        running = 0
+        replicas = 0
+        for engine, slot in self._inventory.find_slots(group_key.key):
+            if engine.name in group_key.avoid:
+                continue
+            if slot.state is cell_state.SlotState.LOADING:
+                return False, False
+            if engine.exclusive:
+                continue
+            replicas += 1
+            running += engine.running
+        if not replicas:
+            return True, False
+        interval_s = self._estimates.service_s / max(1, running)
+        wait_s = waiting * interval_s
+        return wait_s > REPLICATE_FACTOR * self._estimates.load_s, True
+
+    def find_load(
+        self,
+        customer: str,
+        group_key: fairness.GroupKey,
+        beyond_share: bool,
+        replica: bool,
+        now: float,
+    ) -> LoadPlan | None:
+        """Returns the cheapest load for waiting requests, or None."""
+        key = group_key.key
+        best: LoadPlan | None = None
+        best_cost = float("inf")
+        usable = self._list_loadable(key, group_key.avoid, now)
+        for engine in usable:
+            wait_s = self._predict_place_s(engine, beyond_share, replica)
+            if wait_s is None:
+                continue
+            victim = self.find_victim(engine, now)
+            if victim is None:
+                continue
+            if beyond_share and not self._may_take_slot(
+                engine, customer, key, victim, now
+            ):
+                continue
+            cost = self._find_cost(engine, victim) + wait_s
+            if cost < best_cost:
+                best_cost = cost
+                best = LoadPlan(engine, key, customer, victim.lora_name)
+        return best
+
+    def _list_loadable(
+        self, key: rows.AdapterKey, avoid: tuple[str, ...], now: float
+    ) -> list[cell_state.Engine]:
+        """Returns engines that may load an adapter, preferred ones first."""
+        able = {
+            engine.name: engine
+            for engine in self._inventory.engines.values()
+            if not engine.leaving
+            and not engine.exclusive
+            and engine.name not in avoid
+            and not self.backoff.blocks(key, engine.name, now)
+            and self._inventory.find_slot(engine, key) is None
+        }
+        return [able[name] for name in rendezvous.sort_members(key.text, able)]
+
+    def _predict_place_s(
+        self, engine: cell_state.Engine, beyond_share: bool, replica: bool
+    ) -> float | None:
+        """Returns the wait for a place after a load, None if too long."""
+        reserved = count_reserved_places(engine) if beyond_share else 0
+        free = engine.free_places - engine.pending - reserved
+        if free > 0:
+            return 0.0
+        if replica or beyond_share or engine.pending >= _MOST_PENDING:
+            return None
+        return self._estimates.service_s / max(1, engine.running)
+
+    def _find_cost(self, engine: cell_state.Engine, victim: Victim) -> float:
+        settings = self._settings
+        fill = engine.running / engine.batch_limit
+        empty = _EMPTY_PLACE_COST_S * (1.0 - fill)
+        idle = 0.0 if engine.running else _IDLE_ENGINE_COST_S
+        missed_s = victim.rate * EVICTION_HORIZON_S * self._estimates.load_s
+        return settings.stall_weight * missed_s + settings.batch_weight * (
+            empty + idle
+        )
+
+    def find_victim(
+        self, engine: cell_state.Engine, now: float
+    ) -> Victim | None:
+        """Returns the slot of least value that a load may take, or None."""
+        if len(engine.slots) < engine.slot_limit:
+            return Victim(0.0, "")
+        if not engine.evictable:
+            return None
+        best: Victim | None = None
+        for slot in engine.slots.values():
+            if slot.in_use:
+                continue
+            rate = self._rate_slot(slot, now)
+            if best is None or rate < best.rate:
+                best = Victim(rate, slot.lora_name)
+        return best
+
+    def _rate_slot(self, slot: cell_state.Slot, now: float) -> float:
+        """Returns the requests a second that would miss a slot."""
+        if slot.state is cell_state.SlotState.WITHHELD or slot.retiring:
+            return 0.0
+        rate = self.popularity.predict(slot.key, now)
+        rate /= max(1, self._inventory.count_replicas(slot.key))
+        waiting = self._queue.count_waiting(slot.key)
+        rate *= self.find_slot_factor(slot.customer)
+        return rate + WAITING_RATE * waiting
+
+    def find_slot_factor(self, customer: str) -> float:
+        """Returns how much a customer's slots count, less beyond its share."""
+        held = self._inventory.slots_by_customer
+        own = held.get(customer, 0)
+        if not own:
+            return 1.0
+        share = sum(held.values()) / len(held)
+        return min(1.0, 2.0 * share / own)
+
+    def _may_take_slot(
+        self,
+        engine: cell_state.Engine,
+        customer: str,
+        key: rows.AdapterKey,
+        victim: Victim,
+        now: float,
+    ) -> bool:
+        if engine.idle_slots <= count_reserved_slots(engine):
+            return False
+        if not victim.lora_name:
+            return True
+        if engine.slots[victim.lora_name].customer == customer:
+            return True
+        own = self.popularity.predict(key, now)
+        return own * self.find_slot_factor(customer) > victim.rate
+
+    def find_prefetch(self, now: float, limit: int) -> LoadPlan | None:
+        """Returns a load that is worth it although no request waits."""
+        for likely in self.popularity.list_likely(now, limit):
+            if self._inventory.count_replicas(likely.key):
+                continue
+            if now < self.backoff.find_retry(likely.key):
+                continue
+            plan = self._find_prefetch_place(likely, now)
+            if plan is not None:
+                return plan
+        return None
+
+    def _find_prefetch_place(
+        self, likely: popularity.Prediction, now: float
+    ) -> LoadPlan | None:
+        rate = likely.rate * self.find_slot_factor(likely.customer)
+        best: LoadPlan | None = None
+        best_rate = rate / PREFETCH_FACTOR
+        for engine in self._list_loadable(likely.key, (), now):
+            victim = self.find_victim(engine, now)
+            if victim is not None and victim.rate < best_rate:
+                best_rate = victim.rate
+                best = LoadPlan(
+                    engine, likely.key, likely.customer, victim.lora_name, True
+                )
+        return best
+
+    def find_retiring(
+        self, group_key: fairness.GroupKey, level: float, now: float
+    ) -> cell_state.Slot | None:
+        """Returns a slot to free for an adapter that finds none, or None.
+
+        Slots of customers beyond their share go first, then those with the
+        fewest requests; none that is needed by a customer within its share.
+        """
+        best: cell_state.Slot | None = None
+        best_rank = (True, 0)
+        for engine in self._list_loadable(group_key.key, group_key.avoid, now):
+            if not engine.evictable or _is_retiring(engine):
+                continue
+            for slot in engine.slots.values():
+                within = not self._exceeds(slot.customer, level)
+                if not _may_retire(slot) or (
+                    within and self._queue.count_waiting(slot.key)
+                ):
+                    continue
+                rank = (within, slot.pins)
+                if best is None or rank < best_rank:
+                    best, best_rank = slot, rank
+        return best
+
+    def find_surplus(self, level: float) -> list[cell_state.Slot]:
+        """Returns slots by which customers beyond their share crowd engines.
+
+        Where fewer slots are unused than are reserved, such customers
+        together keep one slot and give the others back.
+        """
+        surplus = []
+        for engine in self._inventory.list_usable():
+            if engine.idle_slots >= count_reserved_slots(engine):
+                continue
+            if not engine.evictable or _is_retiring(engine):
+                continue
+            beyond = [
+                slot
+                for slot in engine.slots.values()
+                if _may_retire(slot)
+                and slot.pins
+                and self._exceeds(slot.customer, level)
+            ]
+            if len(beyond) > 1:
+                surplus.append(min(beyond, key=lambda slot: slot.pins))
+        return surplus
+
+    def _exceeds(self, customer: str, level: float) -> bool:
+        account = self._queue.accounts.get(customer)
+        return account is not None and account.exceeds(level)
+
+
+def count_reserved_places(engine: cell_state.Engine) -> int:
+    """Returns the places that customers beyond their share leave free."""
+    return int(engine.batch_limit * RESERVED_PLACES_PART)
+
+
+def count_reserved_slots(engine: cell_state.Engine) -> int:
+    """Returns the slots that customers beyond their share leave unused."""
+    return int(engine.slot_limit * RESERVED_SLOTS_PART)
+
+
+def _has_place(
+    engine: cell_state.Engine, slot: cell_state.Slot, beyond_share: bool
+) -> bool:
+    if not beyond_share:
+        return engine.free_places > 0
+    if engine.free_places <= count_reserved_places(engine) + engine.pending:
+        return False
+    return slot.in_use or engine.idle_slots > count_reserved_slots(engine)
+
+
+def _is_retiring(engine: cell_state.Engine) -> bool:
+    return any(slot.retiring for slot in engine.slots.values())
+
+
+def _may_retire(slot: cell_state.Slot) -> bool:
+    return slot.state is cell_state.SlotState.READY and not slot.foreign
--- /dev/null
+++ b/src/tamaracktide/core/popularity.py
@@ -0,0 +1,112 @@
+"""Predicted request rates of adapters from frequency and recency."""
+
+import dataclasses
+import heapq
+import math
+
+from tamaracktide.core import rows
+
+FREQUENCY_TAU_S = 300.0
+"""Time constant of the decayed count that stands for frequency."""
+
+RECENCY_TAU_S = 15.0
+"""Time constant of the decayed count that stands for recency."""
+
+RECENCY_WEIGHT = 0.5
+"""Part of the recent rate that is expected to go on."""
+
+_LEAST_FREQUENCY = 0.02
+_PRUNE_PERIOD_S = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Count:
+    customer: str
+    frequency: float
+    recency: float
+    updated_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Prediction:
+    """An adapter that is likely to be asked for.
+
+    Attributes:
+        rate: Expected requests a second.
+        key: Adapter and version.
+        customer: Customer that asked for it last.
+    """
+
+    rate: float
+    key: rows.AdapterKey
+    customer: str
+
+
+class Popularity:
+    """Counts requests by adapter; old ones count less and less."""
+
+    __slots__ = ("_counts", "_prune_at")
+
+    def __init__(self) -> None:
+        """Starts without any request seen."""
+        self._counts: dict[rows.AdapterKey, _Count] = {}
+        self._prune_at = 0.0
+
+    def add_request(
+        self, key: rows.AdapterKey, customer: str, now: float
+    ) -> None:
+        """Counts a request."""
+        count = self._counts.get(key)
+        if count is None:
+            self._counts[key] = _Count(customer, 1.0, 1.0, now)
+            return
+        elapsed_s = max(0.0, now - count.updated_at)
+        count.frequency = 1.0 + count.frequency * math.exp(
+            -elapsed_s / FREQUENCY_TAU_S
+        )
+        count.recency = 1.0 + count.recency * math.exp(
+            -elapsed_s / RECENCY_TAU_S
+        )
+        count.customer = customer
+        count.updated_at = now
+
+    def predict(self, key: rows.AdapterKey, now: float) -> float:
+        """Returns the expected requests a second for an adapter."""
+        count = self._counts.get(key)
+        return 0.0 if count is None else _predict(count, now)
+
+    def list_likely(self, now: float, limit: int) -> list[Prediction]:
+        """Returns the adapters with the highest rates, highest first."""
+        self._prune(now)
+        likely = heapq.nlargest(
+            limit,
+            (
+                (_predict(count, now), key.text, key)
+                for key, count in self._counts.items()
+            ),
+        )
+        return [
+            Prediction(rate, key, self._counts[key].customer)
+            for rate, _, key in likely
+        ]
+
+    def _prune(self, now: float) -> None:
+        if now < self._prune_at:
+            return
+        self._prune_at = now + _PRUNE_PERIOD_S
+        self._counts = {
+            key: count
+            for key, count in self._counts.items()
+            if count.frequency
+            * math.exp(-(now - count.updated_at) / FREQUENCY_TAU_S)
+            >= _LEAST_FREQUENCY
+        }
+
+
+def _predict(count: _Count, now: float) -> float:
+    elapsed_s = max(0.0, now - count.updated_at)
+    frequency = count.frequency * math.exp(-elapsed_s / FREQUENCY_TAU_S)
+    recency = count.recency * math.exp(-elapsed_s / RECENCY_TAU_S)
+    return (
+        frequency / FREQUENCY_TAU_S + RECENCY_WEIGHT * recency / RECENCY_TAU_S
+    )
--- /dev/null
+++ b/src/tamaracktide/core/table_assembly.py
@@ -0,0 +1,148 @@
+"""Assembles a newer revision from a head and its shards, only forwards.
+
+Heads and shards come from the platform or from peers, in any order, late or
+more than once. A revision is in force once every shard of its head is there.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from tamaracktide import errors
+from tamaracktide import invariants
+from tamaracktide import result_codes
+from tamaracktide.core import rows
+from tamaracktide.core import table_head
+from tamaracktide.core import tables
+
+
+class Assembly:
+    """The tables in force and the newer revision that is being collected.
+
+    Attributes:
+        tables: The snapshot in force.
+        head: Head of the snapshot in force, None before the first.
+    """
+
+    def __init__(self) -> None:
+        """Starts with empty tables at revision 0."""
+        self.tables = tables.EMPTY
+        self.head: table_head.Head | None = None
+        self._pending: table_head.Head | None = None
+        self._shards: dict[str, tables.Shard] = {}
+        self._pools: dict[str, Mapping[str, rows.Pool]] = {}
+
+    @property
+    def newest_revision(self) -> int:
+        """The highest revision heard of, in force or not."""
+        head = self._pending or self.head
+        return head.revision if head else 0
+
+    def accept_head(self, data: bytes) -> bool:
+        """Takes a head; returns whether it is newer than all before.
+
+        Raises:
+            errors.ProtocolError: The head is malformed.
+        """
+        head = table_head.decode_head(data)
+        if head.revision <= self.newest_revision:
+            return False
+        self._pending = head
+        wanted = set(head.routes)
+        self._shards = {k: v for k, v in self._shards.items() if k in wanted}
+        self._pools = {k: v for k, v in self._pools.items() if k == head.pools}
+        self._apply_when_complete()
+        return True
+
+    def accept_shards(self, contents: Mapping[str, bytes]) -> None:
+        """Takes shards by hash; those that nothing asks for are dropped.
+
+        Raises:
+            errors.ProtocolError: A shard's content has another hash or is
+                malformed.
+        """
+        wanted = set(self.list_missing())
+        for digest, content in contents.items():
+            _check_hash(digest, content)
+            if digest in wanted:
+                self._accept_content(digest, content)
+        self._apply_when_complete()
+
+    def list_missing(self) -> list[str]:
+        """Returns the hashes that the newer revision still lacks."""
+        if self._pending is None:
+            return []
+        missing = set(self._pending.routes) - self._shards.keys()
+        if self.head is not None:
+            missing.difference_update(self.head.routes)
+        if not self._has_pools(self._pending.pools):
+            missing.add(self._pending.pools)
+        return sorted(missing)
+
+    def read_shards(self, hashes: Iterable[str]) -> dict[str, bytes]:
+        """Returns the content of the shards that are at hand."""
+        index = self._index_hashes()
+        return {
+            digest: table_head.encode_rows(index[digest].values())
+            for digest in hashes
+            if digest in index
+        }
+
+    def _accept_content(self, digest: str, content: bytes) -> None:
+        if self._pending is None:
+            return
+        if digest == self._pending.pools:
+            self._pools[digest] = table_head.decode_pools(content)
+        if digest in self._pending.routes:
+            self._shards[digest] = table_head.decode_routes(content)
+
+    def _has_pools(self, digest: str) -> bool:
+        in_force = self.head is not None and self.head.pools == digest
+        return in_force or digest in self._pools
+
+    def _index_hashes(self) -> dict[str, Mapping[str, tables.Row]]:
+        index: dict[str, Mapping[str, tables.Row]] = {
+            **self._shards,
+            **self._pools,
+        }
+        if self.head is not None:
+            shards = self.tables.routes.shards
+            index.update(zip(self.head.routes, shards, strict=True))
+            index[self.head.pools] = self.tables.pools
+        return index
+
+    def _apply_when_complete(self) -> None:
+        head = self._pending
+        if head is None or self.list_missing():
+            return
+        invariants.check(
+            head.revision > self.tables.revision,
+            f"tables at revision {self.tables.revision} never go to"
+            f" {head.revision}",
+        )
+        self.tables = self._build_tables(head)
+        self.head = head
+        self._pending = None
+        self._shards = {}
+        self._pools = {}
+
+    def _build_tables(self, head: table_head.Head) -> tables.Tables:
+        known = dict(self._shards)
+        pools = self._pools.get(head.pools, self.tables.pools)
+        if self.head is not None:
+            shards = self.tables.routes.shards
+            known.update(zip(self.head.routes, shards, strict=True))
+        return tables.replace_shards(
+            self.tables,
+            head.revision,
+            tuple(known[digest] for digest in head.routes),
+            pools,
+        )
+
+
+def _check_hash(digest: str, content: bytes) -> None:
+    found = table_head.hash_content(content)
+    if found != digest:
+        raise errors.ProtocolError(
+            result_codes.ResultCode.MALFORMED_MESSAGE,
+            f"{table_head.make_shard_key(digest)}: content has hash {found}",
+        )
--- /dev/null
+++ b/src/tamaracktide/core/tables.py
@@ -0,0 +1,178 @@
+"""Immutable snapshots of the routes and pools tables.
+
+Routes are held in shards, each chosen by a hash of the route's name, so that
+an edit copies only the shards that it changes.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+from collections.abc import Mapping
+import dataclasses
+
+import xxhash
+
+from tamaracktide.core import rows
+
+ROUTES_PER_SHARD = 256
+MIN_ROUTES_PER_SHARD = 64
+MAX_ROUTES_PER_SHARD = 512
+
+Row = rows.Route | rows.Pool
+Shard = Mapping[str, rows.Route]
+
+
+def find_shard_index(name: str, shard_count: int) -> int:
+    """Returns the index of the shard that holds a route's name."""
+    return xxhash.xxh64_intdigest(name.encode()) & (shard_count - 1)
+
+
+def choose_shard_count(route_count: int, current: int) -> int:
+    """Returns the number of shards, a power of two.
+
+    Keeps the current number while shards hold between
+    `MIN_ROUTES_PER_SHARD` and `MAX_ROUTES_PER_SHARD` routes on average.
+    """
+    fits_above = route_count <= current * MAX_ROUTES_PER_SHARD
+    fits_below = current == 1 or route_count >= current * MIN_ROUTES_PER_SHARD
+    if fits_above and fits_below:
+        return current
+    needed = max(1, -(-route_count // ROUTES_PER_SHARD))
+    return 1 << (needed - 1).bit_length()
+
+
+def split_routes(
+    routes: Iterable[rows.Route], shard_count: int
+) -> tuple[Shard, ...]:
+    """Returns the routes in their shards."""
+    shards: list[dict[str, rows.Route]] = [{} for _ in range(shard_count)]
+    for route in routes:
+        shards[find_shard_index(route.name, shard_count)][route.name] = route
+    return tuple(shards)
+
+
+class ShardedRoutes(Mapping[str, rows.Route]):
+    """Routes by name, held in shards.
+
+    Attributes:
+        shards: The shards by index; their number is a power of two.
+    """
+
+    __slots__ = ("_length", "shards")
+
+    def __init__(self, shards: tuple[Shard, ...]) -> None:
+        """Wraps the shards, which must not change any more."""
+        self.shards = shards
+        self._length = sum(map(len, shards))
+
+    def __getitem__(self, name: str) -> rows.Route:
+        """Returns the route of a name."""
+        return self.shards[find_shard_index(name, len(self.shards))][name]
+
+    def __iter__(self) -> Iterator[str]:
+        """Iterates over the names, shard by shard."""
+        for shard in self.shards:
+            yield from shard
+
+    def __len__(self) -> int:
+        """Returns the number of routes."""
+        return self._length
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tables:
+    """Both tables at one revision.
+
+    Attributes:
+        revision: Grows by one with each edit; 0 is before the first edit.
+        routes: Routes by name.
+        pools: Pools by name.
+        customer_routes: Names of the routes of each customer.
+    """
+
+    revision: int
+    routes: ShardedRoutes
+    pools: Mapping[str, rows.Pool]
+    customer_routes: Mapping[str, frozenset[str]]
+
+    def find_route(self, name: str) -> rows.Route | None:
+        """Returns the route of a name, None if there is none."""
+        return self.routes.get(name)
+
+    def find_pool(self, name: str) -> rows.Pool | None:
+        """Returns the pool of a name, None if there is none."""
+        return self.pools.get(name)
+
+    def list_customer_routes(self, customer: str) -> list[rows.Route]:
+        """Returns the customer's routes, ordered by name."""
+        names = self.customer_routes.get(customer, frozenset())
+        return [self.routes[name] for name in sorted(names)]
+
+
+def make_tables(
+    revision: int,
+    routes: Iterable[rows.Route] = (),
+    pools: Iterable[rows.Pool] = (),
+    shard_count: int = 1,
+) -> Tables:
+    """Returns a snapshot of the given rows."""
+    all_routes = list(routes)
+    count = choose_shard_count(len(all_routes), shard_count)
+    shards = split_routes(all_routes, count)
+    return replace_shards(
+        Tables(revision, ShardedRoutes(({},)), {}, {}),
+        revision,
+        shards,
+        {pool.name: pool for pool in pools},
+    )
+
+
+def replace_shards(
+    tables: Tables,
+    revision: int,
+    shards: tuple[Shard, ...],
+    pools: Mapping[str, rows.Pool],
+) -> Tables:
+    """Returns a snapshot with other shards, sharing what stays the same."""
+    return Tables(
+        revision,
+        ShardedRoutes(shards),
+        pools,
+        _index_customers(tables, shards),
+    )
+
+
+def _index_customers(
+    tables: Tables, shards: tuple[Shard, ...]
+) -> dict[str, frozenset[str]]:
+    before, after = _list_changed(tables.routes.shards, shards)
+    changed: dict[str, set[str]] = {}
+    for route in before:
+        _copy_names(changed, tables, route.customer).discard(route.name)
+    for route in after:
+        _copy_names(changed, tables, route.customer).add(route.name)
+    index = dict(tables.customer_routes)
+    for customer, names in changed.items():
+        index[customer] = frozenset(names)
+        if not names:
+            del index[customer]
+    return index
+
+
+def _copy_names(
+    changed: dict[str, set[str]], tables: Tables, customer: str
+) -> set[str]:
+    if customer not in changed:
+        changed[customer] = set(tables.customer_routes.get(customer, ()))
+    return changed[customer]
+
+
+def _list_changed(
+    old: tuple[Shard, ...], new: tuple[Shard, ...]
+) -> tuple[list[rows.Route], list[rows.Route]]:
+    kept = {id(shard) for shard in old} & {id(shard) for shard in new}
+    before = [r for s in old if id(s) not in kept for r in s.values()]
+    after = [r for s in new if id(s) not in kept for r in s.values()]
+    return before, after
+
+
+EMPTY = Tables(0, ShardedRoutes(({},)), {}, {})
--- /dev/null
+++ b/src/tamaracktide/ctl/drains.py
@@ -0,0 +1,58 @@
+"""Drains: objects that keep new work from an upstream or instance."""
+
+import dataclasses
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.core import table_head
+from tamaracktide.platform import objects as platform_objects
+
+DRAINS_PREFIX = "drains/"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Drain:
+    """The content of `drains/INSTANCE`.
+
+    Attributes:
+        author: Who drains it.
+        at_unix_s: Since when.
+    """
+
+    author: str
+    at_unix_s: float
+
+
+async def list_drained(objects: platform_objects.ObjectClient) -> set[str]:
+    """Returns the ids of all drained upstreams and instances."""
+    listing = await objects.list(DRAINS_PREFIX)
+    return {item.key.removeprefix(DRAINS_PREFIX) for item in listing.items}
+
+
+async def start_drain(
+    objects: platform_objects.ObjectClient, instance: str, drain: Drain
+) -> bool:
+    """Drains an instance; returns whether it was not drained before."""
+    data = table_head.encode_object(drain)
+    try:
+        await objects.create(DRAINS_PREFIX + instance, data)
+    except errors.PreconditionFailedError:
+        return False
+    return True
+
+
+async def stop_drain(
+    objects: platform_objects.ObjectClient, instance: str
+) -> None:
+    """Ends a drain.
+
+    Raises:
+        errors.EditError: ROW_UNKNOWN, it is not drained.
+    """
+    try:
+        await objects.delete(DRAINS_PREFIX + instance)
+    except errors.ObjectMissingError as error:
+        raise errors.EditError(
+            result_codes.ResultCode.ROW_UNKNOWN,
+            f'"{instance}" is not drained',
+        ) from error
--- /dev/null
+++ b/src/tamaracktide/ctl/exits.py
@@ -0,0 +1,54 @@
+"""Exit statuses by kind of failure, and what to do next."""
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+
+UNEXPECTED_STATUS = 1
+USAGE_STATUS = 2
+
+_STATUSES = {
+    result_codes.ResultCode.TABLE_INVALID: 3,
+    result_codes.ResultCode.EDIT_CONFLICT: 4,
+    result_codes.ResultCode.EDIT_UNSURE: 5,
+    result_codes.ResultCode.SETTINGS_INVALID: 6,
+    result_codes.ResultCode.PLATFORM_UNAVAILABLE: 7,
+    result_codes.ResultCode.ROW_UNKNOWN: 8,
+    result_codes.ResultCode.NOT_IN_FORCE: 9,
+}
+
+_NEXT_STEPS = {
+    result_codes.ResultCode.BAD_REQUEST: "see `tamaracktidectl COMMAND --help`",
+    result_codes.ResultCode.TABLE_INVALID: "nothing changed; mend the rows",
+    result_codes.ResultCode.EDIT_CONFLICT: (
+        "nothing changed; look at the row as it is now and edit again"
+    ),
+    result_codes.ResultCode.EDIT_UNSURE: (
+        "look for the edit id in `tamaracktidectl history`; if it is missing,"
+        " the same edit may be made again"
+    ),
+    result_codes.ResultCode.SETTINGS_INVALID: "mend the settings file",
+    result_codes.ResultCode.PLATFORM_UNAVAILABLE: (
+        "nothing changed; try again when the platform answers"
+    ),
+    result_codes.ResultCode.ROW_UNKNOWN: "see `tamaracktidectl get`",
+    result_codes.ResultCode.NOT_IN_FORCE: (
+        "`tamaracktidectl status` shows the instances that lag"
+    ),
+}
+
+
+def find_exit_status(error: errors.TamaracktideError) -> int:
+    """Returns the exit status for an error."""
+    if error.code is result_codes.ResultCode.BAD_REQUEST:
+        return USAGE_STATUS
+    return _STATUSES.get(error.code, UNEXPECTED_STATUS)
+
+
+def describe_error(error: errors.TamaracktideError) -> str:
+    """Returns the text for stderr: the code, each detail, the next step."""
+    details = error.detail.split("; ")
+    lines = [f"error {error.code.value} {error.code.name}"]
+    lines.extend(f"  {detail}" for detail in details)
+    if error.code in _NEXT_STEPS:
+        lines.append(f"next: {_NEXT_STEPS[error.code]}")
+    return "\n".join(lines)
--- /dev/null
+++ b/src/tamaracktide/ctl/files.py
@@ -0,0 +1,47 @@
+"""Reads table files: JSON with the lists `routes` and `pools`."""
+
+import json
+import pathlib
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.core import rows
+from tamaracktide.core import table_checks
+from tamaracktide.core import tables
+
+
+def read_table_file(path: str) -> list[tables.Row]:
+    """Returns the checked rows of a file.
+
+    Raises:
+        errors.EditError: TABLE_INVALID; the detail names each fault by
+            table, row and column.
+    """
+    try:
+        values = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise _make_error(f"{path}: {error}") from error
+    if not isinstance(values, dict):
+        raise _make_error(f"{path}: not an object with routes and pools")
+    return convert_tables(values)
+
+
+def convert_tables(values: dict[str, object]) -> list[tables.Row]:
+    """Returns checked rows from raw tables.
+
+    Raises:
+        errors.EditError: TABLE_INVALID, as in `read_table_file`.
+    """
+    faults = table_checks.find_value_faults(values)
+    if faults:
+        raise _make_error("; ".join(fault.text for fault in faults))
+    routes = values.get("routes", [])
+    pools = values.get("pools", [])
+    return [
+        *table_checks.convert_rows(pools, rows.Pool),
+        *table_checks.convert_rows(routes, rows.Route),
+    ]
+
+
+def _make_error(detail: str) -> errors.EditError:
+    return errors.EditError(result_codes.ResultCode.TABLE_INVALID, detail)
--- /dev/null
+++ b/src/tamaracktide/gateway/claims.py
@@ -0,0 +1,220 @@
+"""Claims idempotency keys through the schedulers and reports outcomes."""
+
+import dataclasses
+import enum
+import math
+import uuid
+
+import anyio
+import anyio.abc
+import xxhash
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.core import rendezvous
+from tamaracktide.gateway import asgi
+from tamaracktide.gateway import schedulers
+from tamaracktide.gateway import settings as gateway_settings
+from tamaracktide.observability import logs
+from tamaracktide.observability import metrics
+from tamaracktide.protocol import messages
+
+Codes = result_codes.ResultCode
+
+SHARD_COUNT = 64
+
+
+class Outcome(enum.StrEnum):
+    """What became of a claimed request."""
+
+    COMPLETED = "completed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """A key that this gateway may run the request of, once."""
+
+    attempt_id: str
+    customer: str
+    key: str
+
+
+def find_shard(customer: str, key: str) -> str:
+    """Returns the name of the shard that a key's claim belongs to."""
+    digest = xxhash.xxh64_intdigest(f"{customer}\x00{key}".encode())
+    return f"claims/{digest % SHARD_COUNT}"
+
+
+class Claims:
+    """Claims keys before dispatch and reports outcomes in the background."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        pool: schedulers.SchedulerPool,
+        incarnation: str,
+        instruments: metrics.Metrics,
+    ) -> None:
+        """Builds the claims of one incarnation of a gateway."""
+        self._settings = settings.claims
+        self._gateway = settings.instance
+        self._incarnation = incarnation
+        self._schedulers = pool
+        self._metrics = instruments
+        self._send, self._receive = anyio.create_memory_object_stream[
+            messages.OutcomeReport
+        ](math.inf)
+        self.unreported = 0
+
+    async def run(self) -> None:
+        """Reports outcomes until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            async for report in self._receive:
+                tasks.start_soon(self._report, report)
+
+    async def claim(
+        self, customer: str, key: str, fingerprint: str
+    ) -> Claim | asgi.Reply:
+        """Returns a claim, or the answer that was kept for the key.
+
+        Raises:
+            errors.RefusalError: The key cannot be claimed; not run.
+            errors.OutcomeUnknownError: The key's request may have run.
+        """
+        if len(key.encode()) > self._settings.max_key_bytes:
+            raise asgi.make_error(
+                Codes.REQUEST_TOO_LARGE,
+                f"Idempotency-Key of more than "
+                f"{self._settings.max_key_bytes} bytes",
+            )
+        request = messages.ClaimRequest(
+            attempt_id=uuid.uuid4().hex,
+            customer=customer,
+            key=key,
+            fingerprint=fingerprint,
+            gateway=self._gateway,
+            incarnation=self._incarnation,
+        )
+        claim = Claim(attempt_id=request.attempt_id, customer=customer, key=key)
+        try:
+            reply = await self._ask(request)
+        except anyio.get_cancelled_exc_class():
+            self.report(claim, Outcome.NOT_RUN)
+            raise
+        state = reply.state if reply else "unreachable"
+        self._metrics.claims.inc({"state": state})
+        if reply is None:
+            self.report(claim, Outcome.NOT_RUN)
+            raise asgi.make_error(
+                Codes.CLAIM_UNAVAILABLE, "no scheduler confirmed the claim"
+            )
+        return _read_reply(claim, reply)
+
+    def report(
+        self, claim: Claim, outcome: Outcome, answer: asgi.Reply | None = None
+    ) -> None:
+        """Reports an outcome in the background.
+
+        Args:
+            claim: The claim.
+            outcome: What became of the request.
+            answer: The answer to keep; its body is left out if too large.
+        """
+        body = answer.body if answer else b""
+        if len(body) > self._settings.max_kept_bytes:
+            body = b""
+        self.unreported += 1
+        self._send.send_nowait(
+            messages.OutcomeReport(
+                attempt_id=claim.attempt_id,
+                customer=claim.customer,
+                key=claim.key,
+                outcome=outcome.value,
+                status=answer.status if answer else 0,
+                content_type=answer.content_type if answer else "",
+                body=body,
+            )
+        )
+
+    async def _ask(
+        self, request: messages.ClaimRequest
+    ) -> messages.ClaimReply | None:
+        """Asks in rendezvous order; the same attempt may be asked twice."""
+        for instance in self._order(request.customer, request.key):
+            link = self._schedulers.find(instance)
+            if link is None:
+                continue
+            try:
+                with anyio.fail_after(self._settings.timeout_s):
+                    reply = await link.ask(
+                        "claim:" + request.attempt_id, request
+                    )
+            except (errors.ProtocolError, TimeoutError) as error:
+                logs.bind(peer=instance).warning("claim not sure: {}", error)
+                continue
+            if isinstance(reply, messages.ClaimReply):
+                return reply
+        return None
+
+    def _order(self, customer: str, key: str) -> list[str]:
+        reachable = [
+            member.instance
+            for member in self._schedulers.list_members()
+            if member.reachable
+        ]
+        order = rendezvous.sort_members(find_shard(customer, key), reachable)
+        return order[: self._settings.max_tries]
+
+    async def _report(self, report: messages.OutcomeReport) -> None:
+        try:
+            for _ in range(self._settings.report_tries):
+                if await self._report_once(report):
+                    return
+                await anyio.sleep(self._settings.report_backoff_s)
+            logs.bind(attempt_id=report.attempt_id).error(
+                "outcome {} not kept", report.outcome
+            )
+        finally:
+            self.unreported -= 1
+
+    async def _report_once(self, report: messages.OutcomeReport) -> bool:
+        for instance in self._order(report.customer, report.key)[:1]:
+            link = self._schedulers.find(instance)
+            if link is None:
+                return False
+            try:
+                with anyio.fail_after(self._settings.timeout_s):
+                    reply = await link.ask(
+                        "outcome:" + report.attempt_id, report
+                    )
+            except (errors.ProtocolError, TimeoutError):
+                return False
+            return isinstance(reply, messages.OutcomeReply) and reply.kept
+        return False
+
+
+def _read_reply(claim: Claim, reply: messages.ClaimReply) -> Claim | asgi.Reply:
+    match reply.state:
+        case "claimed":
+            return claim
+        case "completed":
+            return asgi.Reply(
+                status=reply.status or 200,
+                body=reply.body,
+                content_type=reply.content_type or asgi.JSON_TYPE,
+            )
+        case "pending":
+            code = Codes.CLAIM_IN_PROGRESS
+        case "reused":
+            code = Codes.KEY_REUSED
+        case "unknown":
+            code = Codes.OUTCOME_UNKNOWN
+        case _:
+            code = Codes.CLAIM_UNAVAILABLE
+    raise asgi.make_error(
+        code,
+        f"idempotency key {claim.key!r}: {reply.state}",
+        reply.retry_after_s,
+    )
--- /dev/null
+++ b/src/tamaracktide/gateway/completions.py
@@ -0,0 +1,107 @@
+"""Answers completion requests."""
+
+import msgspec
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.core import attempts
+from tamaracktide.core import rows
+from tamaracktide.gateway import answers
+from tamaracktide.gateway import asgi
+from tamaracktide.gateway import claimed_runs
+from tamaracktide.gateway import engine_runs
+from tamaracktide.gateway import parts as gateway_parts
+from tamaracktide.gateway import prompts
+from tamaracktide.gateway import targets
+from tamaracktide.upstreams import results
+
+Codes = result_codes.ResultCode
+
+
+class Completions:
+    """Answers `/v1/completions` and `/v1/chat/completions`."""
+
+    def __init__(self, parts: gateway_parts.Parts) -> None:
+        """Builds the handler."""
+        self._parts = parts
+
+    async def handle(
+        self, request: asgi.Request, customer: str, responder: asgi.Responder
+    ) -> None:
+        """Answers one request.
+
+        Raises:
+            errors.TamaracktideError: The request was given up; the caller
+                has not been told yet.
+        """
+        prompt = prompts.parse_prompt(request)
+        request.note.route = prompt.route
+        target = targets.find_target(
+            self._parts.tables.tables,
+            prompt.route,
+            customer,
+            rows.UpstreamKind.ENGINE,
+        )
+        if prompt.fingerprint in self._parts.schedulers.quarantined:
+            raise asgi.make_error(Codes.QUARANTINED)
+        job = engine_runs.Job(request=request, prompt=prompt, target=target)
+        key = request.find_header(b"idempotency-key")
+        if target.route.idempotent or not key:
+            await self._answer(job, responder, 0)
+            return
+        await claimed_runs.run_claimed(
+            self._parts.claims,
+            claimed_runs.Keyed(customer, key, prompt.fingerprint),
+            responder,
+            lambda: self._answer(
+                job, responder, self._parts.settings.claims.max_kept_bytes
+            ),
+        )
+
+    async def _answer(
+        self,
+        job: engine_runs.Job,
+        responder: asgi.Responder,
+        keep_bytes: int,
+    ) -> asgi.Reply:
+        """Answers the caller and returns the answer, to keep for repeats."""
+        sink: answers.StreamSink | answers.WholeSink = (
+            answers.StreamSink(responder, keep_bytes)
+            if job.prompt.stream
+            else answers.WholeSink(job.prompt.chat)
+        )
+        run = engine_runs.EngineRun(self._parts, job, sink)
+        match await run.run():
+            case engine_runs.Failed(action, detail):
+                raise asgi.make_error(action.code, detail, action.retry_after_s)
+            case results.Rejected(answer):
+                reply = asgi.Reply(
+                    status=answer.status,
+                    body=answer.body,
+                    content_type=answer.find_header(b"content-type"),
+                    code=Codes.BAD_REQUEST,
+                )
+                await responder.reply(reply)
+                return reply
+            case attempts.Completed():
+                return await _finish(sink, responder)
+
+
+async def _finish(
+    sink: answers.StreamSink | answers.WholeSink, responder: asgi.Responder
+) -> asgi.Reply:
+    if isinstance(sink, answers.StreamSink):
+        await responder.finish()
+        return asgi.Reply(
+            status=200,
+            body=bytes(sink.kept or b""),
+            content_type=asgi.EVENT_STREAM_TYPE,
+        )
+    try:
+        reply = asgi.Reply(status=200, body=sink.assemble())
+    except msgspec.MsgspecError as error:
+        raise errors.OutcomeUnknownError(
+            Codes.STREAM_BROKEN, f"the engine sent a malformed event: {error}"
+        ) from error
+    await responder.reply(reply)
+    return reply
--- /dev/null
+++ b/src/tamaracktide/gateway/engine_runs.py
@@ -0,0 +1,317 @@
+"""Runs one completion on engines, from the first ask to the whole answer."""
+
+import dataclasses
+
+import anyio
+
+from tamaracktide.core import attempts
+from tamaracktide.gateway import admission
+from tamaracktide.gateway import asgi
+from tamaracktide.gateway import grants
+from tamaracktide.gateway import parts as gateway_parts
+from tamaracktide.gateway import prompts
+from tamaracktide.gateway import streams
+from tamaracktide.gateway import targets
+from tamaracktide.observability import traces
+from tamaracktide.protocol import messages
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import results
+from tamaracktide.upstreams import streams as upstream_streams
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Job:
+    """One completion.
+
+    Attributes:
+        request: The caller's request.
+        prompt: What it asks for.
+        target: Its route and pool.
+    """
+
+    request: asgi.Request
+    prompt: prompts.Prompt
+    target: targets.Target
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failed:
+    """The job was given up.
+
+    Attributes:
+        action: The decision.
+        detail: The last cause.
+    """
+
+    action: attempts.GiveUp
+    detail: str
+
+
+Ended = attempts.Completed | results.Rejected | Failed
+_Step = attempts.Action | results.Rejected
+
+
+class EngineRun:
+    """Carries out the attempts of one job."""
+
+    def __init__(
+        self, parts: gateway_parts.Parts, job: Job, sink: streams.Sink
+    ) -> None:
+        """Starts nothing yet."""
+        self._parts = parts
+        self._job = job
+        self._sink = sink
+        self._attempts = attempts.Attempts(
+            parts.settings.retries,
+            parts.budget,
+            parts.rng,
+            idempotent=job.target.route.idempotent,
+        )
+        self._detail = ""
+        self._started_at = anyio.current_time()
+
+    async def run(self) -> Ended:
+        """Returns once the answer is whole or nothing more is tried."""
+        step: _Step | None = None
+        with anyio.CancelScope(deadline=self._job.request.deadline):
+            step = await self._try_all()
+        if step is None:
+            self._detail = "the deadline passed"
+            step = self._attempts.handle(attempts.Expired())
+        if isinstance(step, attempts.GiveUp):
+            self._record("give up", self._detail, step.code.value)
+            return Failed(step, self._detail)
+        if isinstance(step, results.Rejected):
+            return step
+        return attempts.Completed()
+
+    async def _try_all(self) -> _Step:
+        avoid: tuple[str, ...] = ()
+        alone = False
+        while True:
+            step = await self._try_once(avoid, alone)
+            if not isinstance(step, attempts.AskAgain):
+                return step
+            self._record("retry", self._detail)
+            pool = self._job.target.pool.name
+            self._parts.metrics.retries.inc(
+                {"pool": pool, "cause": self._attempts.last_cause}
+            )
+            self._sink.clear()
+            await anyio.sleep(step.wait_s)
+            avoid, alone = step.avoid, step.alone
+
+    async def _try_once(self, avoid: tuple[str, ...], alone: bool) -> _Step:
+        with traces.start_span("gateway.ask") as span:
+            result = await self._parts.admission.ask(
+                self._make_ask(avoid, alone, traces.make_traceparent(span))
+            )
+        if isinstance(result, admission.Refusal):
+            self._detail = result.detail
+            return self._attempts.handle(
+                attempts.AskRefused(result.code, result.retry_after_s)
+            )
+        reply = result.reply
+        pool = self._job.target.pool.name
+        self._parts.metrics.grants.inc({"pool": pool})
+        self._parts.metrics.queue_wait_seconds.observe(
+            {"pool": pool}, reply.queued_s
+        )
+        self._job.request.note.upstream = reply.upstream
+        use = _GrantUse(self._parts, self._job, result)
+        try:
+            self._attempts.handle(attempts.Granted(reply.upstream))
+            with traces.start_span(
+                "gateway.engine", attributes={"upstream": reply.upstream}
+            ) as span:
+                return await self._dispatch(use, traces.make_traceparent(span))
+        finally:
+            await use.end()
+
+    def _make_ask(
+        self, avoid: tuple[str, ...], alone: bool, traceparent: str
+    ) -> admission.Ask:
+        job = self._job
+        return admission.Ask(
+            request_id=job.request.request_id,
+            route=job.target.route,
+            pool=job.target.pool,
+            prompt_tokens=job.prompt.prompt_tokens,
+            max_tokens=job.prompt.max_tokens,
+            deadline=job.request.deadline,
+            prefix=job.prompt.prefix,
+            avoid=avoid,
+            alone=alone,
+            traceparent=traceparent,
+        )
+
+    async def _dispatch(self, use: "_GrantUse", traceparent: str) -> _Step:
+        """Sends the request, and resumes its stream as often as allowed."""
+        reply = use.grant.reply
+        relay = streams.Relay(
+            self._sink,
+            streams.Expected(
+                reply.lora_name, reply.incarnation, self._job.prompt.route
+            ),
+            self._parts.pace,
+        )
+        body = prompts.make_engine_body(
+            self._job.prompt, reply.lora_name, reply.priority
+        )
+        self._attempts.handle(attempts.Dispatched())
+        use.dispatched = True
+        result: (
+            results.Stream | results.Resumption
+        ) = await self._parts.engines.stream(
+            results.Dispatch(
+                address=reply.address,
+                path=self._job.request.path,
+                request_id=reply.request_id,
+                incarnation=reply.incarnation,
+                body=body,
+                traceparent=traceparent,
+            )
+        )
+        while True:
+            step = await self._handle_result(result, relay, use)
+            use.generated_tokens = relay.offset
+            if not isinstance(step, attempts.Resume):
+                return step
+            self._record("resume", f"at {step.offset}: {self._detail}")
+            self._parts.metrics.stream_resumes.inc(
+                {"pool": self._job.target.pool.name}
+            )
+            await self._parts.stream_caller.forget(reply.address)
+            await anyio.sleep(step.wait_s)
+            result = await self._parts.engines.resume(
+                reply.address, reply.request_id, step.offset
+            )
+
+    async def _handle_result(
+        self,
+        result: results.Stream | results.Resumption,
+        relay: streams.Relay,
+        use: "_GrantUse",
+    ) -> _Step:
+        match result:
+            case results.Started(answer):
+                return await self._relay(answer, relay, use)
+            case results.NotRun(reason, detail):
+                self._detail = f"{reason.value}: {detail}"
+                use.note_not_run(reason)
+                return self._attempts.handle(attempts.NotRun())
+            case results.Rejected():
+                use.finished = True
+                self._attempts.handle(attempts.Completed())
+                return result
+            case results.Lost(failure):
+                return self._break(failure)
+            case results.StreamUnknown():
+                self._detail = "the engine does not know the stream"
+                step = self._attempts.handle(attempts.ResumeFailed(gone=True))
+            case calls.Failure():
+                self._detail = result.detail
+                step = self._attempts.handle(attempts.ResumeFailed(gone=False))
+        if not isinstance(step, attempts.Resume):
+            use.note_lost(crashed=not self._attempts.silent)
+        return step
+
+    async def _relay(
+        self,
+        answer: upstream_streams.StreamedAnswer,
+        relay: streams.Relay,
+        use: "_GrantUse",
+    ) -> _Step:
+        try:
+            relayed = await relay.run(answer)
+        finally:
+            use.generated_tokens = relay.offset
+            await answer.close()
+        if relay.first_event_at is not None:
+            self._parts.metrics.first_token_seconds.observe(
+                {"pool": self._job.target.pool.name},
+                relay.first_event_at - self._started_at,
+            )
+            relay.first_event_at = None
+        if relay.offset:
+            self._attempts.handle(
+                attempts.Progressed(relay.offset, self._sink.passes_on)
+            )
+        match relayed:
+            case streams.Whole():
+                use.finished = True
+                return self._attempts.handle(attempts.Completed())
+            case streams.Crossed(detail):
+                return self._break(
+                    calls.Failure(calls.FailureKind.BROKEN, detail)
+                )
+            case calls.Failure():
+                return self._break(relayed)
+
+    def _break(self, failure: calls.Failure) -> attempts.Action:
+        self._detail = failure.detail
+        silent = failure.kind is calls.FailureKind.TIMEOUT
+        return self._attempts.handle(attempts.Broke(silent=silent))
+
+    def _record(self, step: str, detail: str, code: int = 0) -> None:
+        self._parts.records.add(
+            self._job.request.request_id,
+            step,
+            detail,
+            upstream=self._job.request.note.upstream,
+            code=code,
+        )
+
+
+class _GrantUse:
+    """One grant in use, given back at the end whatever happens."""
+
+    def __init__(
+        self, parts: gateway_parts.Parts, job: Job, grant: grants.Grant
+    ) -> None:
+        self._parts = parts
+        self._job = job
+        self._lost = False
+        self._adapter_missing = False
+        self._suspect = ""
+        self.grant = grant
+        self.dispatched = False
+        self.finished = False
+        self.generated_tokens = 0
+
+    def note_not_run(self, reason: results.NotRunReason) -> None:
+        self.finished = True
+        self._adapter_missing = reason is results.NotRunReason.ADAPTER_MISSING
+        self._lost = reason in (
+            results.NotRunReason.UNREACHABLE,
+            results.NotRunReason.OTHER_INCARNATION,
+        )
+
+    def note_lost(self, *, crashed: bool) -> None:
+        self._lost = True
+        if crashed:
+            self._suspect = self._job.prompt.fingerprint
+
+    async def end(self) -> None:
+        """Cancels what may still run and gives the grant back."""
+        reply = self.grant.reply
+        if self.dispatched and not self.finished:
+            self._parts.tasks.start_soon(
+                self._parts.engines.cancel, reply.address, reply.request_id
+            )
+        pool = {"pool": self._job.target.pool.name}
+        self._parts.metrics.tokens.add(pool, self.generated_tokens)
+        with anyio.CancelScope(shield=True):
+            await self._parts.schedulers.release(
+                self.grant,
+                messages.GrantRelease(
+                    request_id=reply.request_id,
+                    grant_id=reply.grant_id,
+                    upstream=reply.upstream,
+                    prompt_tokens=self._job.prompt.prompt_tokens,
+                    generated_tokens=self.generated_tokens,
+                    adapter_missing=self._adapter_missing,
+                    lost=self._lost,
+                    suspect=self._suspect,
+                ),
+            )
--- /dev/null
+++ b/src/tamaracktide/gateway/main.py
@@ -0,0 +1,141 @@
+"""The program `tamaracktide-gateway`."""
+
+from collections.abc import Iterator
+import contextlib
+import random
+import signal
+import uuid
+
+import anyio
+import fire
+import uvicorn
+
+from tamaracktide.gateway import app as gateway_app
+from tamaracktide.gateway import membership
+from tamaracktide.gateway import parts as gateway_parts
+from tamaracktide.gateway import settings as gateway_settings
+from tamaracktide.observability import logs
+from tamaracktide.observability import traces
+from tamaracktide.platform import instances
+from tamaracktide.platform import objects
+from tamaracktide.settings import flags
+from tamaracktide.tables import follower as tables_follower
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import streams
+
+STOP_POLL_S = 0.05
+REPORT_TIMEOUT_S = 10.0
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the program."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures nothing."""
+        yield
+
+
+async def serve(settings: gateway_settings.GatewaySettings) -> None:
+    """Serves until SIGTERM or SIGINT, then finishes all requests."""
+    rng = random.Random()
+    incarnation = uuid.uuid4().hex[:12]
+    object_client = objects.ObjectClient(settings.platform)
+    instance_client = instances.InstanceClient(settings.platform)
+    follower = tables_follower.Follower(object_client, settings.tables, rng)
+    members = membership.Membership(instance_client)
+    async with (
+        calls.Caller(settings.upstreams) as caller,
+        streams.StreamCaller(settings.upstreams) as stream_caller,
+        anyio.create_task_group() as tasks,
+    ):
+        parts = gateway_parts.make_parts(
+            settings,
+            follower,
+            members,
+            caller,
+            stream_caller,
+            incarnation,
+            rng,
+            tasks,
+        )
+        tasks.start_soon(follower.run)
+        tasks.start_soon(members.run, settings.instances_period_s)
+        tasks.start_soon(parts.schedulers.run)
+        tasks.start_soon(parts.claims.run)
+        await _serve_http(parts)
+        tasks.cancel_scope.cancel()
+    await object_client.close()
+    await instance_client.close()
+
+
+async def _serve_http(parts: gateway_parts.Parts) -> None:
+    """Serves callers until a signal, and until all requests have ended."""
+    http = parts.settings.http
+    app = gateway_app.App(parts)
+    server = _Server(
+        uvicorn.Config(
+            app,
+            host=http.host,
+            port=http.port,
+            http="httptools",
+            loop="asyncio",
+            ws="none",
+            lifespan="off",
+            log_config=None,
+            access_log=False,
+            server_header=False,
+            timeout_keep_alive=http.keep_alive_s,
+        )
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_stop_on_signal, parts, app, server)
+        await server.serve()
+        tasks.cancel_scope.cancel()
+
+
+async def _stop_on_signal(
+    parts: gateway_parts.Parts, app: gateway_app.App, server: uvicorn.Server
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logs.bind(signal=number).info("shutdown started")
+            break
+    app.draining = True
+    with anyio.move_on_after(parts.settings.stop_timeout_s):
+        while app.in_progress:
+            await anyio.sleep(STOP_POLL_S)
+    with anyio.move_on_after(REPORT_TIMEOUT_S):
+        while parts.claims.unreported:
+            await anyio.sleep(STOP_POLL_S)
+    server.should_exit = True
+
+
+def run(
+    settings: str = "", check_settings: bool = False, print_schema: bool = False
+) -> None:
+    """Runs the gateway.
+
+    Args:
+        settings: Path of the settings file.
+        check_settings: Only check the settings file.
+        print_schema: Only print the JSON schema of the settings.
+    """
+    checked = flags.run_settings_flags(
+        gateway_settings.GatewaySettings, settings, check_settings, print_schema
+    )
+    logs.configure_logs(
+        checked.observability, gateway_parts.ROLE, checked.instance
+    )
+    traces.configure_traces(
+        checked.observability, gateway_parts.ROLE, checked.instance
+    )
+    try:
+        anyio.run(serve, checked, backend="asyncio")
+    finally:
+        traces.close_traces()
+
+
+def main() -> None:
+    """Runs the command line."""
+    fire.Fire(run)
--- /dev/null
+++ b/src/tamaracktide/gateway/parts.py
@@ -0,0 +1,128 @@
+"""The parts of a gateway that all its requests share."""
+
+import dataclasses
+import random
+
+import anyio.abc
+
+from tamaracktide.core import retry_budget
+from tamaracktide.gateway import admission
+from tamaracktide.gateway import claims
+from tamaracktide.gateway import decisions
+from tamaracktide.gateway import membership
+from tamaracktide.gateway import schedulers
+from tamaracktide.gateway import settings as gateway_settings
+from tamaracktide.gateway import sources
+from tamaracktide.gateway import streams
+from tamaracktide.observability import metrics
+from tamaracktide.protocol import client
+from tamaracktide.protocol import connection
+from tamaracktide.protocol import messages
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import engine
+from tamaracktide.upstreams import service
+from tamaracktide.upstreams import streams as upstream_streams
+
+ROLE = "gateway"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Parts:
+    """What requests need.
+
+    Attributes:
+        settings: All settings.
+        incarnation: Changes at every start of the gateway.
+        tables: Tables in force.
+        members: Known instances.
+        schedulers: Links to schedulers.
+        admission: Asks for grants.
+        claims: Claims idempotency keys.
+        caller: Connections to upstreams.
+        stream_caller: Connections for streamed answers.
+        pace: Spaces out the reads of streams.
+        engines: Client of engines.
+        services: Client of plain services.
+        records: Decision records.
+        metrics: Instruments.
+        budget: Retry budget.
+        rng: Source of jitter.
+        tasks: Runs what outlives a request.
+    """
+
+    settings: gateway_settings.GatewaySettings
+    incarnation: str
+    tables: sources.TablesSource
+    members: membership.Membership
+    schedulers: schedulers.SchedulerPool
+    admission: admission.Admission
+    claims: claims.Claims
+    caller: calls.Caller
+    stream_caller: upstream_streams.StreamCaller
+    pace: streams.Pace
+    engines: engine.EngineClient
+    services: service.ServiceClient
+    records: decisions.DecisionLog
+    metrics: metrics.Metrics
+    budget: retry_budget.RetryBudget
+    rng: random.Random
+    tasks: anyio.abc.TaskGroup
+
+
+def make_parts(
+    settings: gateway_settings.GatewaySettings,
+    tables: sources.TablesSource,
+    members: membership.Membership,
+    caller: calls.Caller,
+    stream_caller: upstream_streams.StreamCaller,
+    incarnation: str,
+    rng: random.Random,
+    tasks: anyio.abc.TaskGroup,
+) -> Parts:
+    """Returns the parts of a gateway, none of them running yet.
+
+    Args:
+        settings: All settings.
+        tables: Tables in force.
+        members: Known instances.
+        caller: Connections to upstreams.
+        stream_caller: Connections for streamed answers.
+        incarnation: Changes at every start of the gateway.
+        rng: Source of jitter.
+        tasks: Runs what outlives a request.
+    """
+    hello = messages.Hello(
+        version=messages.PROTOCOL_VERSION,
+        instance=settings.instance,
+        incarnation=incarnation,
+        role=ROLE,
+        zone=settings.zone,
+    )
+
+    async def open_connection(address: str) -> connection.Connection:
+        return await client.open_connection(address, hello, settings.inner)
+
+    records = decisions.DecisionLog(settings.decision_records)
+    instruments = metrics.Metrics()
+    pool = schedulers.SchedulerPool(
+        members, tables, open_connection, settings.inner, rng
+    )
+    return Parts(
+        settings=settings,
+        incarnation=incarnation,
+        tables=tables,
+        members=members,
+        schedulers=pool,
+        admission=admission.Admission(members, pool, records, settings.zone),
+        claims=claims.Claims(settings, pool, incarnation, instruments),
+        caller=caller,
+        stream_caller=stream_caller,
+        pace=streams.Pace(),
+        engines=engine.EngineClient(settings.upstreams, caller, stream_caller),
+        services=service.ServiceClient(settings.upstreams, caller),
+        records=records,
+        metrics=instruments,
+        budget=retry_budget.RetryBudget(settings.retries.budget),
+        rng=rng,
+        tasks=tasks,
+    )
--- /dev/null
+++ b/src/tamaracktide/observability/metrics.py
@@ -0,0 +1,155 @@
+"""Named Prometheus instruments of one process.
+
+Counters and gauges are called as `metrics.grants.inc({"pool": "p"})`,
+`metrics.load_stall_seconds.add({"pool": "p"}, 0.2)`,
+`metrics.table_revision.set({}, 7)`; histograms as `observe(labels, value)`.
+"""
+
+from collections.abc import Sequence
+
+from aioprometheus import collectors
+from aioprometheus import renderer
+
+PREFIX = "tamaracktide_"
+WAIT_BUCKETS_S = (
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    float("inf"),
+)
+
+
+class Metrics:
+    """The instruments of one process, in a registry of their own.
+
+    Attributes:
+        requests: Requests answered, by `kind` (engine or service) and `code`.
+        request_seconds: Time to the end of the answer, by `kind`.
+        first_token_seconds: Time to the first token, by `pool`.
+        retries: Attempts after the first, by `pool` and `cause`.
+        stream_resumes: Streams resumed at an offset, by `pool`.
+        tokens: Tokens passed on, by `pool`.
+        grants: Grants given or received, by `pool`.
+        queue_wait_seconds: Wait for a grant, by `pool`.
+        queue_length: Requests without a grant, by `pool`.
+        load_stalls: Requests that waited for an adapter load, by `pool`.
+        load_stall_seconds: Seconds that they waited, by `pool`.
+        loads: Adapter loads ended, by `pool` and `result`.
+        evictions: Adapters unloaded, by `pool`.
+        batch_efficiency: Running requests over batch places, by `pool`.
+        batch_busy_seconds: Batch places in use, integrated, by `pool`.
+        batch_place_seconds: Batch places, integrated, by `pool`.
+        refusals: Requests refused unrun, by `code`.
+        claims: Claims of idempotency keys, by `state`.
+        owned_upstreams: Upstreams owned by this scheduler, by `pool`.
+        takeovers: Upstreams taken over, by `pool`.
+        quarantined: Quarantined request fingerprints.
+        table_revision: Revision of the tables in force.
+        table_age_seconds: Seconds since the tables were last confirmed.
+        platform_calls: Platform calls, by `call` and `result`.
+        peer_bytes: Bytes of the inner protocol, by `direction`.
+    """
+
+    def __init__(self) -> None:
+        """Registers every instrument."""
+        self._registry = collectors.Registry()
+        self.requests = self._counter("requests_total", "Requests answered")
+        self.request_seconds = self._histogram(
+            "request_seconds", "Time to the end of the answer"
+        )
+        self.first_token_seconds = self._histogram(
+            "first_token_seconds", "Time to the first token"
+        )
+        self.retries = self._counter("retries_total", "Repeated attempts")
+        self.stream_resumes = self._counter(
+            "stream_resumes_total", "Streams resumed at an offset"
+        )
+        self.tokens = self._counter("tokens_total", "Tokens passed on")
+        self.grants = self._counter("grants_total", "Grants")
+        self.queue_wait_seconds = self._histogram(
+            "queue_wait_seconds", "Wait for a grant"
+        )
+        self.queue_length = self._gauge(
+            "queue_length", "Requests without a grant"
+        )
+        self._add_scheduler_instruments()
+        self._add_control_instruments()
+
+    def render(self, accept: Sequence[str] = ()) -> tuple[bytes, str]:
+        """Returns the exposition and its content type.
+
+        Args:
+            accept: Values of the request's Accept header.
+        """
+        body, headers = renderer.render(self._registry, list(accept))
+        return body, headers["Content-Type"]
+
+    def _add_scheduler_instruments(self) -> None:
+        self.load_stalls = self._counter(
+            "load_stalls_total", "Requests that waited for an adapter load"
+        )
+        self.load_stall_seconds = self._counter(
+            "load_stall_seconds_total", "Seconds waited for adapter loads"
+        )
+        self.loads = self._counter("loads_total", "Adapter loads ended")
+        self.evictions = self._counter("evictions_total", "Adapters unloaded")
+        self.batch_efficiency = self._gauge(
+            "batch_efficiency", "Running requests over batch places"
+        )
+        self.batch_busy_seconds = self._counter(
+            "batch_busy_seconds_total", "Batch places in use, integrated"
+        )
+        self.batch_place_seconds = self._counter(
+            "batch_place_seconds_total", "Batch places, integrated"
+        )
+        self.owned_upstreams = self._gauge(
+            "owned_upstreams", "Upstreams owned by this scheduler"
+        )
+        self.takeovers = self._counter(
+            "takeovers_total", "Upstreams taken over"
+        )
+
+    def _add_control_instruments(self) -> None:
+        self.refusals = self._counter(
+            "refusals_total", "Requests refused unrun"
+        )
+        self.claims = self._counter(
+            "claims_total", "Claims of idempotency keys"
+        )
+        self.quarantined = self._gauge(
+            "quarantined", "Quarantined request fingerprints"
+        )
+        self.table_revision = self._gauge(
+            "table_revision", "Revision of the tables in force"
+        )
+        self.table_age_seconds = self._gauge(
+            "table_age_seconds", "Seconds since the tables were confirmed"
+        )
+        self.platform_calls = self._counter(
+            "platform_calls_total", "Platform calls"
+        )
+        self.peer_bytes = self._counter(
+            "peer_bytes_total", "Bytes of the inner protocol"
+        )
+
+    def _counter(self, name: str, doc: str) -> collectors.Counter:
+        return collectors.Counter(PREFIX + name, doc, registry=self._registry)
+
+    def _gauge(self, name: str, doc: str) -> collectors.Gauge:
+        return collectors.Gauge(PREFIX + name, doc, registry=self._registry)
+
+    def _histogram(self, name: str, doc: str) -> collectors.Histogram:
+        return collectors.Histogram(
+            PREFIX + name, doc, registry=self._registry, buckets=WAIT_BUCKETS_S
+        )
--- /dev/null
+++ b/src/tamaracktide/protocol/client.py
@@ -0,0 +1,61 @@
+"""Opens connections of the inner protocol."""
+
+import anyio
+import websockets
+import websockets.asyncio.client
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.protocol import connection
+from tamaracktide.protocol import messages
+from tamaracktide.protocol import settings as protocol_settings
+
+
+async def open_connection(
+    address: str,
+    hello: messages.Hello,
+    settings: protocol_settings.InnerSettings,
+) -> connection.Connection:
+    """Connects to a peer and exchanges hellos.
+
+    Args:
+        address: The peer's `IP:PORT`.
+        hello: This process's first message.
+        settings: Limits, timeouts and the shared token.
+
+    Raises:
+        errors.ProtocolError: The peer cannot be reached in time, refuses the
+            token or shares no protocol version.
+    """
+    try:
+        with anyio.fail_after(settings.handshake_timeout_s):
+            socket = await _connect(address, settings)
+    except (OSError, TimeoutError, websockets.WebSocketException) as error:
+        raise errors.ProtocolError(
+            _classify(error), f"cannot connect to {address}: {error}"
+        ) from error
+    opened = connection.Connection(socket, settings)
+    await opened.exchange_hello(hello, first=True)
+    return opened
+
+
+async def _connect(
+    address: str, settings: protocol_settings.InnerSettings
+) -> websockets.asyncio.client.ClientConnection:
+    return await websockets.asyncio.client.connect(
+        f"ws://{address}/",
+        additional_headers={"Authorization": f"Bearer {settings.token}"},
+        compression=None,
+        max_size=settings.max_message_bytes,
+        ping_interval=None,
+        open_timeout=None,
+        close_timeout=connection.GOODBYE_TIMEOUT_S,
+        proxy=None,
+    )
+
+
+def _classify(error: Exception) -> result_codes.ResultCode:
+    match error:
+        case websockets.InvalidStatus() if error.response.status_code == 401:
+            return result_codes.ResultCode.UNAUTHENTICATED
+    return result_codes.ResultCode.PEER_UNREACHABLE
--- /dev/null
+++ b/src/tamaracktide/protocol/connection.py
@@ -0,0 +1,186 @@
+"""One open connection of the inner protocol, after its handshake."""
+
+import contextlib
+
+import anyio
+import websockets
+import websockets.asyncio.connection
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.protocol import codec
+from tamaracktide.protocol import messages
+from tamaracktide.protocol import settings as protocol_settings
+
+MIN_PROTOCOL_VERSION = 1
+GOODBYE_TIMEOUT_S = 1.0
+
+_CLOSE_OK = 1000
+_CLOSE_ERROR = 1002
+_CLOSE_TOO_LARGE = 1009
+
+
+class Connection:
+    """Sends and receives typed messages over one websocket.
+
+    Attributes:
+        peer: The peer's first message.
+        version: Protocol version that both sides speak.
+        received: Count of messages received, unknown ones too.
+    """
+
+    __slots__ = ("_settings", "_socket", "peer", "received", "version")
+
+    def __init__(
+        self,
+        socket: websockets.asyncio.connection.Connection,
+        settings: protocol_settings.InnerSettings,
+    ) -> None:
+        """Wraps an open websocket; `exchange_hello` must follow."""
+        self._socket = socket
+        self._settings = settings
+        self.peer = messages.Hello(
+            version=0, instance="", incarnation="", role="", zone=""
+        )
+        self.version = 0
+        self.received = 0
+
+    async def send(self, message: messages.Message) -> None:
+        """Sends one message.
+
+        Raises:
+            errors.ProtocolError: The connection is closed, or the message
+                is over the size limit (`MESSAGE_TOO_LARGE`).
+        """
+        data = codec.encode_message(message)
+        if len(data) > self._settings.max_message_bytes:
+            raise errors.ProtocolError(
+                result_codes.ResultCode.MESSAGE_TOO_LARGE,
+                f"{type(message).__name__} of {len(data)} bytes exceeds "
+                f"{self._settings.max_message_bytes}",
+            )
+        try:
+            await self._socket.send(data)
+        except websockets.ConnectionClosed as error:
+            raise self._make_closed_error(error) from error
+
+    async def receive(self) -> messages.Message:
+        """Returns the next message of a known number.
+
+        Raises:
+            errors.ProtocolError: The connection is closed, the peer said
+                goodbye (its code), or sent something malformed; the
+                connection is then closed with the code.
+        """
+        while True:
+            data = await self._receive_bytes()
+            self.received += 1
+            try:
+                message = codec.decode_message(data)
+            except errors.ProtocolError as error:
+                await self.close(error.code, error.detail)
+                raise
+            if isinstance(message, messages.Goodbye):
+                await self._close_socket(_CLOSE_OK)
+                raise _make_goodbye_error(message)
+            if message is not None:
+                return message
+
+    async def close(
+        self,
+        code: result_codes.ResultCode = result_codes.ResultCode.OK,
+        detail: str = "",
+    ) -> None:
+        """Says goodbye with a code and closes; closing twice is harmless."""
+        goodbye = messages.Goodbye(code=code, detail=detail)
+        with (
+            anyio.move_on_after(GOODBYE_TIMEOUT_S),
+            contextlib.suppress(errors.ProtocolError),
+        ):
+            await self.send(goodbye)
+        failed = code != result_codes.ResultCode.OK
+        await self._close_socket(_CLOSE_ERROR if failed else _CLOSE_OK)
+
+    async def exchange_hello(
+        self, hello: messages.Hello, *, first: bool
+    ) -> None:
+        """Exchanges the first messages and settles the version.
+
+        Args:
+            hello: This side's first message.
+            first: Whether this side, the client, speaks first.
+
+        Raises:
+            errors.ProtocolError: The peer is silent, speaks out of turn or
+                shares no version; the connection is closed.
+        """
+        try:
+            with anyio.fail_after(self._settings.handshake_timeout_s):
+                await self._settle_version(hello, first=first)
+        except TimeoutError as error:
+            await self.close(result_codes.ResultCode.PEER_UNREACHABLE)
+            raise errors.ProtocolError(
+                result_codes.ResultCode.PEER_UNREACHABLE,
+                "no Hello within the handshake timeout",
+            ) from error
+        except errors.ProtocolError as error:
+            await self.close(error.code, error.detail)
+            raise
+
+    async def _settle_version(
+        self, hello: messages.Hello, *, first: bool
+    ) -> None:
+        if first:
+            await self.send(hello)
+        peer = await self.receive()
+        if not isinstance(peer, messages.Hello):
+            raise errors.ProtocolError(
+                result_codes.ResultCode.MALFORMED_MESSAGE,
+                f"{type(peer).__name__} came before Hello",
+            )
+        version = min(hello.version, peer.version)
+        if version < MIN_PROTOCOL_VERSION:
+            raise errors.ProtocolError(
+                result_codes.ResultCode.VERSION_MISMATCH,
+                f"{peer.instance} speaks version {peer.version}, oldest "
+                f"accepted is {MIN_PROTOCOL_VERSION}",
+            )
+        if not first:
+            await self.send(hello)
+        self.peer = peer
+        self.version = version
+
+    async def _receive_bytes(self) -> bytes:
+        try:
+            data = await self._socket.recv(decode=False)
+        except websockets.ConnectionClosed as error:
+            raise self._make_closed_error(error) from error
+        return data
+
+    async def _close_socket(self, code: int) -> None:
+        with anyio.move_on_after(GOODBYE_TIMEOUT_S, shield=True):
+            await self._socket.close(code)
+
+    def _make_closed_error(
+        self, error: websockets.ConnectionClosed
+    ) -> errors.ProtocolError:
+        closes = (error.sent, error.rcvd)
+        if any(one and one.code == _CLOSE_TOO_LARGE for one in closes):
+            return errors.ProtocolError(
+                result_codes.ResultCode.MESSAGE_TOO_LARGE,
+                f"message exceeds {self._settings.max_message_bytes} bytes",
+            )
+        return errors.ProtocolError(
+            result_codes.ResultCode.PEER_UNREACHABLE,
+            f"connection to {self.peer.instance or 'peer'} closed: {error}",
+        )
+
+
+def _make_goodbye_error(goodbye: messages.Goodbye) -> errors.ProtocolError:
+    try:
+        code = result_codes.ResultCode(goodbye.code)
+    except ValueError:
+        code = result_codes.ResultCode.PEER_UNREACHABLE
+    return errors.ProtocolError(
+        code, goodbye.detail or f"peer closed with {goodbye.code}"
+    )
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -178,10 +178,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OutstandingReply:
-    """Gateway to new owner: its grants of the cell in use."""
+    """Gateway to owner: its grants of the cell in use.
+
+    A gateway also sends it unasked after it has connected again.
+
+    Attributes:
+        query_id: The query that asked; empty if none did.
+        grants: Grants in use.
+        pool: Pool of the cell.
+        zone: Availability zone of the cell.
+    """
 
     query_id: str
     grants: tuple[OutstandingGrant, ...] = ()
+    pool: str = ""
+    zone: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/tamaracktide/protocol/settings.py
@@ -0,0 +1,31 @@
+"""Settings of the inner protocol."""
+
+import dataclasses
+from typing import Annotated
+
+import msgspec
+
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=300)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InnerSettings:
+    """How this process speaks the inner protocol.
+
+    Attributes:
+        host: IP address to listen on.
+        port: Port to listen on; 0 lets the system choose one.
+        token: Secret that all processes of the deployment share.
+        max_message_bytes: Largest message that is sent or accepted.
+        heartbeat_period_s: Time between two heartbeats.
+        heartbeat_timeout_s: Silence after which a peer counts as lost.
+        handshake_timeout_s: Longest time to open a connection.
+    """
+
+    host: str = "127.0.0.1"
+    port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
+    token: str = dataclasses.field(default="", repr=False)
+    max_message_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 1 << 21
+    heartbeat_period_s: Seconds = 0.5
+    heartbeat_timeout_s: Seconds = 2.0
+    handshake_timeout_s: Seconds = 2.0
--- /dev/null
+++ b/src/tamaracktide/scheduler/admin.py
@@ -0,0 +1,222 @@
+"""Health, metrics and status of a scheduler over HTTP."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import MutableMapping
+import dataclasses
+import hmac
+from typing import Any
+from typing import TypeAlias
+
+import msgspec
+
+from tamaracktide.core import rows
+from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.scheduler import peers as peers_module
+from tamaracktide.scheduler import service as service_module
+from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.tables import follower as tables_follower
+
+Scope: TypeAlias = MutableMapping[str, Any]
+Send: TypeAlias = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+Receive: TypeAlias = Callable[[], Awaitable[MutableMapping[str, Any]]]
+
+JSON_TYPE = "application/json"
+TEXT_TYPE = "text/plain; charset=utf-8"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EngineStatus:
+    """One engine of an owned cell.
+
+    Attributes:
+        upstream: Instance id.
+        phase: What the scheduler can do with it.
+        epoch: Ownership epoch, 0 if it is not owned.
+        owner: Another scheduler that owns it, or empty.
+        loaded: Adapters in its slots.
+        withheld: Engine-side names that are not granted.
+    """
+
+    upstream: str
+    phase: str
+    epoch: int
+    owner: str
+    loaded: int
+    withheld: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CellStatus:
+    """One owned cell."""
+
+    pool: str
+    zone: str
+    running: int
+    capacity: int
+    waiting: int
+    upstreams: tuple[EngineStatus, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Status:
+    """What `/admin/status` answers.
+
+    Attributes:
+        instance: Instance id.
+        zone: Availability zone.
+        incarnation: Changes at every start.
+        revision: Revision of the tables in force.
+        draining: Whether a planned stop has begun.
+        gateways: Connected gateways.
+        claim_commits: Writes of claim shards that took effect.
+        cells: Owned cells.
+    """
+
+    instance: str
+    zone: str
+    incarnation: str
+    revision: int
+    draining: bool
+    gateways: tuple[str, ...]
+    claim_commits: int
+    cells: tuple[CellStatus, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    content_type: str = TEXT_TYPE
+
+
+class App:
+    """The ASGI application."""
+
+    def __init__(
+        self,
+        settings: scheduler_settings.SchedulerSettings,
+        incarnation: str,
+        service: service_module.Service,
+        peers: peers_module.Peers,
+        follower: tables_follower.Follower,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        """Builds the application around a running service."""
+        self._settings = settings
+        self._incarnation = incarnation
+        self._service = service
+        self._peers = peers
+        self._follower = follower
+        self._metrics = metrics
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Answers one request."""
+        if scope["type"] != "http":
+            return
+        answer = self._answer(scope)
+        headers = [
+            (b"content-type", answer.content_type.encode()),
+            (b"content-length", str(len(answer.body)).encode()),
+        ]
+        await send(
+            {
+                "type": "http.response.start",
+                "status": answer.status,
+                "headers": headers,
+            }
+        )
+        await send({"type": "http.response.body", "body": answer.body})
+
+    def make_status(self) -> Status:
+        """Returns the scheduler's status."""
+        return Status(
+            instance=self._settings.instance,
+            zone=self._settings.zone,
+            incarnation=self._incarnation,
+            revision=self._follower.tables.revision,
+            draining=self._service.draining,
+            gateways=tuple(
+                sorted(
+                    gateway.instance
+                    for gateway in self._service.gateways.list_connected()
+                )
+            ),
+            claim_commits=self._service.claim_commits,
+            cells=tuple(
+                _describe_cell(self._service, cell)
+                for cell in sorted(self._service.cells)
+            ),
+        )
+
+    def _answer(self, scope: Scope) -> _Answer:
+        if scope["method"] not in ("GET", "HEAD"):
+            return _Answer(405, b"only GET is answered\n")
+        match scope["path"]:
+            case "/healthz":
+                return _Answer(200, b"ok\n")
+            case "/readyz":
+                fault = self._find_unready()
+                return _Answer(
+                    503 if fault else 200, f"{fault or 'ok'}\n".encode()
+                )
+            case "/metrics":
+                return self._render_metrics(scope)
+            case "/admin/status" if self._is_allowed(scope):
+                body = msgspec.json.encode(self.make_status())
+                return _Answer(200, body, JSON_TYPE)
+            case "/admin/status":
+                return _Answer(401, b"the admin token is not valid\n")
+        return _Answer(404, b"no such path\n")
+
+    def _find_unready(self) -> str:
+        if self._service.draining:
+            return "draining"
+        if not self._follower.is_ready:
+            return "tables not loaded"
+        listed = self._peers.listed_at is not None
+        return "" if listed else "instance list not read"
+
+    def _render_metrics(self, scope: Scope) -> _Answer:
+        self._metrics.table_revision.set({}, self._follower.tables.revision)
+        accept = tuple(
+            value.decode("latin-1")
+            for name, value in scope["headers"]
+            if name == b"accept"
+        )
+        body, content_type = self._metrics.render(accept)
+        return _Answer(200, body, content_type)
+
+    def _is_allowed(self, scope: Scope) -> bool:
+        token = self._settings.http.admin_token
+        if not token:
+            return True
+        given = dict(scope["headers"]).get(b"authorization", b"")
+        return hmac.compare_digest(given, f"Bearer {token}".encode())
+
+
+def _describe_cell(
+    service: service_module.Service, cell: rows.CellId
+) -> CellStatus:
+    shell = service.cells[cell]
+    load = shell.make_load()
+    return CellStatus(
+        pool=cell.pool,
+        zone=cell.zone,
+        running=load.running,
+        capacity=load.capacity,
+        waiting=load.waiting,
+        upstreams=tuple(
+            EngineStatus(
+                upstream=name,
+                phase=engine.phase.value,
+                epoch=engine.keeper.epoch,
+                owner=engine.owner,
+                loaded=len(engine.state.loaded) if engine.state else 0,
+                withheld=len(engine.keeper.withheld),
+            )
+            for name, engine in sorted(shell.engines.items())
+        ),
+    )
--- /dev/null
+++ b/src/tamaracktide/scheduler/cells.py
@@ -0,0 +1,371 @@
+"""The shell around one owned cell: carries out what its core decides."""
+
+import collections
+import dataclasses
+import math
+
+import anyio
+import anyio.abc
+
+from tamaracktide import result_codes
+from tamaracktide.core import cell as cell_core
+from tamaracktide.core import cell_actions
+from tamaracktide.core import cell_events
+from tamaracktide.core import cell_settings
+from tamaracktide.core import membership
+from tamaracktide.core import randomness
+from tamaracktide.core import rows
+from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.protocol import messages
+from tamaracktide.scheduler import engines
+from tamaracktide.scheduler import gateways
+from tamaracktide.scheduler import requests as requests_module
+from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import engine as engine_client
+
+Codes = result_codes.ResultCode
+
+START_POLL_S = 0.02
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CellParts:
+    """What all cells of a scheduler share.
+
+    Attributes:
+        settings: The scheduler's settings.
+        client: Client of engines.
+        caller: Connections of that client.
+        gateways: The gateways.
+        metrics: Instruments.
+        make_keeper: Builds the ownership shell of an upstream.
+        rng: Source of ids and jitter.
+        tasks: Runs the cells' tasks.
+    """
+
+    settings: scheduler_settings.SchedulerSettings
+    client: engine_client.EngineClient
+    caller: calls.Caller
+    gateways: gateways.Gateways
+    metrics: metrics_module.Metrics
+    make_keeper: engines.KeeperMaker
+    rng: randomness.Random
+    tasks: anyio.abc.TaskGroup
+
+
+class CellShell:
+    """Owns and serves one cell.
+
+    Attributes:
+        cell: The cell.
+        engines: Shells of its engines, by instance id.
+        successor: Who takes the cell over; empty while it is served.
+    """
+
+    def __init__(
+        self,
+        cell: rows.CellId,
+        settings: cell_settings.CellSettings,
+        parts: CellParts,
+    ) -> None:
+        """Starts without engines; `update_engines` adds them."""
+        self.cell = cell
+        self.engines: dict[str, engines.Engine] = {}
+        self.successor: str | None = None
+        self._parts = parts
+        self._core = cell_core.Cell(settings, parts.rng)
+        self._requests = requests_module.Requests(cell, parts.metrics)
+        self._held: dict[str, requests_module.Request] = {}
+        self._loads: dict[rows.AdapterKey, list[float]] = {}
+        self._events: collections.deque[cell_events.CellEvent] = (
+            collections.deque()
+        )
+        self._handling = False
+        self._started = False
+        self._share: scheduler_settings.StoreSettings | None = None
+        self._wake_at = math.inf
+        self._woken = anyio.Event()
+        self.stopped = anyio.CancelScope()
+
+    async def run(self) -> None:
+        """Serves until `stopped` is cancelled."""
+        with self.stopped:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._run_timer)
+                tasks.start_soon(self._start)
+                tasks.start_soon(self._measure)
+        for engine in self.engines.values():
+            engine.stopped.cancel()
+
+    def update_engines(self, members: list[membership.Member]) -> None:
+        """Follows the cell's upstreams."""
+        listed = {one.instance: one for one in members}
+        for name, engine in list(self.engines.items()):
+            if _is_moved(engine, listed.get(name)):
+                del self.engines[name]
+                engine.set_leaving(True)
+                self._parts.tasks.start_soon(self._drop_engine, engine)
+        for name, member in listed.items():
+            if name not in self.engines:
+                self._add_engine(member)
+            else:
+                self.engines[name].reacquire()
+
+    def set_store_share(self, share: scheduler_settings.StoreSettings) -> None:
+        """Changes the cell's share of the weight store."""
+        if share != self._share:
+            self._share = share
+            self.feed(
+                cell_events.StoreShareChanged(
+                    share.loads_per_s, share.in_flight
+                )
+            )
+
+    def submit(
+        self, message: messages.GrantRequest, gateway: gateways.Gateway
+    ) -> None:
+        """Takes a gateway's request; it is answered in any case."""
+        now = anyio.current_time()
+        request = self._requests.open(message, gateway, now)
+        if self.successor is not None:
+            self._requests.refuse(
+                request, Codes.NOT_OWNER, owner=self.successor
+            )
+        elif not self._started:
+            request.waited = True
+            self._held[message.request_id] = request
+        else:
+            self._submit_or_refuse(request)
+
+    def withdraw(self, request_id: str) -> None:
+        """Drops a request that nobody waits for any more."""
+        self._held.pop(request_id, None)
+        self._requests.close(request_id)
+        self.feed(cell_events.Withdraw(request_id))
+
+    def end_grant(self, release: messages.GrantRelease) -> None:
+        """Gives a grant's place back."""
+        self.feed(
+            cell_events.GrantEnded(
+                grant_id=release.grant_id,
+                prompt_tokens=release.prompt_tokens,
+                generated_tokens=release.generated_tokens,
+                adapter_missing=release.adapter_missing,
+            )
+        )
+
+    def check_engine(self, upstream: str) -> None:
+        """Reads an engine's state at once."""
+        engine = self.engines.get(upstream)
+        if engine is not None:
+            engine.kick()
+
+    def adopt(self, grant: messages.OutstandingGrant) -> None:
+        """Counts a grant that a gateway announced."""
+        engine = self.engines.get(grant.upstream)
+        if engine is not None:
+            engine.adopt(grant)
+
+    def make_load(self) -> messages.CellLoad:
+        """Returns the cell's load for the gateways."""
+        use = self._core.measure_use()
+        now = anyio.current_time()
+        waits = [now - one.submitted_at for one in self._requests]
+        return messages.CellLoad(
+            pool=self.cell.pool,
+            zone=self.cell.zone,
+            running=use.running,
+            capacity=use.capacity,
+            waiting=len(self._requests),
+            wait_s=max(use.wait_s, max(waits, default=0.0)),
+        )
+
+    async def hand_over(self, successor: str) -> None:
+        """Refuses new requests, finishes orders and releases all engines."""
+        self.successor = successor
+        for request in self._requests:
+            self.feed(cell_events.Withdraw(request.message.request_id))
+            self._requests.refuse(request, Codes.NOT_OWNER, owner=successor)
+        self._held.clear()
+        limit_s = self._parts.settings.limits.stop_timeout_s
+        with anyio.move_on_after(limit_s):
+            async with anyio.create_task_group() as tasks:
+                for engine in self.engines.values():
+                    tasks.start_soon(engine.release)
+        self.stopped.cancel()
+
+    def feed(self, event: cell_events.CellEvent) -> None:
+        """Hands an event to the core and carries out its actions.
+
+        Events that an action causes are handled after it, in order.
+        """
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                now = anyio.current_time()
+                for action in self._core.handle(self._events.popleft(), now):
+                    self._carry_out(action, now)
+        finally:
+            self._handling = False
+
+    def _carry_out(self, action: cell_actions.CellAction, now: float) -> None:
+        match action:
+            case cell_actions.Grant():
+                self._grant(action, now)
+            case cell_actions.Refuse():
+                request = self._requests.find(action.request_id)
+                if request is not None:
+                    self._requests.refuse(
+                        request, action.code, action.retry_after_s
+                    )
+            case cell_actions.Load():
+                self._parts.tasks.start_soon(self._load, action)
+            case cell_actions.WakeAt(at):
+                self._wake_at = at
+                self._woken.set()
+
+    def _submit(self, request: requests_module.Request) -> None:
+        message = request.message
+        self.feed(
+            cell_events.Submit(
+                request_id=message.request_id,
+                customer=message.customer,
+                key=request.key,
+                weight=message.weight,
+                prompt_tokens=message.prompt_tokens,
+                max_tokens=message.max_tokens,
+                deadline=request.submitted_at + message.time_left_s,
+                prefix=message.prefix,
+                avoid=message.avoid,
+                alone=message.alone,
+            )
+        )
+        request.waited = True
+
+    def _grant(self, grant: cell_actions.Grant, now: float) -> None:
+        request = self._requests.find(grant.request_id)
+        engine = self.engines.get(grant.upstream)
+        told = False
+        if request is not None and engine is not None and engine.keeper.epoch:
+            load_wait_s = self._measure_load_wait(request, now)
+            told = self._requests.grant(grant, engine, load_wait_s, now)
+        elif request is not None:
+            self._requests.refuse(request, Codes.NO_UPSTREAM)
+        if not told:
+            self._events.append(cell_events.GrantEnded(grant_id=grant.grant_id))
+
+    async def _load(self, load: cell_actions.Load) -> None:
+        engine = self.engines.get(load.upstream)
+        if engine is None:
+            self.feed(cell_events.LoadEnded(load.load_id, False))
+            return
+        started = anyio.current_time()
+        running = self._loads.setdefault(load.key, [])
+        running.append(started)
+        try:
+            succeeded = await engine.carry_out(load)
+        finally:
+            running.remove(started)
+            if not running:
+                self._loads.pop(load.key, None)
+        labels = {"pool": self.cell.pool}
+        result = "loaded" if succeeded else "failed"
+        self._parts.metrics.loads.inc({**labels, "result": result})
+        if load.evict:
+            self._parts.metrics.evictions.inc(labels)
+
+    def _measure_load_wait(
+        self, request: requests_module.Request, now: float
+    ) -> float:
+        """Returns how long a granted request waited for a load."""
+        started = min(self._loads.get(request.key, ()), default=None)
+        if started is None or not request.waited:
+            return 0.0
+        return now - max(started, request.submitted_at)
+
+    def _add_engine(self, member: membership.Member) -> None:
+        parts = engines.EngineParts(
+            settings=self._parts.settings,
+            client=self._parts.client,
+            caller=self._parts.caller,
+            feed=self.feed,
+            collect=self._collect,
+        )
+        engine = engines.Engine(member, parts, self._parts.make_keeper)
+        self.engines[member.instance] = engine
+        self._parts.tasks.start_soon(engine.run)
+
+    async def _drop_engine(self, engine: engines.Engine) -> None:
+        limit_s = self._parts.settings.limits.stop_timeout_s
+        with anyio.move_on_after(limit_s):
+            await engine.release()
+        engine.stopped.cancel()
+
+    async def _collect(
+        self, upstream: str, epoch: int
+    ) -> tuple[messages.OutstandingGrant, ...]:
+        grants = await self._parts.gateways.collect(
+            self.cell, {upstream: epoch}
+        )
+        return tuple(one for one in grants if one.upstream == upstream)
+
+    async def _start(self) -> None:
+        """Holds requests until it is known which engines can be used."""
+        with anyio.move_on_after(self._parts.settings.limits.start_wait_s):
+            while not self._is_settled():
+                await anyio.sleep(START_POLL_S)
+        self._started = True
+        held, self._held = self._held, {}
+        for request in held.values():
+            self._submit_or_refuse(request)
+
+    def _is_settled(self) -> bool:
+        phases = {engine.phase for engine in self.engines.values()}
+        undecided = {engines.Phase.TAKING, engines.Phase.READING}
+        return bool(phases) and not phases & undecided
+
+    def _submit_or_refuse(self, request: requests_module.Request) -> None:
+        shells = self.engines.values()
+        if any(engine.phase is engines.Phase.LIVE for engine in shells):
+            self._submit(request)
+            return
+        owner = max((engine.owner for engine in shells), default="")
+        if owner:
+            self._requests.refuse(request, Codes.NOT_OWNER, owner=owner)
+        elif any(engine.phase is engines.Phase.TAKING for engine in shells):
+            self._requests.refuse(request, Codes.OWNER_UNREACHABLE)
+        else:
+            self._requests.refuse(request, Codes.NO_UPSTREAM)
+
+    async def _run_timer(self) -> None:
+        while True:
+            self._woken = anyio.Event()
+            delay_s = self._wake_at - anyio.current_time()
+            with anyio.move_on_after(max(delay_s, 0.0)):
+                await self._woken.wait()
+            if anyio.current_time() >= self._wake_at:
+                self._wake_at = math.inf
+                self.feed(cell_events.Tick())
+
+    async def _measure(self) -> None:
+        """Keeps the cell's gauges and integrals."""
+        labels = {"pool": self.cell.pool}
+        metrics = self._parts.metrics
+        period_s = self._parts.settings.periods.engine_load_s
+        while True:
+            await anyio.sleep(period_s)
+            use = self._core.measure_use()
+            metrics.queue_length.set(labels, len(self._requests))
+            metrics.batch_busy_seconds.add(labels, use.running * period_s)
+            metrics.batch_place_seconds.add(labels, use.capacity * period_s)
+            if use.capacity:
+                ratio = use.running / use.capacity
+                metrics.batch_efficiency.set(labels, ratio)
+
+
+def _is_moved(engine: engines.Engine, member: membership.Member | None) -> bool:
+    return member is None or member.address != engine.member.address
--- /dev/null
+++ b/src/tamaracktide/scheduler/keeper.py
@@ -0,0 +1,199 @@
+"""Runs the ownership of one upstream against the platform's object API."""
+
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import math
+from typing import Protocol
+
+import anyio
+
+from tamaracktide import errors
+from tamaracktide.core import ownership
+from tamaracktide.core import ownership_events as events
+from tamaracktide.core import randomness
+from tamaracktide.observability import logs
+from tamaracktide.tables import store
+
+KEY_PREFIX = "ownership/"
+
+OwnerProbe = Callable[[str, str], Awaitable[bool]]
+
+
+class Listener(Protocol):
+    """Who is told about the ownership."""
+
+    def begin_ownership(self, ready: events.Ready) -> None:
+        """This scheduler owns the upstream now."""
+
+    def end_ownership(self, owner: str) -> None:
+        """This scheduler owns the upstream no longer."""
+
+    def note_owner(self, owner: str) -> None:
+        """A reachable scheduler owns the upstream."""
+
+    def suspend_unloads(self, suspended: bool) -> None:
+        """Unload orders are not allowed for now, or are again."""
+
+
+class Keeper:
+    """Holds the ownership of one upstream.
+
+    Attributes:
+        platform_out: Whether the last call to the platform failed.
+    """
+
+    def __init__(
+        self,
+        upstream: str,
+        settings: ownership.OwnershipSettings,
+        objects: store.ObjectStore,
+        probe_owner: OwnerProbe,
+        listener: Listener,
+        rng: randomness.Random,
+    ) -> None:
+        """Starts without ownership; `run` must be running."""
+        self.platform_out = False
+        self._upstream = upstream
+        self._objects = objects
+        self._probe_owner = probe_owner
+        self._listener = listener
+        self._machine = ownership.Ownership(settings, rng)
+        self._calls: collections.deque[events.OwnershipAction] = (
+            collections.deque()
+        )
+        self._permits: dict[str, _Permit] = {}
+        self._wake_at = math.inf
+        self._woken = anyio.Event()
+        self._ended = anyio.Event()
+
+    @property
+    def epoch(self) -> int:
+        """The fencing token while this scheduler owns, else 0."""
+        owning = self._machine.state is ownership.State.OWNING
+        return self._machine.epoch if owning else 0
+
+    @property
+    def withheld(self) -> tuple[str, ...]:
+        """Engine-side names that must not be granted."""
+        return self._machine.withheld
+
+    async def run(self) -> None:
+        """Carries out the machine's calls and timers until cancelled."""
+        while True:
+            while self._calls:
+                await self._carry_out(self._calls.popleft())
+            self._woken = anyio.Event()
+            delay_s = self._wake_at - anyio.current_time()
+            with anyio.move_on_after(max(delay_s, 0.0)):
+                await self._woken.wait()
+            if anyio.current_time() >= self._wake_at:
+                self._wake_at = math.inf
+                self.feed(events.Tick())
+
+    def feed(self, event: events.OwnershipEvent) -> None:
+        """Hands an event to the machine and files what it asks for."""
+        for action in self._machine.handle(event, anyio.current_time()):
+            match action:
+                case events.Ready():
+                    self._ended = anyio.Event()
+                    self._listener.begin_ownership(action)
+                case events.LoseOwnership(owner):
+                    self._ended.set()
+                    self._listener.end_ownership(owner)
+                case events.OwnedElsewhere(owner):
+                    self._listener.note_owner(owner)
+                case events.SuspendUnloads(suspended):
+                    self._listener.suspend_unloads(suspended)
+                case events.AllowUnload(lora_name):
+                    self._settle(lora_name, True)
+                case events.RefuseUnload(lora_name):
+                    self._settle(lora_name, False)
+                case events.WakeAt(at):
+                    self._wake_at = at
+                    self._woken.set()
+                case _:
+                    self._calls.append(action)
+                    self._woken.set()
+
+    async def ask_unload(self, lora_name: str) -> bool:
+        """Returns whether an unload order may be sent.
+
+        An allowed order must be ended by an `UnloadEnded` event.
+        """
+        permit = self._permits[lora_name] = _Permit()
+        self.feed(events.UnloadWanted(lora_name))
+        await permit.settled.wait()
+        return permit.allowed
+
+    async def release(self) -> None:
+        """Gives the ownership up; returns once the record says so."""
+        if self._machine.state is ownership.State.IDLE:
+            return
+        self._ended = anyio.Event()
+        self.feed(events.Release())
+        await self._ended.wait()
+
+    def _settle(self, lora_name: str, allowed: bool) -> None:
+        permit = self._permits.pop(lora_name, None)
+        if permit is not None:
+            permit.allowed = allowed
+            permit.settled.set()
+
+    async def _carry_out(self, action: events.OwnershipAction) -> None:
+        match action:
+            case events.ReadRecord():
+                self.feed(await self._read())
+            case events.WriteRecord():
+                self.feed(await self._write(action))
+            case events.CheckOwner(owner, incarnation):
+                reachable = await self._probe_owner(owner, incarnation)
+                checked = events.OwnerChecked(owner, incarnation, reachable)
+                self.feed(checked)
+
+    async def _read(self) -> events.OwnershipEvent:
+        try:
+            stored = await self._objects.read(KEY_PREFIX + self._upstream)
+            record = events.decode_record(stored.value)
+        except errors.ObjectMissingError:
+            self.platform_out = False
+            return events.RecordRead(None, 0)
+        except errors.TamaracktideError as error:
+            return self._note_failure(error, events.PlatformOut())
+        self.platform_out = False
+        return events.RecordRead(record, stored.version)
+
+    async def _write(self, action: events.WriteRecord) -> events.OwnershipEvent:
+        key = KEY_PREFIX + self._upstream
+        value = events.encode_record(action.record)
+        expected = action.expected_version
+        try:
+            if expected:
+                version = await self._objects.update(key, value, expected)
+            else:
+                version = await self._objects.create(key, value)
+        except errors.PreconditionFailedError:
+            return events.WriteRefused()
+        except errors.TamaracktideError as error:
+            return self._note_failure(error, events.ReplyLost())
+        self.platform_out = False
+        return events.WriteSucceeded(version)
+
+    def _note_failure(
+        self, error: errors.TamaracktideError, event: events.OwnershipEvent
+    ) -> events.OwnershipEvent:
+        self.platform_out = True
+        logs.bind(upstream=self._upstream, code=error.code.value).warning(
+            "ownership record not settled: {}", error.detail
+        )
+        return event
+
+
+class _Permit:
+    """An unload order that waits for its intent."""
+
+    __slots__ = ("allowed", "settled")
+
+    def __init__(self) -> None:
+        self.allowed = False
+        self.settled = anyio.Event()
--- /dev/null
+++ b/src/tamaracktide/scheduler/program.py
@@ -0,0 +1,218 @@
+"""Puts the parts of a scheduler together and runs them until a signal."""
+
+from collections.abc import Iterator
+import contextlib
+import random
+import signal
+import uuid
+
+import anyio
+import anyio.abc
+import uvicorn
+
+from tamaracktide.core import committer
+from tamaracktide.core import ownership
+from tamaracktide.observability import logs
+from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.platform import instances
+from tamaracktide.platform import objects as objects_module
+from tamaracktide.protocol import messages
+from tamaracktide.protocol import server
+from tamaracktide.scheduler import admin
+from tamaracktide.scheduler import cells
+from tamaracktide.scheduler import claims
+from tamaracktide.scheduler import drains
+from tamaracktide.scheduler import gateways
+from tamaracktide.scheduler import keeper
+from tamaracktide.scheduler import peers as peers_module
+from tamaracktide.scheduler import service as service_module
+from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.tables import follower as tables_follower
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import engine as engine_client
+
+ROLE = "scheduler"
+READY_POLL_S = 0.02
+
+
+class _Server(uvicorn.Server):
+    """A server that leaves signals to the program."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Captures nothing."""
+        yield
+
+
+class Program:
+    """One scheduler with all its parts.
+
+    Attributes:
+        service: Serves gateways and schedulers.
+        app: Health, metrics and status.
+    """
+
+    def __init__(
+        self,
+        settings: scheduler_settings.SchedulerSettings,
+        objects: objects_module.ObjectClient,
+        instance_client: instances.InstanceClient,
+        caller: calls.Caller,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        """Builds the parts; `run` runs them."""
+        self._settings = settings
+        self._objects = objects
+        self._caller = caller
+        self._tasks = tasks
+        self._rng = random.Random()
+        self._metrics = metrics_module.Metrics()
+        self._hello = messages.Hello(
+            version=messages.PROTOCOL_VERSION,
+            instance=settings.instance,
+            incarnation=uuid.uuid4().hex[:12],
+            role=ROLE,
+            zone=settings.zone,
+        )
+        self._follower = tables_follower.Follower(
+            objects, settings.tables, self._rng
+        )
+        self._peers = peers_module.Peers(
+            settings, self._hello, instance_client.list, self._follower
+        )
+        self.service = service_module.Service(
+            settings,
+            self._follower,
+            self._peers,
+            claims.ClaimShards(
+                objects, committer.CommitterSettings(), self._metrics, tasks
+            ),
+            self._make_parts,
+        )
+        self.app = admin.App(
+            settings,
+            self._hello.incarnation,
+            self.service,
+            self._peers,
+            self._follower,
+            self._metrics,
+        )
+
+    async def run(self) -> None:
+        """Runs until SIGTERM or SIGINT, then hands everything over."""
+        self._tasks.start_soon(self.run_parts)
+        await self._serve_http()
+
+    async def run_parts(self) -> None:
+        """Runs everything but HTTP until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follower.run)
+            tasks.start_soon(self._peers.run)
+            tasks.start_soon(self._serve_inner)
+            tasks.start_soon(
+                drains.follow_drains,
+                self._objects,
+                self._settings.periods,
+                self._set_drained,
+            )
+
+    async def _serve_inner(self) -> None:
+        """Serves peers once cells can be served.
+
+        A scheduler that answered earlier would be handed cells too early.
+        """
+        while not self._follower.is_ready or self._peers.listed_at is None:
+            await anyio.sleep(READY_POLL_S)
+        inner = self._settings.inner
+        bound = await self._tasks.start(
+            server.serve,
+            f"{inner.host}:{inner.port}",
+            self._hello,
+            self.service.handle_connection,
+            inner,
+        )
+        logs.bind(inner_address=bound).info("scheduler started")
+        self._tasks.start_soon(self.service.run)
+
+    async def _serve_http(self) -> None:
+        """Serves health, metrics and status until the planned stop ends."""
+        http = self._settings.http
+        http_server = _Server(
+            uvicorn.Config(
+                self.app,
+                host=http.host,
+                port=http.port,
+                http="httptools",
+                loop="asyncio",
+                ws="none",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                server_header=False,
+            )
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._stop_on_signal, http_server)
+            await http_server.serve()
+            tasks.cancel_scope.cancel()
+
+    async def _stop_on_signal(self, http_server: uvicorn.Server) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT
+        ) as signals:
+            async for number in signals:
+                logs.bind(signal=int(number)).info("shutdown started")
+                break
+            await self.service.stop()
+        http_server.should_exit = True
+
+    def _make_parts(self, known: gateways.Gateways) -> cells.CellParts:
+        return cells.CellParts(
+            settings=self._settings,
+            client=engine_client.EngineClient(
+                self._settings.upstreams, self._caller
+            ),
+            caller=self._caller,
+            gateways=known,
+            metrics=self._metrics,
+            make_keeper=self._make_keeper,
+            rng=self._rng,
+            tasks=self._tasks,
+        )
+
+    def _make_keeper(
+        self, upstream: str, listener: keeper.Listener
+    ) -> keeper.Keeper:
+        periods = self._settings.periods
+        settings = ownership.OwnershipSettings(
+            instance=self._settings.instance,
+            incarnation=self._hello.incarnation,
+            retry_s=periods.ownership_retry_s,
+            confirm_s=periods.ownership_confirm_s,
+        )
+        return keeper.Keeper(
+            upstream,
+            settings,
+            self._objects,
+            self._peers.probe_owner,
+            listener,
+            self._rng,
+        )
+
+    def _set_drained(self, drained: frozenset[str]) -> None:
+        self.service.drained = drained
+
+
+async def serve(settings: scheduler_settings.SchedulerSettings) -> None:
+    """Runs a scheduler until SIGTERM or SIGINT."""
+    objects = objects_module.ObjectClient(settings.platform)
+    instance_client = instances.InstanceClient(settings.platform)
+    async with (
+        calls.Caller(settings.upstreams) as caller,
+        anyio.create_task_group() as tasks,
+    ):
+        program = Program(settings, objects, instance_client, caller, tasks)
+        await program.run()
+        tasks.cancel_scope.cancel()
+    await objects.close()
+    await instance_client.close()
--- /dev/null
+++ b/src/tamaracktide/scheduler/service.py
@@ -0,0 +1,377 @@
+"""Accepts gateways and schedulers, and decides which cells to serve."""
+
+from collections.abc import Callable
+
+import anyio
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.core import cell_settings
+from tamaracktide.core import rows
+from tamaracktide.core import tables as core_tables
+from tamaracktide.observability import logs
+from tamaracktide.protocol import connection
+from tamaracktide.protocol import heartbeats
+from tamaracktide.protocol import messages
+from tamaracktide.scheduler import cells
+from tamaracktide.scheduler import claims as claims_module
+from tamaracktide.scheduler import gateways as gateways_module
+from tamaracktide.scheduler import outbox as outbox_module
+from tamaracktide.scheduler import peers as peers_module
+from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.tables import follower as tables_follower
+
+Codes = result_codes.ResultCode
+
+ROLE_ENGINE = "engine"
+ROLE_GATEWAY = "gateway"
+ROLE_SCHEDULER = "scheduler"
+STOP_POLL_S = 0.05
+RETRY_AFTER_S = 1.0
+
+
+class Service:
+    """Serves grants of the cells that this scheduler owns.
+
+    Attributes:
+        cells: Shells of the owned cells.
+        gateways: The gateways.
+        draining: Whether a planned stop has begun.
+        drained: Instances that operators keep new work from.
+    """
+
+    def __init__(
+        self,
+        settings: scheduler_settings.SchedulerSettings,
+        follower: tables_follower.Follower,
+        peers: peers_module.Peers,
+        claims: claims_module.ClaimShards,
+        make_parts: Callable[[gateways_module.Gateways], cells.CellParts],
+    ) -> None:
+        """Starts without cells; `run` opens them."""
+        self.cells: dict[rows.CellId, cells.CellShell] = {}
+        self.gateways = gateways_module.Gateways(settings.limits, self)
+        self.draining = False
+        self.drained: frozenset[str] = frozenset()
+        self._settings = settings
+        self._follower = follower
+        self._peers = peers
+        self._claims = claims
+        self._parts = make_parts(self.gateways)
+        self._tasks = self._parts.tasks
+        self._claims_open = 0
+
+    @property
+    def claim_commits(self) -> int:
+        """Writes of claim shards that took effect."""
+        return self._claims.commits
+
+    async def run(self) -> None:
+        """Looks again and again at who should own what."""
+        audited_at = anyio.current_time()
+        while True:
+            await self.reconcile()
+            now = anyio.current_time()
+            self.gateways.end_abandoned(now)
+            if now - audited_at >= self._settings.periods.audit_s:
+                audited_at = now
+                self._audit()
+            await anyio.sleep(self._settings.periods.reconcile_s)
+
+    async def handle_connection(self, opened: connection.Connection) -> None:
+        """Serves one peer until its connection ends."""
+        peer = opened.peer
+        logs.bind(peer=peer.instance, role=peer.role).info("peer connected")
+        try:
+            match peer.role:
+                case "gateway":
+                    await self._serve_gateway(opened)
+                case "scheduler":
+                    await self._peers.serve(opened)
+                case _:
+                    await opened.close(
+                        Codes.BAD_REQUEST, f"role {peer.role!r} is not served"
+                    )
+        except* errors.ProtocolError as group:
+            logs.bind(peer=peer.instance).info(
+                "peer connection ended: {}", str(group.exceptions[0])
+            )
+
+    async def reconcile(self) -> None:
+        """Takes, updates and hands over cells once."""
+        if self.draining:
+            return
+        self._peers.own_epochs = self._read_epochs()
+        wanted = self._list_cells()
+        for cell in list(self.cells):
+            await self._check_owned(cell, wanted)
+        now = anyio.current_time()
+        own = self._settings.instance
+        for cell in wanted:
+            if cell in self.cells:
+                continue
+            if self._peers.membership.find_owner(cell, now) == own:
+                self._open_cell(cell)
+
+    async def stop(self) -> None:
+        """Hands all cells over and finishes the claims in progress."""
+        self.draining = True
+        await self._peers.tell_leaving()
+        self.gateways.broadcast(self._peers.make_digest())
+        async with anyio.create_task_group() as tasks:
+            for cell in list(self.cells):
+                tasks.start_soon(self._hand_over, cell, self._find_next(cell))
+        with anyio.move_on_after(self._settings.limits.stop_timeout_s):
+            while self._claims_open:
+                await anyio.sleep(STOP_POLL_S)
+
+    def withdraw(self, cell: rows.CellId, request_id: str) -> None:
+        """Drops a request that a gateway no longer waits for."""
+        shell = self.cells.get(cell)
+        if shell is not None:
+            shell.withdraw(request_id)
+
+    def end_grant(
+        self, cell: rows.CellId, release: messages.GrantRelease
+    ) -> None:
+        """Ends a grant that a gateway no longer uses."""
+        shell = self.cells.get(cell)
+        if shell is not None:
+            shell.end_grant(release)
+
+    async def _serve_gateway(self, opened: connection.Connection) -> None:
+        limits = self._settings.limits
+        outbox = outbox_module.Outbox(opened, limits.max_replies)
+        now = anyio.current_time()
+        gateway = self.gateways.connect(opened.peer, outbox, now)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(outbox.run)
+                tasks.start_soon(self._send_digests, gateway)
+                tasks.start_soon(
+                    heartbeats.keep_alive,
+                    opened,
+                    self._settings.inner,
+                    self._read_loads,
+                )
+                while True:
+                    self._handle(gateway, await opened.receive())
+        finally:
+            now = anyio.current_time()
+            self.gateways.disconnect(gateway, outbox, now)
+
+    def _handle(
+        self, gateway: gateways_module.Gateway, message: messages.Message
+    ) -> None:
+        match message:
+            case messages.GrantRequest():
+                self._request_grant(gateway, message)
+            case messages.GrantRelease():
+                self._release(gateway, message)
+            case messages.OutstandingReply():
+                self._take_outstanding(gateway, message)
+            case messages.ClaimRequest() | messages.OutcomeReport():
+                self._tasks.start_soon(self._claim, gateway, message)
+            case messages.TableFetch():
+                gateway.send(self._peers.make_table_reply(message))
+
+    def _request_grant(
+        self,
+        gateway: gateways_module.Gateway,
+        request: messages.GrantRequest,
+    ) -> None:
+        shell = self.cells.get(rows.CellId(request.pool, request.zone))
+        if shell is not None:
+            shell.submit(request, gateway)
+        else:
+            self._tasks.start_soon(self._find_cell, gateway, request)
+
+    async def _find_cell(
+        self,
+        gateway: gateways_module.Gateway,
+        request: messages.GrantRequest,
+    ) -> None:
+        """Takes over the asked cell, or tells who should own it."""
+        cell = rows.CellId(request.pool, request.zone)
+        if not self._follower.is_ready:
+            self._refuse(gateway, request, Codes.TABLES_NOT_LOADED)
+            return
+        if cell not in self._list_cells():
+            self._refuse(gateway, request, Codes.NO_UPSTREAM)
+            return
+        now = anyio.current_time()
+        view = self._peers.membership
+        await self._peers.probe_all(view.list_unsure(request.suspects, now))
+        owner = view.find_owner(cell, anyio.current_time())
+        if owner == self._settings.instance and not self.draining:
+            self._open_cell(cell).submit(request, gateway)
+        else:
+            self._refuse(gateway, request, Codes.NOT_OWNER, owner)
+
+    def _refuse(
+        self,
+        gateway: gateways_module.Gateway,
+        request: messages.GrantRequest,
+        code: result_codes.ResultCode,
+        owner: str = "",
+    ) -> None:
+        gateway.send(
+            messages.RefusalReply(
+                request_id=request.request_id,
+                code=code,
+                detail=f"{request.pool}@{request.zone}",
+                retry_after_s=RETRY_AFTER_S,
+                owner=owner,
+            )
+        )
+
+    def _release(
+        self,
+        gateway: gateways_module.Gateway,
+        release: messages.GrantRelease,
+    ) -> None:
+        if release.grant_id:
+            held = gateway.grants.pop(release.grant_id, None)
+            if held is not None:
+                self.end_grant(held.cell, release)
+            if held is not None and release.lost:
+                self._check_engine(held.cell, release.upstream)
+            return
+        held = gateway.waiting.pop(release.request_id, None)
+        if held is not None:
+            self.withdraw(held.cell, release.request_id)
+
+    def _check_engine(self, cell: rows.CellId, upstream: str) -> None:
+        shell = self.cells.get(cell)
+        if shell is not None:
+            shell.check_engine(upstream)
+
+    def _take_outstanding(
+        self,
+        gateway: gateways_module.Gateway,
+        reply: messages.OutstandingReply,
+    ) -> None:
+        self.gateways.take_reply(gateway, reply, anyio.current_time())
+        shell = self.cells.get(rows.CellId(reply.pool, reply.zone))
+        if shell is not None and not reply.query_id:
+            for grant in reply.grants:
+                shell.adopt(grant)
+
+    async def _claim(
+        self,
+        gateway: gateways_module.Gateway,
+        message: messages.ClaimRequest | messages.OutcomeReport,
+    ) -> None:
+        self._claims_open += 1
+        try:
+            match message:
+                case messages.ClaimRequest():
+                    gateway.send(await self._claims.claim(message))
+                case messages.OutcomeReport():
+                    gateway.send(await self._claims.report(message))
+        finally:
+            self._claims_open -= 1
+
+    def _read_loads(self) -> tuple[messages.CellLoad, ...]:
+        return tuple(shell.make_load() for shell in self.cells.values())
+
+    async def _send_digests(self, gateway: gateways_module.Gateway) -> None:
+        while True:
+            gateway.send(self._peers.make_digest())
+            await anyio.sleep(self._settings.periods.digest_s)
+
+    def _audit(self) -> None:
+        """Asks for the grants in use; those unknown to gateways end."""
+        epochs = self._read_epochs()
+        for cell in self.cells:
+            self._tasks.start_soon(self.gateways.collect, cell, epochs)
+
+    def _read_epochs(self) -> dict[str, int]:
+        return {
+            name: engine.keeper.epoch
+            for shell in self.cells.values()
+            for name, engine in shell.engines.items()
+            if engine.keeper.epoch
+        }
+
+    def _list_cells(self) -> set[rows.CellId]:
+        view = self._peers.membership
+        return {
+            cell
+            for pool in self._follower.tables.pools.values()
+            if pool.kind is rows.UpstreamKind.ENGINE
+            for cell in view.list_cells(pool)
+        }
+
+    async def _check_owned(
+        self, cell: rows.CellId, wanted: set[rows.CellId]
+    ) -> None:
+        shell = self.cells[cell]
+        if shell.successor is not None:
+            return
+        if cell not in wanted:
+            self._tasks.start_soon(self._hand_over, cell, "")
+            return
+        self._update_cell(shell, self._follower.tables)
+        now = anyio.current_time()
+        owner = self._peers.membership.find_owner(cell, now)
+        if owner == self._settings.instance:
+            return
+        # While the platform is out nobody could take the cell over.
+        if self._peers.is_platform_heard() and await self._peers.probe(owner):
+            self._tasks.start_soon(self._hand_over, cell, owner)
+
+    def _open_cell(self, cell: rows.CellId) -> cells.CellShell:
+        shell = self.cells.get(cell)
+        if shell is not None:
+            return shell
+        logs.bind(cell=cell.text).info("cell opened")
+        pool = self._follower.tables.pools[cell.pool]
+        share = self._share_store(cell)
+        settings = cell_settings.CellSettings(
+            stall_weight=pool.stall_weight,
+            batch_weight=pool.batch_weight,
+            max_queue_s=pool.max_queue_s,
+            max_waiting=self._settings.limits.max_waiting,
+            loads_per_s=share.loads_per_s,
+            loads_in_flight=share.in_flight,
+        )
+        shell = cells.CellShell(cell, settings, self._parts)
+        self.cells[cell] = shell
+        self._update_cell(shell, self._follower.tables)
+        self._tasks.start_soon(shell.run)
+        return shell
+
+    def _update_cell(
+        self, shell: cells.CellShell, tables: core_tables.Tables
+    ) -> None:
+        view = self._peers.membership
+        pool = tables.pools[shell.cell.pool]
+        shell.update_engines(view.list_upstreams(pool, shell.cell.zone))
+        for name, engine in shell.engines.items():
+            engine.set_leaving(view.is_leaving(name) or name in self.drained)
+        shell.set_store_share(self._share_store(shell.cell))
+
+    def _share_store(
+        self, cell: rows.CellId
+    ) -> scheduler_settings.StoreSettings:
+        """Returns a cell's part: equal among zones, then among its cells."""
+        zones = self._peers.membership.list_zones(ROLE_ENGINE)
+        beside = [one for one in self._list_cells() if one.zone == cell.zone]
+        parts = max(1, len(zones)) * max(1, len(beside))
+        store = self._settings.store
+        return scheduler_settings.StoreSettings(
+            loads_per_s=store.loads_per_s / parts,
+            in_flight=store.in_flight / parts,
+        )
+
+    def _find_next(self, cell: rows.CellId) -> str:
+        now = anyio.current_time()
+        return self._peers.membership.find_owner(cell, now)
+
+    async def _hand_over(self, cell: rows.CellId, successor: str) -> None:
+        shell = self.cells[cell]
+        logs.bind(cell=cell.text, owner=successor).info("cell handed over")
+        await shell.hand_over(successor)
+        if self.cells.get(cell) is shell:
+            del self.cells[cell]
--- a/src/tamaracktide/settings/files.py
+++ b/src/tamaracktide/settings/files.py
@@ -1,5 +1,6 @@
 """Reads settings files: JSON, checked as a whole against a data class."""
 
+import functools
 import json
 import pathlib
 from typing import Any
@@ -28,11 +29,10 @@
 
 def find_faults(value: object, kind: type) -> list[str]:
     """Returns every fault as `path: message`, ordered by path."""
-    validator = jsonschema.Draft202012Validator(make_schema(kind))
-    return sorted(
-        f"{fault.json_path}: {fault.message}"
-        for fault in validator.iter_errors(value)
-    )
+    faults: list[str] = []
+    for error in _make_validator(kind).iter_errors(value):
+        faults.extend(_describe_error(error))
+    return sorted(faults)
 
 
 def parse_settings(text: str, kind: type[_T]) -> _T:
@@ -69,3 +69,25 @@
             result_codes.ResultCode.SETTINGS_INVALID, f"{path}: {error}"
         ) from error
     return parse_settings(text, kind)
+
+
+@functools.cache
+def _make_validator(kind: type) -> jsonschema.Draft202012Validator:
+    return jsonschema.Draft202012Validator(make_schema(kind))
+
+
+def _describe_error(error: jsonschema.ValidationError) -> list[str]:
+    """Returns the faults of one error, each with the path of its field."""
+    path = error.json_path
+    rule: Any = error.validator_value
+    schema: Any = error.schema
+    match error.validator:
+        case "additionalProperties" if isinstance(error.instance, dict):
+            extra = error.instance.keys() - schema["properties"].keys()
+            return [f"{path}.{name}: is not a known field" for name in extra]
+        case "required":
+            # jsonschema reports each missing field by a message of its own.
+            missing = [n for n in rule if error.message.startswith(repr(n))]
+            return [f"{path}.{name}: is a required field" for name in missing]
+        case _:
+            return [f"{path}: {error.message}"]
--- /dev/null
+++ b/src/tamaracktide/standins/engine/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in model engine with continuous batching and adapter slots."""
--- /dev/null
+++ b/src/tamaracktide/standins/engine/main.py
@@ -0,0 +1,45 @@
+"""The program `tamaracktide-engine`."""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import anyio
+import httpcore
+
+from tamaracktide.standins.engine import app
+from tamaracktide.standins.engine import host as engine_host
+from tamaracktide.standins.engine import settings as engine_settings
+from tamaracktide.standins.service import program
+from tamaracktide.standins.service import server
+from tamaracktide.standins.service import web
+
+
+@contextlib.asynccontextmanager
+async def open_engine(
+    settings: engine_settings.EngineSettings,
+) -> AsyncIterator[web.App]:
+    """Runs an engine while the context is open.
+
+    Yields:
+        Its ASGI application.
+    """
+    host = engine_host.Host(settings, anyio.current_time())
+    async with (
+        httpcore.AsyncConnectionPool(max_connections=settings.slots) as pool,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(host.run_steps)
+        tasks.start_soon(host.run_reports)
+        yield web.make_app(app.Engine(host, pool).handle)
+        tasks.cancel_scope.cancel()
+
+
+async def serve(settings: engine_settings.EngineSettings) -> None:
+    """Serves until SIGTERM."""
+    async with open_engine(settings) as engine:
+        await server.serve(engine, settings.address, settings.stop_timeout_s)
+
+
+def main() -> None:
+    """Runs the command line."""
+    program.run_command(engine_settings.EngineSettings, serve)
--- /dev/null
+++ b/src/tamaracktide/standins/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in platform: object API, instance list and weight store."""
--- /dev/null
+++ b/src/tamaracktide/standins/service/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-in plain service, and the HTTP plumbing that stand-ins share."""
--- /dev/null
+++ b/src/tamaracktide/standins/service/web.py
@@ -0,0 +1,273 @@
+"""Requests and replies of the stand-ins on plain ASGI."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import MutableMapping
+import dataclasses
+import json
+from typing import Any
+from typing import ClassVar
+from typing import Protocol
+from typing import TypeVar
+import urllib.parse
+
+import anyio
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.settings import files
+from tamaracktide.standins.service import server
+
+MAX_BODY_BYTES = 8_000_000
+
+Message = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Message]]
+Send = Callable[[Message], Awaitable[None]]
+App = Callable[[Message, Receive, Send], Awaitable[None]]
+
+_T = TypeVar("_T")
+
+
+class _DataClass(Protocol):
+    """Any data class."""
+
+    __dataclass_fields__: ClassVar[dict[str, Any]]
+
+
+_Fields = TypeVar("_Fields", bound=_DataClass)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole HTTP response.
+
+    Attributes:
+        status: HTTP status code.
+        body: The body.
+        headers: Header fields beside Content-Length.
+    """
+
+    status: int
+    body: bytes = b""
+    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+def make_json_reply(
+    status: int, value: object, headers: Mapping[str, str] | None = None
+) -> Reply:
+    """Returns a reply with a JSON body."""
+    return Reply(
+        status,
+        json.dumps(value).encode(),
+        {"Content-Type": "application/json", **(headers or {})},
+    )
+
+
+def make_error_reply(status: int, message: str) -> Reply:
+    """Returns a reply with an OpenAI-compatible error body."""
+    return make_json_reply(
+        status, {"error": {"code": status, "message": message}}
+    )
+
+
+class Request:
+    """One HTTP request and the means to answer it.
+
+    Attributes:
+        method: HTTP method.
+        path: Decoded path.
+        headers: Header fields by lower-case name.
+        query: Query fields; the last one of a name counts.
+        connection: The connection that it came on.
+    """
+
+    __slots__ = (
+        "_body",
+        "_receive",
+        "_send",
+        "connection",
+        "headers",
+        "method",
+        "path",
+        "query",
+    )
+
+    def __init__(self, scope: Message, receive: Receive, send: Send) -> None:
+        """Builds the request from the ASGI arguments."""
+        self.method: str = scope["method"]
+        self.path: str = scope["path"]
+        self.headers: dict[str, str] = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        self.query = dict(
+            urllib.parse.parse_qsl(
+                scope["query_string"].decode("latin-1"), keep_blank_values=True
+            )
+        )
+        self.connection: server.Connection = scope["state"]["connection"]
+        self._body: bytes | None = None
+        self._receive = receive
+        self._send = send
+
+    @property
+    def parts(self) -> list[str]:
+        """The segments of the path."""
+        return self.path.split("/")[1:]
+
+    def read_number(self, name: str, default: float) -> float:
+        """Returns a query field as a number.
+
+        Raises:
+            errors.RefusalError: It is not a number.
+        """
+        text = self.query.get(name, str(default))
+        try:
+            return float(text)
+        except ValueError as error:
+            raise errors.RefusalError(
+                result_codes.ResultCode.BAD_REQUEST,
+                f"{name} is not a number: {text}",
+            ) from error
+
+    @property
+    def zone(self) -> str:
+        """The caller's availability zone, empty if not told."""
+        return self.headers.get("x-zone", "")
+
+    def check_token(self, token: str) -> bool:
+        """Whether the request carries the token; none is asked if empty."""
+        given = self.headers.get("authorization", "")
+        return not token or given == f"Bearer {token}"
+
+    async def read_body(self) -> bytes:
+        """Returns the whole body, also when called again.
+
+        Raises:
+            errors.RefusalError: It exceeds `MAX_BODY_BYTES`, or the caller
+                disconnected before it was whole.
+        """
+        if self._body is None:
+            self._body = await self._receive_body()
+        return self._body
+
+    async def _receive_body(self) -> bytes:
+        body = bytearray()
+        while True:
+            message = await self._receive()
+            if message["type"] == "http.disconnect":
+                raise errors.RefusalError(
+                    result_codes.ResultCode.BAD_REQUEST,
+                    f"disconnected after {len(body)} bytes of the body",
+                )
+            body += message.get("body", b"")
+            if len(body) > MAX_BODY_BYTES:
+                raise errors.RefusalError(
+                    result_codes.ResultCode.REQUEST_TOO_LARGE,
+                    f"the body exceeds {MAX_BODY_BYTES} bytes",
+                )
+            if not message.get("more_body", False):
+                return bytes(body)
+
+    async def reply(self, reply: Reply) -> None:
+        """Sends a whole response."""
+        headers = dict(reply.headers)
+        if reply.status != 204:
+            headers["Content-Length"] = str(len(reply.body))
+        await self.start(reply.status, headers)
+        await self.send(reply.body, more=False)
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Sends status and headers."""
+        await self._send(
+            {
+                "type": "http.response.start",
+                "status": status,
+                "headers": [
+                    (name.encode("latin-1"), value.encode("latin-1"))
+                    for name, value in headers.items()
+                ],
+            }
+        )
+
+    async def send(self, body: bytes, *, more: bool) -> None:
+        """Sends a part of the body."""
+        await self._send(
+            {"type": "http.response.body", "body": body, "more_body": more}
+        )
+
+    async def wait_disconnect(self) -> None:
+        """Waits until the caller closes the connection."""
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    async def drop(self) -> None:
+        """Closes the connection without a reply."""
+        self.connection.abort()
+        await self.wait_disconnect()
+
+
+Handler = Callable[[Request], Awaitable[Reply | None]]
+
+
+def make_app(handler: Handler) -> App:
+    """Returns an ASGI application.
+
+    The handler returns the reply, or None if it has answered or dropped the
+    connection itself.
+    """
+
+    async def app(scope: Message, receive: Receive, send: Send) -> None:
+        request = Request(scope, receive, send)
+        try:
+            reply = await handler(request)
+        except errors.TamaracktideError as error:
+            meaning = result_codes.MEANINGS[error.code]
+            reply = make_error_reply(meaning.http_status, error.detail)
+        if reply is not None:
+            await request.reply(reply)
+
+    return app
+
+
+async def run_connected(
+    request: Request, work: Callable[[], Awaitable[_T]]
+) -> _T | None:
+    """Returns the work's result; None if the caller disconnects first."""
+    results: list[_T] = []
+    async with anyio.create_task_group() as tasks:
+
+        async def cancel_on_disconnect() -> None:
+            await request.wait_disconnect()
+            tasks.cancel_scope.cancel()
+
+        tasks.start_soon(cancel_on_disconnect)
+        results.append(await work())
+        tasks.cancel_scope.cancel()
+    return results[0] if results else None
+
+
+def parse_fields(kind: type[_T], body: bytes) -> _T:
+    """Returns a data class from a JSON object.
+
+    Raises:
+        errors.RefusalError: The body is not JSON or has faults.
+    """
+    try:
+        return files.parse_settings(body.decode(), kind)
+    except (ValueError, errors.SettingsError) as error:
+        raise errors.RefusalError(
+            result_codes.ResultCode.BAD_REQUEST, str(error)
+        ) from error
+
+
+def merge_fields(current: _Fields, body: bytes) -> _Fields:
+    """Returns a copy of a data class with the fields of a JSON object.
+
+    Raises:
+        errors.RefusalError: The body is no JSON object or has faults.
+    """
+    given = parse_fields(dict, body)
+    merged = dataclasses.asdict(current) | given
+    return parse_fields(type(current), json.dumps(merged).encode())
--- /dev/null
+++ b/src/tamaracktide/tables/reader.py
@@ -0,0 +1,41 @@
+"""Reads the shards that an assembly lacks."""
+
+import anyio
+
+from tamaracktide import errors
+from tamaracktide.core import table_assembly
+from tamaracktide.core import table_head
+from tamaracktide.tables import store
+
+
+async def read_missing_shards(
+    objects: store.ObjectStore,
+    assembly: table_assembly.Assembly,
+    concurrency: int,
+) -> None:
+    """Reads every missing shard, several at once.
+
+    What was read before a failure stays in the assembly.
+
+    Raises:
+        errors.PlatformError: The first failed read.
+        errors.ProtocolError: A shard's content has another hash.
+    """
+    digests = iter(assembly.list_missing())
+    failures: list[errors.TamaracktideError] = []
+
+    async def read_shards() -> None:
+        for digest in digests:
+            if failures:
+                return
+            try:
+                stored = await objects.read(table_head.make_shard_key(digest))
+                assembly.accept_shards({digest: stored.value})
+            except errors.TamaracktideError as error:
+                failures.append(error)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(concurrency):
+            group.start_soon(read_shards)
+    if failures:
+        raise failures[0]
--- /dev/null
+++ b/src/tamaracktide/tables/store.py
@@ -0,0 +1,95 @@
+"""The part of the object API that the tables need.
+
+`platform.objects.ObjectClient` provides it; tests use a fake.
+"""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+
+class StoredObject(Protocol):
+    """An object's value and version."""
+
+    @property
+    def value(self) -> bytes:
+        """The stored bytes."""
+
+    @property
+    def version(self) -> int:
+        """The version, for conditional updates."""
+
+
+class ListedObject(Protocol):
+    """An object's key and version."""
+
+    @property
+    def key(self) -> str:
+        """The key."""
+
+    @property
+    def version(self) -> int:
+        """The version at its last change."""
+
+
+class Listing(Protocol):
+    """Objects under a prefix."""
+
+    @property
+    def version(self) -> int:
+        """The store's version at the listing."""
+
+    @property
+    def items(self) -> Sequence[ListedObject]:
+        """The objects, without values."""
+
+
+class Change(ListedObject, Protocol):
+    """One change that a watch saw."""
+
+    @property
+    def deleted(self) -> bool:
+        """Whether the object was deleted."""
+
+
+class WatchResult(Protocol):
+    """What a watch saw."""
+
+    @property
+    def version(self) -> int:
+        """Where the next watch starts."""
+
+    @property
+    def changes(self) -> Sequence[Change]:
+        """The changes, empty at the timeout."""
+
+    @property
+    def reset(self) -> bool:
+        """Whether the start was too old, so that a listing is needed."""
+
+
+class ObjectStore(Protocol):
+    """Versioned objects with conditional writes and watches.
+
+    Every call raises `errors.PlatformUnavailableError` when no certain answer
+    came; a write may then have taken effect.
+    """
+
+    async def read(self, key: str) -> StoredObject:
+        """Returns an object; raises `errors.ObjectMissingError`."""
+
+    async def create(self, key: str, value: bytes) -> int:
+        """Creates an object; raises `errors.PreconditionFailedError`."""
+
+    async def update(self, key: str, value: bytes, version: int) -> int:
+        """Replaces a version; raises `errors.PreconditionFailedError`."""
+
+    async def delete(self, key: str, version: int | None = None) -> None:
+        """Deletes an object, if given only at that version."""
+
+    async def list(self, prefix: str) -> Listing:
+        """Lists the objects under a prefix."""
+
+    async def watch(
+        self, prefix: str, since: int, timeout_s: float
+    ) -> WatchResult:
+        """Waits until an object under a prefix changes."""
--- /dev/null
+++ b/src/tamaracktide/tables/writer.py
@@ -0,0 +1,189 @@
+"""Writes the immutable objects of an edit: shards and records."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+import random
+
+import anyio
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.core import table_edits
+from tamaracktide.core import table_head
+from tamaracktide.core import tables
+from tamaracktide.tables import backoff
+from tamaracktide.tables import settings as tables_settings
+from tamaracktide.tables import store
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """What an edit writes.
+
+    Attributes:
+        head: The head to write last.
+        objects: Immutable objects by key, to write before it.
+    """
+
+    head: table_head.Head
+    objects: dict[str, bytes]
+
+
+@dataclasses.dataclass(slots=True)
+class _UnsureRenewal:
+    """The version that a renewal without a certain answer named."""
+
+    version: int | None
+
+
+def encode_checked(value: object, key: str) -> bytes:
+    """Returns the encoding of an object within the store's size limit.
+
+    Raises:
+        errors.EditError: TABLE_INVALID, the object is too large.
+    """
+    data = table_head.encode_object(value)
+    _check_size(data, key)
+    return data
+
+
+def make_plan(
+    edit: table_edits.Edit,
+    old_head: table_head.Head | None,
+    after: tables.Tables,
+    records: Sequence[table_edits.EditRecord],
+) -> Plan:
+    """Returns the objects of an edit: changed shards, records, the head.
+
+    Args:
+        edit: The edit.
+        old_head: Head of the tables before, None for the first edit.
+        after: The tables after the edit.
+        records: The parts of the edit's record.
+
+    Raises:
+        errors.EditError: TABLE_INVALID, an object would be too large.
+    """
+    shards = [shard.values() for shard in after.routes.shards]
+    contents = [table_head.encode_rows(shard) for shard in shards]
+    contents.append(table_head.encode_rows(after.pools.values()))
+    hashes = [table_head.hash_content(content) for content in contents]
+    known = set(old_head.hashes) if old_head else set()
+    objects = {
+        table_head.make_shard_key(digest): content
+        for digest, content in zip(hashes, contents, strict=True)
+        if digest not in known
+    }
+    encodings = [table_head.encode_object(record) for record in records]
+    for part, encoding in enumerate(encodings):
+        key = table_edits.make_record_key(after.revision, edit.edit_id, part)
+        objects[key] = encoding
+    for key, content in objects.items():
+        _check_size(content, key)
+    recent = table_head.RecentEdit(
+        revision=after.revision,
+        edit_id=edit.edit_id,
+        author=edit.author,
+        at_unix_s=edit.at_unix_s,
+        summary=edit.summary,
+        rows=sum(len(r.routes) + len(r.pools) for r in records),
+        digest=table_head.hash_content(b"".join(encodings)),
+    )
+    head = table_head.Head(
+        revision=after.revision,
+        write_id=edit.edit_id,
+        routes=tuple(hashes[:-1]),
+        pools=hashes[-1],
+        recent=table_head.append_recent(
+            old_head.recent if old_head else (), recent
+        ),
+    )
+    return Plan(head, objects)
+
+
+async def write_objects(
+    objects: store.ObjectStore,
+    plan: Plan,
+    settings: tables_settings.EditorSettings,
+    rng: random.Random,
+    progress: Callable[[int, int], None],
+) -> None:
+    """Writes every immutable object of a plan, several at once.
+
+    Raises:
+        errors.PlatformError: An object could not be written within the
+            deadline.
+    """
+    remaining = iter(plan.objects.items())
+    total = len(plan.objects)
+    failures: list[errors.PlatformError] = []
+    written = 0
+
+    async def write_some() -> None:
+        nonlocal written
+        for key, content in remaining:
+            if failures:
+                return
+            try:
+                await _write_patiently(objects, key, content, settings, rng)
+            except errors.PlatformError as error:
+                failures.append(error)
+                return
+            written += 1
+            progress(written, total)
+
+    async with anyio.create_task_group() as group:
+        for _ in range(settings.concurrency):
+            group.start_soon(write_some)
+    if failures:
+        raise failures[0]
+
+
+async def _write_patiently(
+    objects: store.ObjectStore,
+    key: str,
+    content: bytes,
+    settings: tables_settings.EditorSettings,
+    rng: random.Random,
+) -> None:
+    deadline = anyio.current_time() + settings.deadline_s
+    waits = backoff.Backoff(settings.min_backoff_s, settings.max_backoff_s, rng)
+    unsure = _UnsureRenewal(None)
+    while True:
+        try:
+            return await _write_object(objects, key, content, unsure)
+        except errors.PlatformError as error:
+            if anyio.current_time() >= deadline:
+                raise
+            await anyio.sleep(waits.next_wait_s(error.retry_after_s))
+
+
+async def _write_object(
+    objects: store.ObjectStore,
+    key: str,
+    content: bytes,
+    unsure: _UnsureRenewal,
+) -> None:
+    """Creates an object, or renews its version so that none collects it."""
+    try:
+        await objects.create(key, content)
+        return
+    except errors.PreconditionFailedError:
+        stored = await objects.read(key)
+    if unsure.version is not None and stored.version > unsure.version:
+        return
+    try:
+        await objects.update(key, content, stored.version)
+    except errors.PlatformUnavailableError:
+        unsure.version = stored.version
+        raise
+
+
+def _check_size(data: bytes, key: str) -> None:
+    if len(data) > table_head.MAX_OBJECT_BYTES:
+        raise errors.EditError(
+            result_codes.ResultCode.TABLE_INVALID,
+            f"{key} would have {len(data)} bytes, at most"
+            f" {table_head.MAX_OBJECT_BYTES}",
+        )
--- /dev/null
+++ b/tests/core/test_cell.py
@@ -0,0 +1,67 @@
+"""Tests of a cell's decisions through its one entry point."""
+
+import random
+
+from tamaracktide import result_codes
+from tamaracktide.core import cell
+from tamaracktide.core import cell_actions
+from tamaracktide.core import cell_events
+from tamaracktide.core import cell_settings
+from tamaracktide.core import rows
+
+KEY = rows.AdapterKey("oak", "1")
+
+
+def make_cell(engines: int = 1, slots: int = 2) -> cell.Cell:
+    """Returns a cell with empty engines `e0`, `e1` and so on."""
+    made = cell.Cell(cell_settings.CellSettings(), random.Random(1))
+    for number in range(engines):
+        made.handle(read_engine(f"e{number}", slots=slots), 0.0)
+    return made
+
+
+def read_engine(name: str, slots: int = 2) -> cell_events.UpstreamRead:
+    """Returns the state of an engine that has just started."""
+    return cell_events.UpstreamRead(
+        upstream=name, incarnation="1", slots=slots, batch_limit=2
+    )
+
+
+def submit(request_id: str, key: rows.AdapterKey = KEY) -> cell_events.Submit:
+    """Returns a small request."""
+    return cell_events.Submit(request_id=request_id, customer="c", key=key)
+
+
+def find(
+    actions: list[cell_actions.CellAction], kind: type
+) -> list[cell_actions.CellAction]:
+    """Returns the actions of one kind."""
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def test_first_request_loads_and_then_runs() -> None:
+    """A load precedes the grant and names the same adapter."""
+    made = make_cell()
+    (load,) = find(made.handle(submit("r1"), 1.0), cell_actions.Load)
+    assert isinstance(load, cell_actions.Load)
+    assert load.key == KEY
+    ended = cell_events.LoadEnded(load.load_id, True)
+    (grant,) = find(made.handle(ended, 1.25), cell_actions.Grant)
+    assert isinstance(grant, cell_actions.Grant)
+    assert grant.lora_name == load.lora_name
+
+
+def test_one_load_serves_all_waiters() -> None:
+    """A second request for an adapter that is loading orders no load."""
+    made = make_cell()
+    made.handle(submit("r1"), 1.0)
+    assert not find(made.handle(submit("r2"), 1.0), cell_actions.Load)
+
+
+def test_no_engine_refuses_at_once() -> None:
+    """A cell without engines refuses with a time to come back."""
+    made = make_cell(engines=0)
+    (refusal,) = find(made.handle(submit("r1"), 1.0), cell_actions.Refuse)
+    assert isinstance(refusal, cell_actions.Refuse)
+    assert refusal.code is result_codes.ResultCode.NO_UPSTREAM
+    assert refusal.retry_after_s > 0
--- /dev/null
+++ b/tests/core/test_membership.py
@@ -0,0 +1,93 @@
+"""Tests of membership: the list, direct evidence and told departures."""
+
+from tamaracktide.core import membership
+from tamaracktide.core import rows
+
+CELL = rows.CellId("p", "z1")
+SETTINGS = membership.MembershipSettings()
+
+
+def make_member(
+    instance: str, zone: str, role: str = "scheduler"
+) -> membership.Member:
+    """Returns a listed instance."""
+    return membership.Member(
+        instance=instance, role=role, zone=zone, address="127.0.0.1:1"
+    )
+
+
+def make_membership() -> membership.Membership:
+    """Returns the view of `s1`, with two peers and two engines."""
+    view = membership.Membership(SETTINGS, "s1", "z1")
+    listed = (
+        make_member("s1", "z1"),
+        make_member("s2", "z1"),
+        make_member("s3", "z2"),
+        make_member("e1", "z1", "engine"),
+        make_member("e2", "z2", "engine"),
+    )
+    view.handle(membership.ListRead(listed), 0.0)
+    return view
+
+
+def test_schedulers_of_the_zone_come_first() -> None:
+    """A scheduler of another zone is the last resort."""
+    owners = make_membership().list_owners(CELL, 0.0)
+    assert set(owners[:2]) == {"s1", "s2"}
+    assert owners[2] == "s3"
+
+
+def test_silent_scheduler_is_passed_over_until_the_fact_is_old() -> None:
+    """Silence ends as evidence after its time or at a sign of life."""
+    view = make_membership()
+    first = "s2"
+    view.handle(membership.Silent(first), 1.0)
+    assert first not in view.list_owners(CELL, 1.0)
+    assert first in view.list_owners(CELL, 1.0 + SETTINGS.silent_s)
+    view.handle(membership.Silent(first), 10.0)
+    view.handle(membership.Heard(first), 10.5)
+    assert view.is_reachable(first, 10.6) is True
+    assert first in view.list_owners(CELL, 10.6)
+    assert view.is_reachable(first, 10.5 + SETTINGS.heard_s) is None
+
+
+def test_told_departure_goes_before_the_list() -> None:
+    """A leaving instance gets nothing while the list shows it as live."""
+    view = make_membership()
+    view.handle(membership.PeersTold(("e1", "s2")), 1.0)
+    view.handle(membership.ListRead(tuple(view.list_role("engine"))), 2.0)
+    assert view.is_leaving("e1")
+    assert "s2" not in view.list_owners(CELL, 2.0)
+
+
+def test_departures_age_out_although_peers_repeat_them() -> None:
+    """Two peers that tell each other the same fact can't keep it alive."""
+    first, second = make_membership(), make_membership()
+    first.handle(membership.Left("e1"), 0.0)
+    now = 0.0
+    while now < SETTINGS.leaving_s * 2:
+        second.handle(membership.PeersTold(first.list_leaving(now)), now)
+        first.handle(membership.PeersTold(second.list_leaving(now)), now)
+        now += 10.0
+    assert not first.is_leaving("e1")
+    assert not second.is_leaving("e1")
+
+
+def test_cells_are_the_zones_of_a_pool() -> None:
+    """Upstreams that are not listed yet form no cell."""
+    pool = rows.Pool(
+        name="p",
+        kind=rows.UpstreamKind.ENGINE,
+        upstreams=("e2", "e1", "e9"),
+    )
+    view = make_membership()
+    assert view.list_cells(pool) == [CELL, rows.CellId("p", "z2")]
+    assert [one.instance for one in view.list_upstreams(pool, "z2")] == ["e2"]
+
+
+def test_a_scheduler_counts_itself_before_it_is_listed() -> None:
+    """A new scheduler can own although the list lags."""
+    view = membership.Membership(SETTINGS, "s9", "z1")
+    assert view.find_owner(CELL, 0.0) == "s9"
+    view.handle(membership.Left("s9"), 0.0)
+    assert view.find_owner(CELL, 0.0) == ""
--- /dev/null
+++ b/tests/ctl/test_ctl.py
@@ -0,0 +1,220 @@
+"""Tests of the operators' commands against the stand-in platform."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import json
+import pathlib
+
+import anyio
+import pytest
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.ctl import editing
+from tamaracktide.ctl import exits
+from tamaracktide.ctl import main
+from tamaracktide.ctl import operating
+from tamaracktide.ctl import output
+from tamaracktide.ctl import session as ctl_session
+from tamaracktide.ctl import settings as ctl_settings
+from tamaracktide.platform import settings as client_settings
+from tamaracktide.settings import api_keys
+from tamaracktide.standins.platform import app as platform_app
+from tamaracktide.standins.platform import directory
+from tamaracktide.standins.platform import settings as platform_settings
+from tamaracktide.standins.service import server
+from tamaracktide.standins.service import web
+
+PRINTER = output.Printer("json")
+POOL = {"name": "p", "kind": "engine", "upstreams": ["e1", "e2"]}
+ROUTE = {
+    "name": "r",
+    "customer": "c",
+    "pool": "p",
+    "adapter": "a",
+    "version": "1",
+}
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Runs the tests on asyncio."""
+    return "asyncio"
+
+
+@contextlib.asynccontextmanager
+async def open_session() -> AsyncIterator[ctl_session.Session]:
+    """Opens a session at a stand-in platform that lists a dead gateway."""
+    settings = platform_settings.PlatformSettings(
+        address="127.0.0.1:1",
+        instances={
+            "g1": directory.Entry(
+                role="gateway", zone="z", address="127.0.0.1:1"
+            )
+        },
+    )
+    app = platform_app.Platform(settings, anyio.current_time())
+    async with server.run_embedded(web.make_app(app.handle)) as address:
+        made = ctl_settings.CtlSettings(
+            platform=client_settings.PlatformSettings(address=address)
+        )
+        async with ctl_session.open_session(made) as session:
+            yield session
+
+
+def write_file(path: pathlib.Path, **tables: object) -> str:
+    """Writes a table file; returns its path."""
+    file = path / "tables.json"
+    file.write_text(json.dumps(tables), encoding="utf-8")
+    return str(file)
+
+
+def read_output(capsys: pytest.CaptureFixture[str]) -> object:
+    """Returns the JSON that a command printed."""
+    return json.loads(capsys.readouterr().out)
+
+
+@pytest.mark.anyio
+async def test_apply_edit_history_and_revert(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """A file is applied, a row edited, and the edit reverted."""
+    file = write_file(tmp_path, pools=[POOL], routes=[ROUTE])
+    async with open_session() as session:
+        await editing.apply_file(session, PRINTER, file, prune=False)
+        assert read_output(capsys) == {"revision": 1, "changes": 2}
+        await editing.edit_row(
+            session,
+            PRINTER,
+            "routes",
+            "r",
+            {"version": "2", "idempotent": "False", "weight": "2.5"},
+        )
+        await editing.edit_row(
+            session, PRINTER, "pools", "p", {"upstreams": "e2,e3"}
+        )
+        capsys.readouterr()
+        await editing.show_rows(session, PRINTER, "routes", "r", "")
+        changed = {"version": "2", "idempotent": False, "weight": 2.5}
+        assert read_output(capsys) == [{**ROUTE, **changed}]
+        await editing.show_history(session, PRINTER, 2)
+        (change,) = json.loads(capsys.readouterr().out)
+        assert (change["row"], change["after"]) == ("r", changed)
+        await editing.revert_edit(session, PRINTER, 2)
+        capsys.readouterr()
+        await editing.show_rows(session, PRINTER, "routes", "", "c")
+        (row,) = json.loads(capsys.readouterr().out)
+        assert row["version"] == "1"
+        await editing.show_rows(session, PRINTER, "pools", "", "")
+        (row,) = json.loads(capsys.readouterr().out)
+        assert row["upstreams"] == ["e2", "e3"]
+
+
+@pytest.mark.anyio
+async def test_prune_deletes_what_the_file_lacks(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The same file applied twice changes nothing the second time."""
+    other = {**ROUTE, "name": "other"}
+    file = write_file(tmp_path, pools=[POOL], routes=[ROUTE, other])
+    async with open_session() as session:
+        await editing.apply_file(session, PRINTER, file, prune=False)
+        file = write_file(tmp_path, pools=[POOL], routes=[other])
+        capsys.readouterr()
+        await editing.diff_file(session, PRINTER, file, prune=True)
+        (change,) = json.loads(capsys.readouterr().out)
+        assert (change["change"], change["row"]) == ("delete", "r")
+        for expected in (
+            {"revision": 2, "changes": 1},
+            {"revision": 2, "changes": 0},
+        ):
+            await editing.apply_file(session, PRINTER, file, prune=True)
+            assert read_output(capsys) == expected
+
+
+@pytest.mark.anyio
+async def test_bad_rows_change_nothing(tmp_path: pathlib.Path) -> None:
+    """Faults of rows, of files and of names are told by their codes."""
+    file = write_file(tmp_path, routes=[ROUTE, {"name": "x y"}])
+    async with open_session() as session:
+        with pytest.raises(errors.EditError, match='"x y" column customer'):
+            await editing.apply_file(session, PRINTER, file, prune=False)
+        with pytest.raises(errors.EditError, match="4001"):
+            await editing.edit_row(
+                session, PRINTER, "routes", "r", {"colour": "blue"}
+            )
+        with pytest.raises(errors.EditError, match="4004"):
+            await editing.delete_row(session, PRINTER, "routes", "r")
+        with pytest.raises(errors.EditError, match="4004"):
+            await editing.revert_edit(session, PRINTER, 1)
+        with pytest.raises(errors.EditError, match="2000"):
+            await editing.edit_row(session, PRINTER, "rules", "r", {})
+        assert (await session.editor.read_tables()).revision == 0
+
+
+@pytest.mark.anyio
+async def test_instances_are_drained_and_awaited(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """A drain shows in the status; a dead gateway has nothing in force."""
+    async with open_session() as session:
+        await operating.drain_instance(session, PRINTER, "g1")
+        capsys.readouterr()
+        await operating.show_status(session, PRINTER)
+        status = json.loads(capsys.readouterr().out)
+        assert status["instances"][0]["state"] == "drained"
+        assert status["instances"][0]["fault"]
+        await operating.undrain_instance(session, PRINTER, "g1")
+        for faulty in (
+            operating.undrain_instance(session, PRINTER, "g1"),
+            operating.drain_instance(session, PRINTER, "g2"),
+            operating.explain_request(session, PRINTER, "req"),
+        ):
+            with pytest.raises(errors.EditError, match="4004"):
+                await faulty
+        with pytest.raises(errors.EditError, match=r"4005.*g1"):
+            await operating.wait_until_in_force(session, PRINTER, 1, 0.3)
+
+
+def test_exit_statuses_are_distinct() -> None:
+    """Each kind of failure has a status and a next step of its own."""
+    kinds = [
+        result_codes.ResultCode.TABLE_INVALID,
+        result_codes.ResultCode.EDIT_CONFLICT,
+        result_codes.ResultCode.EDIT_UNSURE,
+        result_codes.ResultCode.SETTINGS_INVALID,
+        result_codes.ResultCode.PLATFORM_UNAVAILABLE,
+        result_codes.ResultCode.ROW_UNKNOWN,
+        result_codes.ResultCode.NOT_IN_FORCE,
+    ]
+    made = [errors.TamaracktideError(kind, "one; two") for kind in kinds]
+    assert [exits.find_exit_status(e) for e in made] == list(range(3, 10))
+    for error in made:
+        lines = exits.describe_error(error).splitlines()
+        assert lines[1:3] == ["  one", "  two"]
+        assert lines[3].startswith("next: ")
+
+
+def test_program_tells_failures_by_exit_status(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Bad settings and a silent platform have different statuses."""
+    path = tmp_path / "ctl.json"
+    secret = tmp_path / "secret"
+    secret.write_text("s3\n", encoding="utf-8")
+    with pytest.raises(SystemExit) as missing:
+        main.Commands(settings=str(path)).get()
+    assert missing.value.code == 6
+    settings = {
+        "platform": {"address": "127.0.0.1:1"},
+        "editor": {"deadline_s": 0.01},
+        "secret_path": str(secret),
+    }
+    path.write_text(json.dumps(settings), encoding="utf-8")
+    with pytest.raises(SystemExit) as silent:
+        main.Commands(settings=str(path)).get()
+    assert silent.value.code == 7
+    assert "4003 PLATFORM_UNAVAILABLE" in capsys.readouterr().err
+    main.Commands(settings=str(path)).key("mill")
+    key = api_keys.make_api_key("mill", "s3")
+    assert capsys.readouterr().out.strip() == key
