--- /dev/null
+++ b/tests/protocol/test_codec.py
@@ -0,0 +1,72 @@
+"""Tests of the codec."""
+
+import cbor2
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.protocol import codec
+from tamaracktide.protocol import messages
+
+_KINDS = sorted(messages.NUMBERS.values(), key=lambda kind: kind.__name__)
+
+# Integers are of 64 bits on the wire; not-a-number never equals itself.
+strategies.register_type_strategy(int, strategies.integers(-(2**63), 2**63 - 1))
+strategies.register_type_strategy(float, strategies.floats(allow_nan=False))
+
+
+@given(strategies.sampled_from(_KINDS).flatmap(strategies.from_type))
+@settings(derandomize=True, deadline=None)
+def test_every_message_survives_the_round_trip(
+    message: messages.Message,
+) -> None:
+    """Decoding gives back what was encoded."""
+    assert codec.decode_message(codec.encode_message(message)) == message
+
+
+def test_unknown_fields_are_ignored_and_missing_ones_default() -> None:
+    """A newer peer's additional field does not disturb."""
+    data = cbor2.dumps([2, {"code": 5, "later": [1, 2]}])
+    assert codec.decode_message(data) == messages.Goodbye(code=5)
+
+
+def test_unknown_number_is_no_error() -> None:
+    """A message of a newer version is skipped."""
+    assert codec.decode_message(cbor2.dumps([9999, {"a": 1}])) is None
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"\xff\xff",
+        b"\x9b\xff\xff\xff\xff\xff\xff\xff\xff",
+        cbor2.dumps(7),
+        cbor2.dumps([2]),
+        cbor2.dumps([2, {"code": "text"}]),
+        cbor2.dumps([2, {}]),
+        cbor2.dumps([2, {"code": 1, "x": [[[[[[[[[1]]]]]]]]]}]),
+        cbor2.dumps([2, {"code": 1, "x": cbor2.CBORTag(35, "(a+)+$")}]),
+        cbor2.dumps([2, {"code": 1, "x": cbor2.CBORTag(4711, 1)}]),
+        b"\x82\x02\xbf\x64code\x01\xff",
+        b"\x82\x02\xa2\x64code\x01\x64code\x02",
+    ],
+)
+def test_malformed_data_gives_a_coded_error(data: bytes) -> None:
+    """Whatever is no message is refused with `MALFORMED_MESSAGE`."""
+    with pytest.raises(errors.ProtocolError) as caught:
+        codec.decode_message(data)
+    assert caught.value.code == result_codes.ResultCode.MALFORMED_MESSAGE
+
+
+@given(strategies.binary(max_size=200))
+@settings(derandomize=True, deadline=None)
+def test_random_bytes_never_raise_anything_else(data: bytes) -> None:
+    """No input gets past the protocol's own error."""
+    try:
+        codec.decode_message(data)
+    except errors.ProtocolError:
+        return
--- /dev/null
+++ b/tests/scheduler/scheduler_fixtures.py
@@ -0,0 +1,296 @@
+"""Schedulers in one process, between stand-ins and a gateway's connection."""
+
+from collections.abc import AsyncIterator
+import contextlib
+import dataclasses
+import random
+import socket
+
+import anyio
+import anyio.abc
+import msgspec
+
+from tamaracktide import errors
+from tamaracktide.core import rows
+from tamaracktide.core import table_edits
+from tamaracktide.platform import calls as platform_calls
+from tamaracktide.platform import instances
+from tamaracktide.platform import objects
+from tamaracktide.platform import settings as platform_settings
+from tamaracktide.protocol import client
+from tamaracktide.protocol import connection
+from tamaracktide.protocol import messages
+from tamaracktide.protocol import settings as protocol_settings
+from tamaracktide.scheduler import program
+from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.standins.engine import main as engine_main
+from tamaracktide.standins.engine import settings as engine_settings
+from tamaracktide.standins.platform import app as platform_app
+from tamaracktide.standins.platform import settings as standin_settings
+from tamaracktide.standins.service import server
+from tamaracktide.standins.service import web
+from tamaracktide.tables import editor
+from tamaracktide.tables import settings as tables_settings
+from tamaracktide.upstreams import calls
+
+ZONE = "z1"
+WAIT_S = 20.0
+INNER = protocol_settings.InnerSettings(
+    token="inner", heartbeat_period_s=0.1, heartbeat_timeout_s=1.0
+)
+PERIODS = scheduler_settings.PeriodSettings(
+    instances_s=0.1,
+    reconcile_s=0.05,
+    engine_state_s=0.1,
+    engine_load_s=0.2,
+    digest_s=0.2,
+    ownership_retry_s=0.1,
+    ownership_confirm_s=0.5,
+)
+
+
+def find_free_port() -> int:
+    """Returns a loopback port that nothing listens on."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port: int = listener.getsockname()[1]
+        return port
+
+
+@dataclasses.dataclass(slots=True)
+class Running:
+    """One scheduler of a test.
+
+    Attributes:
+        program: The scheduler.
+        inner_address: Its `IP:PORT` for gateways.
+        scope: Cancelled, the scheduler is gone as after a kill.
+    """
+
+    program: program.Program
+    inner_address: str
+    scope: anyio.CancelScope
+
+
+class Bench:
+    """A platform, engines and any number of schedulers."""
+
+    def __init__(self, address: str, tasks: anyio.abc.TaskGroup) -> None:
+        """Wraps a running stand-in platform."""
+        self.settings = platform_settings.PlatformSettings(address=address)
+        self.objects = objects.ObjectClient(self.settings)
+        self.engines: dict[str, str] = {}
+        self._calls = platform_calls.CallClient(self.settings)
+        self._tasks = tasks
+
+    async def list_instance(self, name: str, **fields: str) -> None:
+        """Puts an instance into the platform's list."""
+        entry = msgspec.json.encode({"zone": ZONE, **fields})
+        await self._calls.call("PUT", f"/admin/instances/{name}", body=entry)
+
+    async def set_platform_faults(self, **faults: object) -> None:
+        """Switches faults of the platform."""
+        body = msgspec.json.encode(faults)
+        await self._calls.call("POST", "/admin/faults", body=body)
+
+    async def set_engine_faults(self, name: str, **faults: object) -> None:
+        """Switches faults of an engine."""
+        there = dataclasses.replace(self.settings, address=self.engines[name])
+        caller = platform_calls.CallClient(there)
+        body = msgspec.json.encode(faults)
+        await caller.call("POST", "/admin/faults", body=body)
+        await caller.close()
+
+    async def start_engine(
+        self, name: str, *, checks_fencing: bool = True, slots: int = 2
+    ) -> None:
+        """Starts and lists an engine."""
+        settings = engine_settings.EngineSettings(
+            instance=name,
+            address="127.0.0.1:1",
+            zone=ZONE,
+            weight_store=self.settings.address,
+            slots=slots,
+            checks_fencing=checks_fencing,
+        )
+        self.engines[name] = await self._tasks.start(self._run_engine, settings)
+        await self.list_instance(
+            name, role="engine", address=self.engines[name]
+        )
+
+    async def apply_pool(self) -> None:
+        """Accepts tables with one pool of all engines."""
+        pool = rows.Pool(
+            name="p",
+            kind=rows.UpstreamKind.ENGINE,
+            upstreams=tuple(self.engines),
+        )
+        table_editor = editor.Editor(
+            self.objects, tables_settings.EditorSettings(), random.Random(1)
+        )
+        await table_editor.read_tables()
+        edit = table_edits.Edit(
+            edit_id="e1",
+            author="test",
+            at_unix_s=0.0,
+            summary="first",
+            changes=(table_edits.PutRow(pool, None),),
+        )
+        await table_editor.commit(edit)
+
+    async def start_scheduler(self, name: str) -> Running:
+        """Starts and lists a scheduler; returns once it answers."""
+        inner = dataclasses.replace(INNER, port=find_free_port())
+        settings = scheduler_settings.SchedulerSettings(
+            instance=name,
+            zone=ZONE,
+            platform=self.settings,
+            http=scheduler_settings.HttpSettings(port=find_free_port()),
+            inner=inner,
+            periods=PERIODS,
+        )
+        running: Running = await self._tasks.start(
+            self._run_scheduler, settings
+        )
+        await self.list_instance(
+            name,
+            role="scheduler",
+            address=f"127.0.0.1:{settings.http.port}",
+            inner_address=running.inner_address,
+        )
+        await self.connect_gateway(running, "starting")
+        return running
+
+    async def connect_gateway(
+        self, running: Running, name: str = "g1"
+    ) -> connection.Connection:
+        """Opens a gateway's connection, once the scheduler listens."""
+        hello = messages.Hello(
+            version=1, instance=name, incarnation="i", role="gateway", zone=ZONE
+        )
+        with anyio.fail_after(WAIT_S):
+            while True:
+                try:
+                    return await client.open_connection(
+                        running.inner_address, hello, INNER
+                    )
+                except errors.ProtocolError:
+                    await anyio.sleep(0.02)
+
+    async def _run_engine(
+        self,
+        settings: engine_settings.EngineSettings,
+        *,
+        task_status: anyio.abc.TaskStatus[str],
+    ) -> None:
+        async with (
+            engine_main.open_engine(settings) as app,
+            server.run_embedded(app) as address,
+        ):
+            task_status.started(address)
+            await anyio.sleep_forever()
+
+    async def _run_scheduler(
+        self,
+        settings: scheduler_settings.SchedulerSettings,
+        *,
+        task_status: anyio.abc.TaskStatus[Running],
+    ) -> None:
+        instance_client = instances.InstanceClient(self.settings)
+        with anyio.CancelScope() as scope:
+            async with (
+                calls.Caller(settings.upstreams) as caller,
+                anyio.create_task_group() as tasks,
+            ):
+                built = program.Program(
+                    settings, self.objects, instance_client, caller, tasks
+                )
+                inner = settings.inner
+                address = f"{inner.host}:{inner.port}"
+                task_status.started(Running(built, address, scope))
+                await built.run_parts()
+
+
+@contextlib.asynccontextmanager
+async def run_bench() -> AsyncIterator[Bench]:
+    """Yields a bench with an empty platform; ends everything afterwards."""
+    settings = standin_settings.PlatformSettings(
+        address="127.0.0.1:1", load_s=0.01
+    )
+    platform = platform_app.Platform(settings, anyio.current_time())
+    app = web.make_app(platform.handle)
+    async with (
+        server.run_embedded(app) as address,
+        anyio.create_task_group() as tasks,
+    ):
+        yield Bench(address, tasks)
+        tasks.cancel_scope.cancel()
+
+
+def make_request(
+    request_id: str,
+    adapter: str = "a",
+    suspects: tuple[str, ...] = (),
+    time_left_s: float = 60.0,
+) -> messages.GrantRequest:
+    """Returns a request for a place on an engine."""
+    return messages.GrantRequest(
+        request_id=request_id,
+        pool="p",
+        zone=ZONE,
+        adapter=adapter,
+        version="1",
+        customer="c",
+        suspects=suspects,
+        time_left_s=time_left_s,
+    )
+
+
+Reply = messages.GrantReply | messages.RefusalReply
+
+
+async def receive_reply(
+    opened: connection.Connection,
+    held: tuple[messages.OutstandingGrant, ...] = (),
+) -> Reply:
+    """Returns the next reply; queries are answered with the held grants."""
+    with anyio.fail_after(WAIT_S):
+        while True:
+            message = await opened.receive()
+            match message:
+                case messages.GrantReply() | messages.RefusalReply():
+                    return message
+                case messages.Heartbeat(sequence=sequence):
+                    await opened.send(messages.Heartbeat(sequence=sequence))
+                case messages.OutstandingQuery():
+                    await opened.send(
+                        messages.OutstandingReply(
+                            query_id=message.query_id,
+                            pool=message.pool,
+                            zone=message.zone,
+                            grants=held,
+                        )
+                    )
+
+
+async def ask(
+    opened: connection.Connection,
+    request: messages.GrantRequest,
+    held: tuple[messages.OutstandingGrant, ...] = (),
+) -> Reply:
+    """Sends a request and returns its reply."""
+    await opened.send(request)
+    return await receive_reply(opened, held)
+
+
+async def ask_until_granted(
+    opened: connection.Connection,
+    request: messages.GrantRequest,
+    held: tuple[messages.OutstandingGrant, ...] = (),
+) -> messages.GrantReply:
+    """Asks again after refusals until there is a grant."""
+    with anyio.fail_after(WAIT_S):
+        while True:
+            reply = await ask(opened, request, held)
+            if isinstance(reply, messages.GrantReply):
+                return reply
+            await anyio.sleep(0.05)
--- /dev/null
+++ b/tests/test_result_codes.py
@@ -0,0 +1,46 @@
+"""Tests of the numbered result codes and their page."""
+
+import pathlib
+
+from tamaracktide import result_codes
+
+PAGE = pathlib.Path(__file__).parents[1] / "docs" / "RESULT_CODES.md"
+
+
+def make_row(code: result_codes.ResultCode) -> str:
+    """Returns the row of a code as the page must show it."""
+    meaning = result_codes.MEANINGS[code]
+    cells = (
+        str(code.value),
+        f"`{code.name}`",
+        str(meaning.http_status),
+        meaning.execution.value,
+        "yes" if meaning.retryable else "no",
+        meaning.text,
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+def test_every_code_has_a_meaning() -> None:
+    """No code is without a presentation."""
+    assert set(result_codes.MEANINGS) == set(result_codes.ResultCode)
+
+
+def test_page_shows_exactly_the_codes() -> None:
+    """The page has one row for each code, in order, and no other."""
+    shown = [
+        line
+        for line in PAGE.read_text(encoding="utf-8").splitlines()
+        if line.startswith("| ") and line[2].isdigit()
+    ]
+    assert shown == [make_row(code) for code in result_codes.ResultCode]
+
+
+def test_thousands_digit_tells_execution() -> None:
+    """Codes of 2xxx certainly did not run; those of 3xxx may have."""
+    for code, meaning in result_codes.MEANINGS.items():
+        group = code.value // 1000
+        if group == 2:
+            assert meaning.execution is result_codes.Execution.NOT_RUN
+        if group == 3:
+            assert meaning.execution is result_codes.Execution.UNKNOWN
