--- /dev/null
+++ b/scripts/faults.py
@@ -0,0 +1,234 @@
+"""Faults that a soak run mixes, and how each is caused and healed."""
+
+import dataclasses
+import json
+import random
+import signal
+
+import anyio
+import anyio.to_thread
+
+import deployment
+import links
+
+CRASH_PROMPT = "crash-the-engine"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Kill:
+    """A process is killed and started again."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terminate:
+    """A process is stopped gracefully and started again."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Freeze:
+    """A process stops past every timeout and goes on."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformFault:
+    """The platform is out, slow, or loses replies."""
+
+    fields: tuple[tuple[str, bool | float | int | tuple[str, ...]], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineFault:
+    """An engine restarts empty, freezes, fails loads or delays orders."""
+
+    name: str
+    fields: tuple[tuple[str, bool | float | int], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutZone:
+    """A zone is cut off from other zones, and from the platform too."""
+
+    zone: str
+    platform_too: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilenceLinks:
+    """Open connections between zones go silent for good."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leave:
+    """An upstream leaves and comes back."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RaceEdits:
+    """Two operators edit the same and different rows at once."""
+
+
+Fault = (
+    Kill
+    | Terminate
+    | Freeze
+    | PlatformFault
+    | EngineFault
+    | CutZone
+    | SilenceLinks
+    | Leave
+    | RaceEdits
+)
+
+
+def choose_faults(
+    rng: random.Random, nodes: list[deployment.Node], zones: list[str]
+) -> tuple[Fault, Fault]:
+    """Returns two faults of different kinds."""
+    first = _choose_fault(rng, nodes, zones)
+    while True:
+        second = _choose_fault(rng, nodes, zones)
+        if type(second) is not type(first):
+            return first, second
+
+
+def _choose_fault(
+    rng: random.Random, nodes: list[deployment.Node], zones: list[str]
+) -> Fault:
+    daemons = [node.name for node in nodes if node.inner_port]
+    engines = [n.name for n in nodes if n.name.startswith("engine")]
+    services = [n.name for n in nodes if n.name.startswith("service")]
+    choices: list[Fault] = [
+        Kill(rng.choice(daemons)),
+        Kill(rng.choice(engines)),
+        Terminate(rng.choice(daemons)),
+        Freeze(rng.choice(daemons)),
+        PlatformFault((("outage", True),)),
+        PlatformFault((("slow_s", 0.5),)),
+        PlatformFault((("lose_replies", 5),)),
+        PlatformFault((("stale_reads", True),)),
+        EngineFault(rng.choice(engines), (("restart", True),)),
+        EngineFault(rng.choice(engines), (("freeze", True),)),
+        EngineFault(rng.choice(engines), (("silent", True),)),
+        EngineFault(rng.choice(engines), (("fail_loads", 5),)),
+        EngineFault(rng.choice(engines), (("delay_orders_s", 1.5),)),
+        CutZone(rng.choice(zones), platform_too=False),
+        CutZone(rng.choice(zones), platform_too=True),
+        SilenceLinks(),
+        Leave(rng.choice(engines + services)),
+        RaceEdits(),
+    ]
+    return rng.choice(choices)
+
+
+class Injector:
+    """Causes and heals faults in a running deployment."""
+
+    def __init__(
+        self,
+        running: deployment.Deployment,
+        by_zones: dict[tuple[str, str], list[links.Link]],
+    ) -> None:
+        """Builds the injector.
+
+        Args:
+            running: The deployment.
+            by_zones: Links by the zones of caller and target.
+        """
+        self._running = running
+        self._by_zones = by_zones
+
+    async def cause(self, fault: Fault) -> None:
+        """Begins a fault."""
+        match fault:
+            case Kill(name):
+                await anyio.to_thread.run_sync(self._running.kill, name)
+            case Terminate(name):
+                await anyio.to_thread.run_sync(self._running.stop, name)
+            case Freeze(name):
+                self._running.signal(name, signal.SIGSTOP)
+            case PlatformFault(fields):
+                await self._set_faults("platform", dict(fields))
+            case EngineFault(name, fields):
+                await self._set_faults(name, dict(fields))
+            case CutZone(zone, platform_too):
+                await self._set_links(zone, links.LinkState.CUT)
+                if platform_too:
+                    await self._set_faults("platform", {"cut_zones": [zone]})
+            case SilenceLinks():
+                for group in self._by_zones.values():
+                    for link in group:
+                        await link.set_state(links.LinkState.SILENT)
+            case Leave(name):
+                await self._set_listed(name, "leaving")
+            case RaceEdits():
+                pass
+
+    async def heal(self, fault: Fault) -> None:
+        """Ends a fault."""
+        match fault:
+            case Kill(name) | Terminate(name):
+                self._running.start(name)
+                await anyio.to_thread.run_sync(self._wait_ready, name)
+            case Freeze(name):
+                self._running.signal(name, signal.SIGCONT)
+            case PlatformFault():
+                await self._set_faults(
+                    "platform",
+                    {
+                        "outage": False,
+                        "slow_s": 0.0,
+                        "lose_replies": 0,
+                        "stale_reads": False,
+                    },
+                )
+            case EngineFault(name):
+                await self._set_faults(
+                    name,
+                    {"freeze": False, "fail_loads": 0, "delay_orders_s": 0.0},
+                )
+            case CutZone(zone):
+                await self._set_links(zone, links.LinkState.OPEN)
+                await self._set_faults("platform", {"cut_zones": []})
+            case Leave(name):
+                await self._set_listed(name, "live")
+            case SilenceLinks() | RaceEdits():
+                pass
+
+    def _wait_ready(self, name: str) -> None:
+        node = self._running.nodes[name]
+        path = "/readyz" if node.inner_port else "/v1/state"
+        self._running.wait_ready(name, path)
+
+    async def _set_links(self, zone: str, state: links.LinkState) -> None:
+        for (near, far), group in self._by_zones.items():
+            if zone in (near, far):
+                for link in group:
+                    await link.set_state(state)
+
+    async def _set_faults(self, name: str, fields: deployment.Json) -> None:
+        await self._call("POST", name, "/admin/faults", fields)
+
+    async def _set_listed(self, name: str, state: str) -> None:
+        settings = self._running.directory / "platform.json"
+        listed = json.loads(settings.read_text())["instances"][name]
+        listed["state"] = state
+        path = f"/admin/instances/{name}"
+        await self._call("PUT", "platform", path, listed)
+
+    async def _call(
+        self, method: str, name: str, path: str, body: deployment.Json
+    ) -> None:
+        address = self._running.nodes[name].address
+        status, content = await anyio.to_thread.run_sync(
+            deployment.call_http, method, address, path, body
+        )
+        if status >= 400:
+            raise RuntimeError(f"{name}{path}: {status} {content!r}")
--- a/scripts/quickstart.py
+++ b/scripts/quickstart.py
@@ -12,17 +12,17 @@
 PROBLEMS = ("wrong", "truncated", "effects_doubled")
 
 
-def run_program(program: str, *arguments: str) -> str:
+def run_program(program: str, *arguments: str, check: bool = True) -> str:
     """Runs one of the project's programs to its end; returns its output.
 
     Raises:
-        SystemExit: The program failed.
+        SystemExit: The program failed and `check` is set.
     """
     path = pathlib.Path(sys.executable).parent / program
     result = subprocess.run(
         [str(path), *arguments], capture_output=True, text=True, check=False
     )
-    if result.returncode != 0:
+    if check and result.returncode != 0:
         sys.exit(f"{program} failed:\n{result.stdout}{result.stderr}")
     return result.stdout
 
@@ -63,7 +63,13 @@
     return ["--settings", str(settings)]
 
 
-def run_load(running: deployment.Deployment, requests: int, seed: int) -> str:
+def run_load(
+    running: deployment.Deployment,
+    requests: int,
+    seed: int,
+    *flags: str,
+    check: bool = True,
+) -> str:
     """Sends the mix to every gateway and returns the load tool's output."""
     secret = running.directory / "secret"
     secret.write_text(deployment.SECRET)
@@ -82,6 +88,8 @@
         f"--routes={running.directory / 'tables.json'}",
         f"--seed={seed}",
         f"--requests={requests}",
+        *flags,
+        check=check,
     )
 
 
--- a/src/tamaracktide/bench/policy/cells.py
+++ b/src/tamaracktide/bench/policy/cells.py
@@ -205,6 +205,7 @@
     return cell_settings.CellSettings(
         stall_weight=profile.stall_weight,
         batch_weight=profile.batch_weight,
+        max_queue_s=profile.max_queue_s,
         loads_in_flight=in_flight,
         loads_per_s=in_flight / 0.25,
     )
--- a/src/tamaracktide/bench/policy/workload.py
+++ b/src/tamaracktide/bench/policy/workload.py
@@ -47,6 +47,7 @@
         kinds: Kinds of requests.
         stall_weight: The pool's weight of few load stalls.
         batch_weight: The pool's weight of full batches.
+        max_queue_s: The pool's longest wait for a place.
         adapters: All adapters.
         customers: Small customers.
         zipf_exponent: Skew of the adapters' popularity.
@@ -68,6 +69,7 @@
     kinds: tuple[Kind, ...]
     stall_weight: float
     batch_weight: float
+    max_queue_s: float
     adapters: int = 3000
     customers: int = 300
     zipf_exponent: float = 1.05
@@ -94,6 +96,7 @@
     ),
     stall_weight=3.0,
     batch_weight=1.0,
+    max_queue_s=30.0,
 )
 
 VIILUKODA = Profile(
@@ -111,6 +114,7 @@
     ),
     stall_weight=1.0,
     batch_weight=3.0,
+    max_queue_s=60.0,
 )
 
 PROFILES = {profile.name: profile for profile in (INTANGO, VIILUKODA)}
--- a/src/tamaracktide/core/admission.py
+++ b/src/tamaracktide/core/admission.py
@@ -1,5 +1,7 @@
 """Which requests are refused at once, and when they may come back."""
 
+import dataclasses
+
 from tamaracktide import result_codes
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_settings
@@ -13,12 +15,34 @@
 LONGEST_RETRY_AFTER_S = 60.0
 RETRY_JITTER = 0.25
 BACKLOG_PART = 1.0
-LONGEST_BACKLOG_S = 8.0
+SHARED_SLOTS_PART = 0.75
+CHECKED_WAITERS = 8
+SERVICE_MARGIN = 1.0
 MISSING_PART = 0.25
 
 _Code = result_codes.ResultCode
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pace:
+    """How fast a customer's queue is served.
+
+    Attributes:
+        places: Places that it can count on.
+        running: Places that it has.
+        service_s: Time for which a request holds a place.
+    """
+
+    places: float
+    running: int
+    service_s: float
+
+    def predict_wait_s(self, ahead: int) -> float:
+        """Returns the wait of a request behind so many others."""
+        excess = self.running + ahead + 1 - self.places
+        return max(0.0, excess) * self.service_s / self.places
+
+
 class Admission:
     """Predicts waits from the real backlog and judges requests by them."""
 
@@ -45,17 +69,36 @@
         if all(engine.name in submit.avoid for engine in usable):
             return _Code.NO_UPSTREAM
         account = self._queue.get_account(submit.customer)
-        wait_s = self.predict_wait_s(account)
-        if now + wait_s >= self.find_expiry(submit, now):
-            return _Code.DEADLINE_UNREACHABLE
-        level = self._queue.find_level(self.count_places())
-        if account.exceeds(level) and wait_s > LONGEST_BACKLOG_S:
+        if self._has_time(account, self.find_expiry(submit, now), now):
+            return None
+        if self.find_levels().limits(account):
             return _Code.CUSTOMER_OVER_SHARE
-        return None
+        return _Code.DEADLINE_UNREACHABLE
+
+    def _has_time(
+        self, account: fairness.Account, expires_at: float, now: float
+    ) -> bool:
+        """Returns whether a new request and those behind it start in time.
+
+        Of those behind it, `CHECKED_WAITERS` are looked at.
+        """
+        pace = self._find_pace(account)
+        waiting = account.urgencies
+        urgency = fairness.find_urgency(now, expires_at)
+        position = waiting.bisect_right((urgency, 0, 0.0))
+        if now + pace.predict_wait_s(position) >= expires_at:
+            return False
+        behind = len(waiting) - position
+        step = max(1, behind // CHECKED_WAITERS)
+        return all(
+            now + pace.predict_wait_s(index + 1) < waiting[index][2]
+            for index in range(len(waiting) - 1, position - 1, -step)
+        )
 
     def find_expiry(self, submit: cell_events.Submit, now: float) -> float:
         """Returns until when a request that came now may wait."""
         service_s = self._estimates.predict_service_s(submit.max_tokens)
+        service_s *= SERVICE_MARGIN
         return min(
             now + self._settings.max_queue_s, submit.deadline - service_s
         )
@@ -66,6 +109,15 @@
             engine.batch_limit for engine in self._inventory.list_usable()
         )
 
+    def find_levels(self) -> fairness.Levels:
+        """Returns the fair shares of the places and slots to be had."""
+        usable = self._inventory.list_usable()
+        slots = sum(engine.slot_limit for engine in usable)
+        return self._queue.find_levels(
+            sum(engine.batch_limit for engine in usable),
+            int(slots * SHARED_SLOTS_PART),
+        )
+
     def count_waiting(self) -> int:
         """Returns the waiting requests as the gateways are to see them.
 
@@ -74,10 +126,10 @@
         `MISSING_PART` of them.
         """
         places = self.count_places()
-        level = self._queue.find_level(places)
+        levels = self.find_levels()
         waiting = beyond = missing = 0
         for account in self._queue.list_backlogged():
-            if account.exceeds(level):
+            if levels.limits(account):
                 beyond += account.waiting
                 continue
             waiting += account.waiting
@@ -88,22 +140,20 @@
         waiting += min(beyond, int(places * BACKLOG_PART))
         return waiting + int(missing * places * MISSING_PART)
 
-    def predict_wait_s(self, account: fairness.Account) -> float:
-        """Returns the wait that a customer's next request can expect."""
+    def _find_pace(self, account: fairness.Account) -> _Pace:
+        """Returns how fast a customer's queue is served."""
         usable = self._inventory.list_usable()
         places = sum(engine.batch_limit for engine in usable)
-        if not places:
-            return 0.0
         running = sum(engine.running for engine in usable)
-        share = self._queue.find_level(places) * account.weight
+        share = self.find_levels().places * account.weight
         others = max(0, running - account.running)
         own = max(1.0, min(share, float(places)), float(places - others))
-        ahead = account.demand + 1 - own
-        return max(0.0, ahead) * self._estimates.service_s / own
+        return _Pace(own, account.running, self._estimates.service_s)
 
     def find_retry_after_s(self, customer: str) -> float:
         """Returns when a customer may come back, with jitter."""
-        wait_s = self.predict_wait_s(self._queue.get_account(customer))
+        account = self._queue.get_account(customer)
+        wait_s = self._find_pace(account).predict_wait_s(account.waiting)
         jitter = self._rng.uniform(1.0, 1.0 + RETRY_JITTER)
         bounded_s = min(LONGEST_RETRY_AFTER_S, wait_s)
         return max(LEAST_RETRY_AFTER_S, bounded_s) * jitter
--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -128,7 +128,9 @@
     def _adopt(self, event: cell_events.GrantAdopted, now: float) -> None:
         grant = self._parts.inventory.adopt_grant(event, now)
         if grant is not None:
-            self._parts.queue.add_running(grant.customer, grant.weight)
+            self._parts.queue.add_running(
+                grant.customer, grant.weight, grant.lora_name
+            )
 
     def _submit(self, event: cell_events.Submit, now: float) -> None:
         request_id = event.request_id
--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -11,14 +11,31 @@
 from collections.abc import Iterator
 import dataclasses
 import math
+import typing
+
+import sortedcontainers
 
 from tamaracktide.core import cell_state
 from tamaracktide.core import rows
 
+URGENCY_PART = 0.25
+"""Part of a request's slack by which its start may be put off."""
+
 _MOST_IDLE_ACCOUNTS = 4096
 _LEAST_WEIGHT = 1e-9
 
 
+def get_urgency(waiter: cell_state.Waiter) -> tuple[float, int]:
+    """Returns what a customer's waiting requests are ordered by."""
+    urgency = find_urgency(waiter.submitted_at, waiter.expires_at)
+    return urgency, waiter.sequence
+
+
+def find_urgency(submitted_at: float, expires_at: float) -> float:
+    """Returns by when a request is to start, other things being equal."""
+    return submitted_at + URGENCY_PART * (expires_at - submitted_at)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class GroupKey:
     """Requests that the same engines can serve, placed together.
@@ -32,7 +49,10 @@
     avoid: tuple[str, ...] = ()
 
 
-Group = collections.deque[cell_state.Waiter]
+Group: typing.TypeAlias = sortedcontainers.SortedKeyList[
+    cell_state.Waiter, tuple[float, int]
+]
+"""Waiting requests, those that must start first at the front."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,16 +64,25 @@
         weight: Its weight.
         start: Start tag of its next request.
         running: Requests granted and not ended.
-        waiting: Requests without a grant.
-        groups: Waiting requests by what they need, oldest group first.
+        groups: Waiting requests by what they need.
+        pins: Requests running by the engine-side name of their slot.
+        urgencies: Order of its waiting requests, and when each expires.
     """
 
     customer: str
     weight: float = 1.0
     start: float = 0.0
     running: int = 0
-    waiting: int = 0
     groups: dict[GroupKey, Group] = dataclasses.field(default_factory=dict)
+    pins: dict[str, int] = dataclasses.field(default_factory=dict)
+    urgencies: sortedcontainers.SortedList[tuple[float, int, float]] = (
+        dataclasses.field(default_factory=sortedcontainers.SortedList)
+    )
+
+    @property
+    def waiting(self) -> int:
+        """Requests without a grant."""
+        return len(self.urgencies)
 
     @property
     def active(self) -> bool:
@@ -65,9 +94,41 @@
         """Places that it would use now."""
         return self.running + self.waiting
 
-    def exceeds(self, level: float) -> bool:
-        """Returns whether it asks for more than its fair share."""
-        return self.demand > level * self.weight
+    def list_groups(self) -> list[tuple[GroupKey, Group]]:
+        """Returns the groups, that with the most urgent request first."""
+        return sorted(
+            self.groups.items(), key=lambda item: get_urgency(item[1][0])
+        )
+
+    @property
+    def slot_demand(self) -> int:
+        """Adapter slots that it would use now."""
+        return len(self.pins) + len(self.groups)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Levels:
+    """Max-min fair shares per unit of weight, infinite if there is enough.
+
+    Attributes:
+        places: Places in batches.
+        slots: Adapter slots.
+    """
+
+    places: float
+    slots: float
+
+    @property
+    def scarce(self) -> bool:
+        """Whether there is not enough for all."""
+        return not (math.isinf(self.places) and math.isinf(self.slots))
+
+    def limits(self, account: Account) -> bool:
+        """Returns whether a customer asks for more than its fair share."""
+        return (
+            account.demand > self.places * account.weight
+            or account.slot_demand > self.slots * account.weight
+        )
 
 
 class FairQueue:
@@ -84,8 +145,8 @@
         self.accounts: dict[str, Account] = {}
         self.waiters: dict[str, cell_state.Waiter] = {}
         self.virtual_time = 0.0
-        self._active_weight = 0.0
         self._demand = 0
+        self._slot_demand = 0
         self._waiting_by_key: collections.Counter[rows.AdapterKey] = (
             collections.Counter()
         )
@@ -103,16 +164,18 @@
         """Appends a request to its customer's queue."""
         submit = waiter.submit
         account = self.get_account(submit.customer)
-        if account.active:
-            self._active_weight -= account.weight
-        else:
+        if not account.active:
             account.start = max(account.start, self.virtual_time)
         account.weight = submit.weight
-        self._active_weight += account.weight
-        account.waiting += 1
+        account.urgencies.add((*get_urgency(waiter), waiter.expires_at))
         self._demand += 1
         group_key = GroupKey(submit.key, submit.avoid)
-        account.groups.setdefault(group_key, collections.deque()).append(waiter)
+        if group_key not in account.groups:
+            self._slot_demand += 1
+            account.groups[group_key] = sortedcontainers.SortedKeyList(
+                key=get_urgency
+            )
+        account.groups[group_key].add(waiter)
         self.waiters[submit.request_id] = waiter
         self._waiting_by_key[submit.key] += 1
 
@@ -128,45 +191,48 @@
         group.remove(waiter)
         if not group:
             del account.groups[group_key]
-        account.waiting -= 1
+            self._slot_demand -= 1
+        account.urgencies.remove((*get_urgency(waiter), waiter.expires_at))
         self._demand -= 1
         self._waiting_by_key[submit.key] -= 1
         if not self._waiting_by_key[submit.key]:
             del self._waiting_by_key[submit.key]
-        self._settle_active(account)
         return waiter
 
-    def serve(self, request_id: str) -> cell_state.Waiter:
+    def serve(self, request_id: str, lora_name: str) -> cell_state.Waiter:
         """Takes a request out that is granted, and charges its cost."""
         waiter = self.waiters[request_id]
         account = self.accounts[waiter.submit.customer]
-        account.running += 1
-        self._demand += 1
+        self._start(account, lora_name)
         self.remove(request_id)
         self.virtual_time = max(self.virtual_time, account.start)
         account.start += waiter.cost / account.weight
         return waiter
 
-    def add_running(self, customer: str, weight: float) -> None:
+    def _start(self, account: Account, lora_name: str) -> None:
+        account.running += 1
+        self._demand += 1
+        if lora_name not in account.pins:
+            self._slot_demand += 1
+        account.pins[lora_name] = account.pins.get(lora_name, 0) + 1
+
+    def add_running(self, customer: str, weight: float, lora_name: str) -> None:
         """Counts a request that an earlier owner granted."""
         account = self.get_account(customer)
         if not account.active:
             account.weight = weight
-            self._active_weight += weight
-        account.running += 1
-        self._demand += 1
+        self._start(account, lora_name)
 
-    def end(self, customer: str, estimate: float, cost: float) -> None:
+    def end(self, grant: cell_state.GrantRecord, cost: float) -> None:
         """Gives a place back and corrects the charge by the real cost."""
-        account = self.accounts[customer]
+        account = self.accounts[grant.customer]
         account.running -= 1
         self._demand -= 1
-        account.start += (cost - estimate) / account.weight
-        self._settle_active(account)
-
-    def _settle_active(self, account: Account) -> None:
-        if not account.active:
-            self._active_weight -= account.weight
+        account.pins[grant.lora_name] -= 1
+        if not account.pins[grant.lora_name]:
+            del account.pins[grant.lora_name]
+            self._slot_demand -= 1
+        account.start += (cost - grant.cost) / account.weight
 
     def _drop_idle(self) -> None:
         if len(self.accounts) <= _MOST_IDLE_ACCOUNTS:
@@ -196,24 +262,44 @@
     ) -> Iterator[tuple[Account, GroupKey, Group]]:
         """Yields the waiting groups in the order of fairness."""
         for account in self.list_backlogged():
-            for group_key, group in list(account.groups.items()):
+            for group_key, group in account.list_groups():
                 yield account, group_key, group
 
-    def find_level(self, places: int) -> float:
-        """Returns the max-min fair number of places per unit of weight.
-
-        Customers that ask for less get all they ask for; the others share
-        the rest by weight. It is infinite if there are places for all.
-        """
-        if self._demand <= places:
-            return math.inf
-        left = float(places)
-        weight = self._active_weight
-        accounts = [one for one in self.accounts.values() if one.active]
-        accounts.sort(key=lambda account: account.demand / account.weight)
-        for account in accounts:
-            if account.demand * weight > left * account.weight:
-                break
-            left -= account.demand
-            weight -= account.weight
-        return max(0.0, left) / max(weight, _LEAST_WEIGHT)
+    def find_levels(self, places: int, slots: int) -> Levels:
+        """Returns the fair shares of so many places and slots."""
+        place_level = slot_level = math.inf
+        if self._demand > places:
+            place_level = _fill(
+                [
+                    (account.demand, account.weight)
+                    for account in self.accounts.values()
+                    if account.active
+                ],
+                places,
+            )
+        if self._slot_demand > slots:
+            slot_level = _fill(
+                [
+                    (account.slot_demand, account.weight)
+                    for account in self.accounts.values()
+                    if account.active
+                ],
+                slots,
+            )
+        return Levels(place_level, slot_level)
+
+
+def _fill(demands: list[tuple[int, float]], supply: float) -> float:
+    """Returns the max-min fair share per unit of weight.
+
+    Those who ask for less get all they ask for; the others share the rest
+    by weight.
+    """
+    weight = sum(weight for _, weight in demands)
+    left = supply
+    for demand, own in sorted(demands, key=lambda one: one[0] / one[1]):
+        if demand * weight > left * own:
+            break
+        left -= demand
+        weight -= own
+    return max(0.0, left) / max(weight, _LEAST_WEIGHT)
--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -36,7 +36,7 @@
         engines = self._parts.inventory.list_usable()
         if not queue.waiters or not any(e.free_places for e in engines):
             return grants
-        level = queue.find_level(self._parts.admission.count_places())
+        levels = self._parts.admission.find_levels()
         order = [
             (account.start, account.customer)
             for account in queue.list_backlogged()
@@ -44,7 +44,7 @@
         while order:
             _, customer = heapq.heappop(order)
             account = queue.accounts[customer]
-            grant = self._grant_next(account, level, now)
+            grant = self._grant_next(account, levels, now)
             if grant is None:
                 continue
             grants.append(grant)
@@ -53,19 +53,19 @@
         return grants
 
     def _grant_next(
-        self, account: fairness.Account, level: float, now: float
+        self, account: fairness.Account, levels: fairness.Levels, now: float
     ) -> cell_actions.Grant | None:
         """Grants the customer's first request that has a place."""
         queue = self._parts.queue
-        beyond_share = account.exceeds(level)
-        for group in account.groups.values():
+        beyond_share = levels.limits(account)
+        for _, group in account.list_groups():
             waiter = group[0]
             place = self._parts.placer.find_ready(waiter, beyond_share)
             if place is not None:
                 engine, slot = place
                 priority = self._find_priority(account, beyond_share)
                 grant = self._make_grant(waiter, engine, slot, priority, now)
-                queue.serve(waiter.submit.request_id)
+                queue.serve(waiter.submit.request_id, slot.lora_name)
                 return grant
         return None
 
@@ -129,7 +129,9 @@
         grant = self._make_grant(waiter, engine, slot, LOWEST_PRIORITY, now)
         del self.alone[waiter.submit.request_id]
         submit = waiter.submit
-        self._parts.queue.add_running(submit.customer, submit.weight)
+        self._parts.queue.add_running(
+            submit.customer, submit.weight, slot.lora_name
+        )
         return [grant]
 
     def find_kept_engine(self, request_id: str) -> cell_state.Engine | None:
@@ -185,4 +187,4 @@
 
     def _forget(self, grant: cell_state.GrantRecord, cost: float) -> None:
         self.granted.pop(grant.request_id, None)
-        self._parts.queue.end(grant.customer, grant.cost, cost)
+        self._parts.queue.end(grant, cost)
--- a/src/tamaracktide/core/load_planner.py
+++ b/src/tamaracktide/core/load_planner.py
@@ -42,14 +42,14 @@
         parts = self._parts
         loads: list[cell_actions.Load] = []
         starved: list[fairness.GroupKey] = []
-        level = parts.queue.find_level(parts.admission.count_places())
+        levels = parts.admission.find_levels()
         for account, group_key, group in parts.queue.iterate_groups():
             needed, replica = parts.placer.needs_load(
                 group_key, parts.queue.count_waiting(group_key.key)
             )
             if not needed or self._is_held_back(group_key, now):
                 continue
-            beyond = account.exceeds(level)
+            beyond = levels.limits(account)
             if not self._may_start(beyond, now):
                 break
             plan = parts.placer.find_load(
@@ -62,7 +62,7 @@
             waited_s = now - group[0].submitted_at
             if not replica and (not beyond or waited_s > STARVED_AFTER_S):
                 starved.append(group_key)
-        self._retire_slots(starved, level, now)
+        self._retire_slots(starved, levels, now)
         return loads
 
     def _recheck(self, at: float) -> None:
@@ -177,17 +177,20 @@
         return load.key, count
 
     def _retire_slots(
-        self, starved: list[fairness.GroupKey], level: float, now: float
+        self,
+        starved: list[fairness.GroupKey],
+        levels: fairness.Levels,
+        now: float,
     ) -> None:
         """Frees slots for adapters that found none; undoes it afterwards."""
         placer = self._parts.placer
-        surplus = [] if math.isinf(level) else placer.find_surplus(level)
+        surplus = placer.find_surplus(levels) if levels.scarce else []
         self._retire(surplus)
         if not starved and not surplus:
             self._reinstate()
             return
         for group_key in starved[len(self._retiring) :]:
-            slot = placer.find_retiring(group_key, level, now)
+            slot = placer.find_retiring(group_key, levels, now)
             if slot is None:
                 return
             self._retire([slot])
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -18,13 +18,13 @@
 RESERVED_SLOTS_PART = 0.25
 """Part of the slots that a customer beyond its share leaves unused."""
 
-EVICTION_HORIZON_S = 30.0
+EVICTION_HORIZON_S = 100.0
 """Time over which the requests for an evicted adapter count against it."""
 
 REPLICATE_FACTOR = 1.5
 """Loads that a wait for a place must exceed before a replica is loaded."""
 
-PREFETCH_FACTOR = 1.5
+PREFETCH_FACTOR = 2.0
 """How much likelier a prefetched adapter must be than the one it evicts."""
 
 WAITING_RATE = 10.0
@@ -284,7 +284,7 @@
         return best
 
     def find_retiring(
-        self, group_key: fairness.GroupKey, level: float, now: float
+        self, group_key: fairness.GroupKey, levels: fairness.Levels, now: float
     ) -> cell_state.Slot | None:
         """Returns a slot to free for an adapter that finds none, or None.
 
@@ -297,7 +297,7 @@
             if not engine.evictable or _is_retiring(engine):
                 continue
             for slot in engine.slots.values():
-                within = not self._exceeds(slot.customer, level)
+                within = not self._exceeds(slot.customer, levels)
                 if not _may_retire(slot) or (
                     within and self._queue.count_waiting(slot.key)
                 ):
@@ -307,7 +307,7 @@
                     best, best_rank = slot, rank
         return best
 
-    def find_surplus(self, level: float) -> list[cell_state.Slot]:
+    def find_surplus(self, levels: fairness.Levels) -> list[cell_state.Slot]:
         """Returns slots by which customers beyond their share crowd engines.
 
         Where fewer slots are unused than are reserved, such customers
@@ -324,15 +324,15 @@
                 for slot in engine.slots.values()
                 if _may_retire(slot)
                 and slot.pins
-                and self._exceeds(slot.customer, level)
+                and self._exceeds(slot.customer, levels)
             ]
             if len(beyond) > 1:
                 surplus.append(min(beyond, key=lambda slot: slot.pins))
         return surplus
 
-    def _exceeds(self, customer: str, level: float) -> bool:
+    def _exceeds(self, customer: str, levels: fairness.Levels) -> bool:
         account = self._queue.accounts.get(customer)
-        return account is not None and account.exceeds(level)
+        return account is not None and levels.limits(account)
 
 
 def count_reserved_places(engine: cell_state.Engine) -> int:
--- a/src/tamaracktide/core/popularity.py
+++ b/src/tamaracktide/core/popularity.py
@@ -6,7 +6,7 @@
 
 from tamaracktide.core import rows
 
-FREQUENCY_TAU_S = 300.0
+FREQUENCY_TAU_S = 600.0
 """Time constant of the decayed count that stands for frequency."""
 
 RECENCY_TAU_S = 15.0
--- a/src/tamaracktide/standins/platform/app.py
+++ b/src/tamaracktide/standins/platform/app.py
@@ -66,7 +66,7 @@
             return web.make_error_reply(503, "outage")
         match request.method, request.parts:
             case "GET", ["instances"]:
-                return self._list_instances()
+                return self._list_instances(request.zone)
             case _, ["objects" | "watch", *_]:
                 return await self._objects.handle(request)
         return web.make_error_reply(404, f"no such call: {request.path}")
@@ -89,11 +89,11 @@
             return
         await request.drop()
 
-    def _list_instances(self) -> web.Reply:
+    def _list_instances(self, zone: str) -> web.Reply:
         self._counters.instance_lists += 1
         listed = self._directory.read(anyio.current_time())
         instances = [
-            {"id": instance, **dataclasses.asdict(entry)}
+            {"id": instance, **entry.describe_for(zone)}
             for instance, entry in sorted(listed.entries.items())
         ]
         return web.make_json_reply(
--- a/src/tamaracktide/standins/platform/directory.py
+++ b/src/tamaracktide/standins/platform/directory.py
@@ -6,6 +6,19 @@
 from typing import Literal
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ZoneAddress:
+    """How one availability zone reaches an instance.
+
+    Attributes:
+        address: `IP:PORT` of its HTTP.
+        inner_address: `IP:PORT` of its inner protocol, empty for none.
+    """
+
+    address: str
+    inner_address: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Entry:
     """What the list says of one instance.
@@ -16,6 +29,8 @@
         address: `IP:PORT` of its HTTP.
         inner_address: `IP:PORT` of its inner protocol, empty for none.
         state: Whether it is leaving.
+        zone_addresses: Addresses for callers of other zones, by zone, where
+            they differ; links between zones can so be made to fail.
     """
 
     role: Literal["gateway", "scheduler", "engine", "service"]
@@ -23,6 +38,20 @@
     address: str
     inner_address: str = ""
     state: Literal["live", "leaving"] = "live"
+    zone_addresses: dict[str, ZoneAddress] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def describe_for(self, zone: str) -> dict[str, str]:
+        """Returns the listed fields as a caller of the zone sees them."""
+        seen = self.zone_addresses.get(zone)
+        return {
+            "role": self.role,
+            "zone": self.zone,
+            "address": seen.address if seen else self.address,
+            "inner_address": seen.inner_address if seen else self.inner_address,
+            "state": self.state,
+        }
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
