Keep departures of returned schedulers from being believed; answers not kept

A scheduler back under its id after SIGTERM owned nothing, since its old departure was still believed; what an instance says of itself now goes first.

--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -18,6 +18,9 @@
 from tamaracktide.core import cell_state
 from tamaracktide.core import rows
 
+LEAST_LEVEL = 2.0
+"""Places and slots per weight that are never beyond a customer's share."""
+
 URGENCY_PART = 0.25
 """Part of a request's slack by which its start may be put off."""
 
@@ -302,4 +305,4 @@
             break
         left -= demand
         weight -= own
-    return max(0.0, left) / max(weight, _LEAST_WEIGHT)
+    return max(LEAST_LEVEL, left / max(weight, _LEAST_WEIGHT))
--- a/src/tamaracktide/core/membership.py
+++ b/src/tamaracktide/core/membership.py
@@ -82,6 +82,13 @@
     instance: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Returned:
+    """An instance of this id says itself that it does not leave."""
+
+    instance: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeersTold:
     """A peer passed on which instances it knows to be leaving."""
@@ -89,7 +96,7 @@
     leaving: tuple[str, ...]
 
 
-MembershipEvent = ListRead | Heard | Silent | Left | PeersTold
+MembershipEvent = ListRead | Heard | Silent | Left | Returned | PeersTold
 
 
 class Membership:
@@ -106,6 +113,7 @@
         self._heard: dict[str, float] = {}
         self._silent: dict[str, float] = {}
         self._leaving: dict[str, float] = {}
+        self._returned: dict[str, float] = {}
 
     def handle(self, event: MembershipEvent, now: float) -> None:
         """Takes in a fact.
@@ -124,10 +132,13 @@
                 self._silent[instance] = now
                 self._heard.pop(instance, None)
             case Left(instance):
+                self._returned.pop(instance, None)
                 self._leaving.setdefault(instance, now)
+            case Returned(instance):
+                if self._leaving.pop(instance, None) is not None:
+                    self._returned[instance] = now
             case PeersTold(leaving):
-                for instance in leaving:
-                    self._leaving.setdefault(instance, now)
+                self._believe_peers(leaving, now)
         self._forget_old_facts(now)
 
     def find(self, instance: str) -> Member | None:
@@ -193,18 +204,26 @@
             sorted(
                 instance
                 for instance, told_at in self._leaving.items()
-                if now - told_at < self._settings.told_s
+                if instance == self._instance
+                or now - told_at < self._settings.told_s
             )
         )
 
     def list_unsure(self, instances: Iterable[str], now: float) -> list[str]:
-        """Returns those of the instances without direct evidence."""
+        """Returns those of the instances that are not known to be silent."""
         return [
             one
             for one in instances
-            if one != self._instance and self.is_reachable(one, now) is None
+            if one != self._instance
+            and self.is_reachable(one, now) is not False
         ]
 
+    def _believe_peers(self, leaving: Iterable[str], now: float) -> None:
+        """Takes in departures; what instances say of themselves goes first."""
+        for instance in leaving:
+            if instance != self._instance and instance not in self._returned:
+                self._leaving.setdefault(instance, now)
+
     def _is_usable(self, instance: str, now: float) -> bool:
         if self.is_leaving(instance):
             return False
@@ -217,6 +236,7 @@
             (self._heard, self._settings.heard_s),
             (self._silent, self._settings.silent_s),
             (self._leaving, self._settings.leaving_s),
+            (self._returned, self._settings.leaving_s),
         )
         for facts, limit_s in limits:
             for instance in [
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -12,7 +12,7 @@
 from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
 
-RESERVED_PLACES_PART = 0.0625
+RESERVED_PLACES_PART = 0.125
 """Part of a batch that a customer beyond its share leaves free."""
 
 RESERVED_SLOTS_PART = 0.25
--- a/src/tamaracktide/gateway/claims.py
+++ b/src/tamaracktide/gateway/claims.py
@@ -22,6 +22,8 @@
 Codes = result_codes.ResultCode
 
 SHARD_COUNT = 64
+BODILESS = frozenset((204, 205, 304))
+"""Statuses of answers that have no body, so that none can be missing."""
 
 
 class Outcome(enum.StrEnum):
@@ -199,6 +201,12 @@
     match reply.state:
         case "claimed":
             return claim
+        case "completed" if not reply.body and reply.status not in BODILESS:
+            raise asgi.make_error(
+                Codes.OUTCOME_UNKNOWN,
+                f"the request of idempotency key {claim.key!r} was answered "
+                f"with status {reply.status}; the answer was not kept",
+            )
         case "completed":
             return asgi.Reply(
                 status=reply.status or 200,
--- a/src/tamaracktide/scheduler/peers.py
+++ b/src/tamaracktide/scheduler/peers.py
@@ -254,7 +254,7 @@
         self._hear(opened.peer)
         match message:
             case messages.Digest():
-                self.note(membership.PeersTold(message.leaving))
+                self._note_leaving(opened.peer.instance, message.leaving)
                 self.epochs.observe_all(message.epochs)
                 if message.revision > self._follower.tables.revision:
                     await opened.send(_make_fetch(()))
@@ -263,6 +263,12 @@
             case messages.TableReply():
                 await self._take_tables(opened, message)
 
+    def _note_leaving(self, peer: str, leaving: tuple[str, ...]) -> None:
+        leaves = peer in leaving
+        event = membership.Left if leaves else membership.Returned
+        self.note(event(peer))
+        self.note(membership.PeersTold(leaving))
+
     def make_table_reply(
         self, fetch: messages.TableFetch
     ) -> messages.TableReply:
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -91,3 +91,21 @@
     assert view.find_owner(CELL, 0.0) == "s9"
     view.handle(membership.Left("s9"), 0.0)
     assert view.find_owner(CELL, 0.0) == ""
+
+
+def test_restarted_instance_is_believed_over_its_peers() -> None:
+    """An id that came back serves again, whatever peers still repeat."""
+    view = make_membership()
+    view.handle(membership.Left("s2"), 0.0)
+    view.handle(membership.Returned("s2"), 1.0)
+    view.handle(membership.PeersTold(("s2",)), 2.0)
+    assert "s2" in view.list_owners(CELL, 2.0)
+    view.handle(membership.Left("s2"), 3.0)
+    assert "s2" not in view.list_owners(CELL, 3.0)
+
+
+def test_peers_cannot_make_a_scheduler_think_that_it_leaves() -> None:
+    """A restarted scheduler ignores what is told of its former self."""
+    view = make_membership()
+    view.handle(membership.PeersTold(("s1",)), 1.0)
+    assert "s1" in view.list_owners(CELL, 1.0)
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -388,3 +388,15 @@
     answer = await world.call("/admin/status", method="GET")
     assert b'"revision":1' in answer.body
     assert b'"d1":true' in answer.body
+
+
+async def test_answer_that_was_not_kept_is_not_repeated_as_whole(
+    world: fakes.World,
+) -> None:
+    """A completed key whose answer was too large is no empty answer."""
+    world.scheduler.claims["k"] = messages.ClaimReply(
+        attempt_id="", state="completed", status=200, body=b""
+    )
+    answer = await world.call("/services/sign/a", b"x", idempotency_key="k")
+    assert answer.error["code"] == Codes.OUTCOME_UNKNOWN
+    assert not world.services[0].effects
