--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -159,13 +159,11 @@
             case EngineFault(name, fields):
                 await self._set_faults(name, dict(fields))
             case CutZone(zone, platform_too):
+                cut_zones = [zone] if platform_too else []
+                await self._set_faults("platform", {"cut_zones": cut_zones})
                 await self._set_links(zone, links.LinkState.CUT)
-                if platform_too:
-                    await self._set_faults("platform", {"cut_zones": [zone]})
             case SilenceLinks():
-                for group in self._by_zones.values():
-                    for link in group:
-                        await link.set_state(links.LinkState.SILENT)
+                await self._silence_links()
             case Leave(name):
                 await self._set_listed(name, "leaving")
             case RaceEdits():
@@ -202,6 +200,11 @@
             case SilenceLinks() | RaceEdits():
                 pass
 
+    async def _silence_links(self) -> None:
+        for group in self._by_zones.values():
+            for link in group:
+                await link.set_state(links.LinkState.SILENT)
+
     def _wait_ready(self, name: str) -> None:
         node = self._running.nodes[name]
         path = "/readyz" if node.inner_port else "/v1/state"
--- a/src/tamaracktide/core/attempts.py
+++ b/src/tamaracktide/core/attempts.py
@@ -283,21 +283,8 @@
             self.phase is not Phase.ENDED, f"{event} after the end"
         )
         match event:
-            case Granted(upstream):
-                self._enter(Phase.GRANTED, Phase.ASKED)
-                self._upstream = upstream
-                return _PROCEED
-            case AskRefused(code, retry_after_s):
-                return self._handle_refusal(code, retry_after_s)
-            case AskLost():
-                return self._retry(
-                    Codes.OWNER_UNREACHABLE, self._settings.retry_after_s
-                )
-            case GrantDropped():
-                self._enter(Phase.ASKED, Phase.GRANTED)
-                return self._retry(
-                    Codes.RETRIES_EXHAUSTED, self._settings.retry_after_s
-                )
+            case Granted() | AskRefused() | AskLost() | GrantDropped():
+                return self._handle_ask(event)
             case Dispatched():
                 self._enter(Phase.DISPATCHED, Phase.GRANTED)
                 self._may_have_run = True
@@ -316,6 +303,23 @@
                 self.phase = Phase.ENDED
                 return _PROCEED
 
+    def _handle_ask(
+        self, event: Granted | AskRefused | AskLost | GrantDropped
+    ) -> Action:
+        wait_s = self._settings.retry_after_s
+        match event:
+            case Granted(upstream):
+                self._enter(Phase.GRANTED, Phase.ASKED)
+                self._upstream = upstream
+                return _PROCEED
+            case AskRefused(code, retry_after_s):
+                return self._handle_refusal(code, retry_after_s)
+            case AskLost():
+                return self._retry(Codes.OWNER_UNREACHABLE, wait_s)
+            case GrantDropped():
+                self._enter(Phase.ASKED, Phase.GRANTED)
+                return self._retry(Codes.RETRIES_EXHAUSTED, wait_s)
+
     def _enter(self, phase: Phase, *previous: Phase) -> None:
         invariants.check(
             self.phase in previous, f"{phase} entered from {self.phase}"
--- a/src/tamaracktide/core/committer.py
+++ b/src/tamaracktide/core/committer.py
@@ -138,6 +138,30 @@
                 self._finishes[event.attempt_id] = event
                 due = now + self._settings.finish_delay_s
                 self._finish_due = min(self._finish_due, due)
+            case ce.Tick():
+                if self._phase is Phase.PAUSED:
+                    self._phase = Phase.EMPTY
+            case ce.SegmentMissing() | ce.StoreFailed():
+                # A missing segment was expired by another committer, whose
+                # head no longer lists it.
+                self._pause(now, actions)
+            case ce.FilterRead(segment_id, data):
+                self._filters[segment_id] = cr.load_filter(data)
+                self._requested.discard(segment_id)
+            case ce.SegmentRead(segment_id, data):
+                self._install_segment(segment_id, data)
+            case _:
+                self._handle_head(event, now, actions)
+        self._advance(now, now_unix_s, actions)
+        return actions
+
+    def _handle_head(
+        self,
+        event: ce.CommitterEvent,
+        now: float,
+        actions: list[ce.CommitterAction],
+    ) -> None:
+        match event:
             case ce.HeadRead(data, version):
                 self._install_read_head(data, version, now, actions)
             case ce.HeadWritten(version):
@@ -151,21 +175,6 @@
             case ce.SegmentStored():
                 if self._phase is Phase.SEALING:
                     self._write_batch(now, actions)
-            case ce.SegmentMissing():
-                # Another committer expired it; its head no longer lists it.
-                self._pause(now, actions)
-            case ce.FilterRead(segment_id, data):
-                self._filters[segment_id] = cr.load_filter(data)
-                self._requested.discard(segment_id)
-            case ce.SegmentRead(segment_id, data):
-                self._install_segment(segment_id, data)
-            case ce.StoreFailed():
-                self._pause(now, actions)
-            case ce.Tick():
-                if self._phase is Phase.PAUSED:
-                    self._phase = Phase.EMPTY
-        self._advance(now, now_unix_s, actions)
-        return actions
 
     def _accept_claim(
         self, claim: ce.Claim, actions: list[ce.CommitterAction]
