Merge sealed claims into archives; failure tests with real processes

Ruled out: an index object beside the head (two objects to change together), fewer and larger segments (they no longer fit 1 MB with answers).

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -7,6 +7,8 @@
 
 import argparse
 import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
 import contextlib
 import json
 import pathlib
@@ -26,6 +28,7 @@
 FAULT_S = 8.0
 RECOVERY_S = 15.0
 ROUND_REQUESTS = 400
+CHECK_REQUESTS = 30
 REQUEST_TIMEOUT_S = 20.0
 SUMS = ("sent", "completed", "refused", "unknown", "broken", "unreachable")
 PROBLEMS = ("wrong", "truncated", "effects_doubled", "refusals_untrue")
@@ -44,13 +47,15 @@
 class Soak:
     """One soak run."""
 
-    def __init__(self, directory: pathlib.Path, seed: int) -> None:
+    def __init__(
+        self, directory: pathlib.Path, seed: int, shape: topology.Topology
+    ) -> None:
         """Prepares settings and links; starts nothing."""
-        self.rng = random.Random(seed)
         self.seed = seed
-        self.running = topology.build_deployment(SHAPE, directory)
-        self.tables = directory / "tables.json"
-        self.tables.write_text(json.dumps(topology.make_tables(SHAPE)))
+        self.running = topology.build_deployment(shape, directory)
+        self.zones = sorted(set(shape.gateways))
+        tables = directory / "tables.json"
+        tables.write_text(json.dumps(topology.make_tables(shape)))
         self.by_zones: dict[tuple[str, str], list[links.Link]] = {}
         self._insert_links()
         self.injector = faults.Injector(self.running, self.by_zones)
@@ -61,12 +66,11 @@
         """Puts a link before every instance for each other zone."""
         path = self.running.directory / "platform.json"
         settings = json.loads(path.read_text())
-        zones = sorted(set(SHAPE.gateways))
         for name, entry in settings["instances"].items():
             node = self.running.nodes[name]
             entry["zone_addresses"] = {
                 zone: self._link(zone, node)
-                for zone in zones
+                for zone in self.zones
                 if zone != node.zone
             }
         path.write_text(json.dumps(settings, indent=2))
@@ -81,9 +85,8 @@
         group.append(inner)
         return {"address": outer.address, "inner_address": inner.address}
 
-    async def run(self, rounds: int, minutes: float) -> None:
-        """Runs rounds until their number or the time is reached."""
-        ends_at = time.monotonic() + 60.0 * minutes
+    async def run(self, rounds: Iterable[tuple[faults.Fault, ...]]) -> None:
+        """Runs a round for each group of faults, up to the first failure."""
         async with anyio.create_task_group() as tasks:
             for group in self.by_zones.values():
                 for link in group:
@@ -92,19 +95,18 @@
                 await anyio.to_thread.run_sync(
                     quickstart.start_all, self.running
                 )
-                for number in range(rounds):
-                    await self._run_round(number)
-                    if self.failures or time.monotonic() >= ends_at:
+                for number, chosen in enumerate(rounds):
+                    await self._run_round(number, chosen)
+                    if self.failures:
                         break
             finally:
                 with anyio.CancelScope(shield=True):
                     await anyio.to_thread.run_sync(self.running.stop_all)
                 tasks.cancel_scope.cancel()
 
-    async def _run_round(self, number: int) -> None:
-        nodes = list(self.running.nodes.values())
-        zones = sorted(set(SHAPE.gateways))
-        chosen = faults.choose_faults(self.rng, nodes, zones)
+    async def _run_round(
+        self, number: int, chosen: tuple[faults.Fault, ...]
+    ) -> None:
         before = dict(self.sums)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_load, number)
@@ -117,6 +119,7 @@
             for fault in reversed(chosen):
                 await self.injector.heal(fault)
         recovered_s = await self._wait_recovered()
+        await self._check_service(number)
         changed = {
             key: self.sums[key] - before.get(key, 0) for key in self.sums
         }
@@ -139,10 +142,10 @@
         if problems:
             self.failures.append(f"round {number}: {problems}")
 
-    def _run_load(self, seed: int) -> str:
+    def _run_load(self, seed: int, requests: int = ROUND_REQUESTS) -> str:
         return quickstart.run_load(
             self.running,
-            ROUND_REQUESTS,
+            requests,
             seed,
             f"--timeout-s={REQUEST_TIMEOUT_S}",
             "--concurrency=8",
@@ -183,6 +186,19 @@
         self.failures.append(f"not recovered in {RECOVERY_S} s: {detail}")
         return RECOVERY_S
 
+    async def _check_service(self, number: int) -> None:
+        """Checks that every request is served again after the faults."""
+        began = time.monotonic()
+        summary: Json = {}
+        while time.monotonic() - began < RECOVERY_S:
+            output = await anyio.to_thread.run_sync(
+                self._run_load, self.seed * 1000 + 500 + number, CHECK_REQUESTS
+            )
+            summary = json.loads(output.splitlines()[-1])
+            if summary["completed"] == summary["sent"]:
+                return
+        self.failures.append(f"round {number}: not served again: {summary}")
+
     def _find_difference(self) -> str:
         """Returns what is not as it should be, empty if all is well."""
         platform = self.running.nodes["platform"].address
@@ -207,6 +223,19 @@
         return "a daemon does not answer"
 
 
+def choose_rounds(
+    soak: Soak, rounds: int, minutes: float
+) -> Iterator[tuple[faults.Fault, ...]]:
+    """Yields two faults a round until the number or the time is reached."""
+    rng = random.Random(soak.seed)
+    nodes = list(soak.running.nodes.values())
+    ends_at = time.monotonic() + 60.0 * minutes
+    for _ in range(rounds):
+        if time.monotonic() >= ends_at:
+            return
+        yield faults.choose_faults(rng, nodes, soak.zones)
+
+
 def main() -> int:
     """Returns 0 if every promise held in every round."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -215,8 +244,8 @@
     parser.add_argument("--rounds", type=int, default=1_000_000)
     parser.add_argument("--directory", type=pathlib.Path, default="run/soak")
     flags = parser.parse_args()
-    soak = Soak(flags.directory.resolve(), flags.seed)
-    anyio.run(soak.run, flags.rounds, flags.minutes)
+    soak = Soak(flags.directory.resolve(), flags.seed, SHAPE)
+    anyio.run(soak.run, choose_rounds(soak, flags.rounds, flags.minutes))
     print(
         json.dumps({**soak.sums, "seed": soak.seed, "failures": soak.failures})
     )
--- a/src/tamaracktide/core/claim_records.py
+++ b/src/tamaracktide/core/claim_records.py
@@ -9,12 +9,16 @@
 import dataclasses
 import enum
 import hashlib
+from typing import Any
+from typing import TypeVar
 
 import cbor2
 import msgspec
 import rbloom
 import xxhash
 
+_T = TypeVar("_T")
+
 SHARD_COUNT = 16
 KEY_HASH_BYTES = 16
 FILTER_FALSE_POSITIVE_RATE = 0.001
@@ -61,11 +65,13 @@
         segment_id: Hash of the segment's content, part of its object key.
         newest_unix_s: Claim time of its newest record.
         count: Records in it.
+        is_archive: Whether it was merged from others, without answers.
     """
 
     segment_id: str
     newest_unix_s: float
     count: int
+    is_archive: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,10 +125,14 @@
     return f"claims/{shard}/filters/{segment_id}"
 
 
-def encode_value(value: ClaimHead | Segment) -> bytes:
-    """Returns the CBOR form of a head or segment."""
-    plain = msgspec.to_builtins(value, builtin_types=(bytes,))
-    return cbor2.dumps(plain)
+def encode_head(head: ClaimHead) -> bytes:
+    """Returns the CBOR form of a head."""
+    return cbor2.dumps(
+        [
+            [_list_values(record) for record in head.records],
+            [_list_values(entry) for entry in head.segments],
+        ]
+    )
 
 
 def decode_head(data: bytes) -> ClaimHead:
@@ -131,7 +141,18 @@
     Raises:
         msgspec.ValidationError: The data has another shape.
     """
-    return msgspec.convert(cbor2.loads(data), ClaimHead, builtin_types=(bytes,))
+    records, segments = msgspec.convert(
+        cbor2.loads(data), tuple[list[list[Any]], list[list[Any]]]
+    )
+    return ClaimHead(
+        records=tuple(_build(ClaimRecord, values) for values in records),
+        segments=tuple(_build(SegmentEntry, values) for values in segments),
+    )
+
+
+def encode_segment(segment: Segment) -> bytes:
+    """Returns the CBOR form of a segment."""
+    return cbor2.dumps([_list_values(record) for record in segment.records])
 
 
 def decode_segment(data: bytes) -> Segment:
@@ -140,7 +161,30 @@
     Raises:
         msgspec.ValidationError: The data has another shape.
     """
-    return msgspec.convert(cbor2.loads(data), Segment, builtin_types=(bytes,))
+    records = msgspec.convert(cbor2.loads(data), list[list[Any]])
+    return Segment(
+        records=tuple(_build(ClaimRecord, values) for values in records)
+    )
+
+
+def shorten_record(record: ClaimRecord) -> ClaimRecord:
+    """Returns the record without what only an early repeat needs."""
+    return dataclasses.replace(
+        record, attempt_id="", claimed_unix_s=0, content_type="", body=b""
+    )
+
+
+def _list_values(value: ClaimRecord | SegmentEntry) -> list[object]:
+    """Returns the fields' values in order; names would double the size."""
+    return [getattr(value, field.name) for field in dataclasses.fields(value)]
+
+
+def _build(kind: type[_T], values: list[Any]) -> _T:
+    """Returns a data class from values in order; missing ones by default."""
+    names = [field.name for field in dataclasses.fields(kind)]  # type: ignore[arg-type]
+    return msgspec.convert(
+        dict(zip(names, values, strict=False)), kind, builtin_types=(bytes,)
+    )
 
 
 def identify_segment(data: bytes) -> str:
--- a/src/tamaracktide/core/committer.py
+++ b/src/tamaracktide/core/committer.py
@@ -11,13 +11,12 @@
 import dataclasses
 import enum
 
-import rbloom
-
 from tamaracktide import invariants
+from tamaracktide.core import claim_archive
 from tamaracktide.core import claim_events as ce
 from tamaracktide.core import claim_records as cr
-
-_RECORD_OVERHEAD_BYTES = 160
+from tamaracktide.core import claim_rules
+from tamaracktide.core import claim_segments
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -37,6 +36,7 @@
         segment_cache: Segments kept in memory after a lookup.
         answer_bytes: Longest answer that is kept for repeats.
         max_finishes: Outcomes that one write takes at most.
+        archive: When sealed segments are merged.
     """
 
     commit_period_s: float = 0.06
@@ -49,6 +49,9 @@
     segment_cache: int = 4
     answer_bytes: int = 4096
     max_finishes: int = 128
+    archive: claim_archive.ArchiveSettings = dataclasses.field(
+        default_factory=claim_archive.ArchiveSettings
+    )
 
 
 class Phase(enum.Enum):
@@ -65,7 +68,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Batch:
     head: cr.ClaimHead
-    expired: tuple[str, ...]
+    obsolete: tuple[str, ...]
     claims: tuple[ce.Claim, ...]
     finishes: tuple[ce.Finish, ...]
 
@@ -74,18 +77,16 @@
     """Decides about the claims of one shard; performs no I/O itself."""
 
     __slots__ = (
+        "_archive",
         "_batch",
-        "_checked",
         "_claims",
-        "_filters",
         "_finish_due",
         "_finishes",
         "_head",
+        "_index",
         "_last_write",
         "_phase",
         "_refused_version",
-        "_requested",
-        "_segments",
         "_settings",
         "_version",
         "commits",
@@ -102,10 +103,8 @@
         self._finishes: dict[str, ce.Finish] = {}
         self._finish_due = float("inf")
         self._batch: _Batch | None = None
-        self._filters: dict[str, rbloom.Bloom] = {}
-        self._segments: dict[str, dict[bytes, cr.ClaimRecord]] = {}
-        self._checked: dict[str, set[str]] = {}
-        self._requested: set[str] = set()
+        self._index = claim_segments.SegmentIndex(settings.segment_cache)
+        self._archive = claim_archive.Archive(settings.archive)
         self._last_write = float("-inf")
         self.commits = 0
 
@@ -146,10 +145,10 @@
                 # head no longer lists it.
                 self._pause(now, actions)
             case ce.FilterRead(segment_id, data):
-                self._filters[segment_id] = cr.load_filter(data)
-                self._requested.discard(segment_id)
+                self._index.add_filter(segment_id, data)
             case ce.SegmentRead(segment_id, data):
-                self._install_segment(segment_id, data)
+                self._index.add_segment(segment_id, data)
+                actions.extend(self._archive.add_segment(segment_id, data))
             case _:
                 self._handle_head(event, now, actions)
         self._advance(now, now_unix_s, actions)
@@ -172,8 +171,9 @@
             case ce.HeadUnsure():
                 # Read back; an attempt found in the head was committed.
                 self._drop_batch()
-            case ce.SegmentStored():
-                if self._phase is Phase.SEALING:
+            case ce.SegmentStored(segment_id):
+                is_archive = self._archive.note_stored(segment_id)
+                if not is_archive and self._phase is Phase.SEALING:
                     self._write_batch(now, actions)
 
     def _accept_claim(
@@ -193,8 +193,8 @@
         for attempt_id in self._claims:
             actions.append(ce.Unavailable(attempt_id))
         self._claims.clear()
-        self._checked.clear()
-        self._requested.clear()
+        self._index.forget_reads()
+        self._archive.drop()
         self._batch = None
         self._phase = Phase.PAUSED
         actions.append(ce.WakeAt(now + self._settings.retry_s))
@@ -215,16 +215,7 @@
         self._head = cr.decode_head(data) if data else cr.ClaimHead()
         self._version = version
         self._phase = Phase.READY
-        known = {entry.segment_id for entry in self._head.segments}
-        for segment_id in self._filters.keys() - known:
-            del self._filters[segment_id]
-
-    def _install_segment(self, segment_id: str, data: bytes) -> None:
-        segment = cr.decode_segment(data)
-        self._requested.discard(segment_id)
-        self._segments[segment_id] = {r.key_hash: r for r in segment.records}
-        while len(self._segments) > self._settings.segment_cache:
-            del self._segments[next(iter(self._segments))]
+        self._index.keep_listed(self._head.segments)
 
     def _advance(
         self, now: float, now_unix_s: float, actions: list[ce.CommitterAction]
@@ -247,46 +238,53 @@
             self._commit(now, now_unix_s, actions)
 
     def _request_filters(self, actions: list[ce.CommitterAction]) -> bool:
-        missing = [
-            entry.segment_id
-            for entry in self._head.segments
-            if entry.segment_id not in self._filters
-        ]
-        for segment_id in missing:
-            if segment_id not in self._requested:
-                self._requested.add(segment_id)
-                actions.append(ce.ReadFilter(segment_id))
+        missing = self._index.list_missing(self._head.segments)
+        actions.extend(
+            ce.ReadFilter(segment_id)
+            for segment_id in missing
+            if self._index.request(segment_id)
+        )
         return bool(missing)
 
     def _commit(
         self, now: float, now_unix_s: float, actions: list[ce.CommitterAction]
     ) -> None:
-        records = self._age_records(now_unix_s)
+        oldest = now_unix_s - self._settings.pending_limit_s
+        records = claim_rules.age_records(self._head.records, oldest)
         finishes = self._apply_finishes(records, actions)
         claims = self._apply_claims(records, now_unix_s, actions)
         if not claims and not finishes:
             return
-        kept, sealed = self._split_sealed(records)
-        segments, expired = self._split_expired(now_unix_s)
+        kept, sealed = claim_rules.split_sealed(
+            records, self._settings.seal_bytes
+        )
+        segments, obsolete = self._update_segments(now_unix_s)
         if sealed:
-            segment = cr.Segment(records=sealed)
-            data = cr.encode_value(segment)
-            entry = cr.SegmentEntry(
-                segment_id=cr.identify_segment(data),
-                newest_unix_s=max(r.claimed_unix_s for r in sealed),
-                count=len(sealed),
-            )
-            filter_data = cr.build_filter(segment)
-            self._filters[entry.segment_id] = cr.load_filter(filter_data)
-            segments = (*segments, entry)
-            actions.append(ce.StoreSegment(entry.segment_id, data, filter_data))
+            segments = (*segments, self._seal(sealed, actions))
         head = cr.ClaimHead(records=kept, segments=segments)
-        self._batch = _Batch(head, expired, claims, finishes)
+        self._batch = _Batch(head, obsolete, claims, finishes)
         if sealed:
             self._phase = Phase.SEALING
             return
         self._write_batch(now, actions)
 
+    def _seal(
+        self,
+        sealed: tuple[cr.ClaimRecord, ...],
+        actions: list[ce.CommitterAction],
+    ) -> cr.SegmentEntry:
+        segment = cr.Segment(records=sealed)
+        data = cr.encode_segment(segment)
+        filter_data = cr.build_filter(segment)
+        entry = cr.SegmentEntry(
+            segment_id=cr.identify_segment(data),
+            newest_unix_s=max(r.claimed_unix_s for r in sealed),
+            count=len(sealed),
+        )
+        self._index.add_filter(entry.segment_id, filter_data)
+        actions.append(ce.StoreSegment(entry.segment_id, data, filter_data))
+        return entry
+
     def _write_batch(
         self, now: float, actions: list[ce.CommitterAction]
     ) -> None:
@@ -294,22 +292,9 @@
             return
         self._phase = Phase.WRITING
         self._last_write = now
-        data = cr.encode_value(self._batch.head)
+        data = cr.encode_head(self._batch.head)
         actions.append(ce.WriteHead(data, self._version))
 
-    def _age_records(self, now_unix_s: float) -> dict[bytes, cr.ClaimRecord]:
-        """Returns the head's records; those pending too long are unknown."""
-        oldest = now_unix_s - self._settings.pending_limit_s
-        records = {}
-        for record in self._head.records:
-            pending = record.state is cr.ClaimState.PENDING
-            if pending and record.claimed_unix_s < oldest:
-                record = dataclasses.replace(
-                    record, state=cr.ClaimState.UNKNOWN
-                )
-            records[record.key_hash] = record
-        return records
-
     def _apply_finishes(
         self,
         records: dict[bytes, cr.ClaimRecord],
@@ -327,30 +312,14 @@
                 kept = finish.state is cr.ClaimState.COMPLETED
             else:
                 applied.append(finish)
-                self._finish_record(records, record, finish)
+                claim_rules.finish_record(
+                    records, record, finish, self._settings.answer_bytes
+                )
                 continue
             actions.append(ce.Finished(finish.attempt_id, kept))
             del self._finishes[finish.attempt_id]
         return tuple(applied)
 
-    def _finish_record(
-        self,
-        records: dict[bytes, cr.ClaimRecord],
-        record: cr.ClaimRecord,
-        finish: ce.Finish,
-    ) -> None:
-        if finish.state is None:
-            del records[record.key_hash]
-            return
-        fits = len(finish.body) <= self._settings.answer_bytes
-        records[record.key_hash] = dataclasses.replace(
-            record,
-            state=finish.state,
-            status=finish.status,
-            content_type=finish.content_type,
-            body=finish.body if fits else b"",
-        )
-
     def _apply_claims(
         self,
         records: dict[bytes, cr.ClaimRecord],
@@ -361,11 +330,13 @@
         for claim in list(self._claims.values()):
             record = records.get(claim.key_hash)
             if record is None:
-                waiting, record = self._look_up(claim, actions)
-                if waiting:
+                lookup = self._index.look_up(claim, self._head.segments)
+                actions.extend(lookup.reads)
+                if not lookup.is_complete:
                     continue
+                record = lookup.record
             if record is not None:
-                actions.append(_answer_claim(claim, record))
+                actions.append(claim_rules.answer_claim(claim, record))
                 self._drop_claim(claim)
                 continue
             applied.append(claim)
@@ -377,29 +348,6 @@
             )
         return tuple(applied)
 
-    def _look_up(
-        self, claim: ce.Claim, actions: list[ce.CommitterAction]
-    ) -> tuple[bool, cr.ClaimRecord | None]:
-        """Returns whether a segment must be read, and the record if found."""
-        checked = self._checked.setdefault(claim.attempt_id, set())
-        for entry in self._head.segments:
-            segment_id = entry.segment_id
-            if segment_id in checked:
-                continue
-            if claim.key_hash not in self._filters[segment_id]:
-                continue
-            segment = self._segments.get(segment_id)
-            if segment is None:
-                if segment_id not in self._requested:
-                    self._requested.add(segment_id)
-                    actions.append(ce.ReadSegment(segment_id))
-                return True, None
-            record = segment.get(claim.key_hash)
-            if record is not None:
-                return False, record
-            checked.add(segment_id)
-        return False, None
-
     def _settle_batch(
         self, version: int, now: float, actions: list[ce.CommitterAction]
     ) -> None:
@@ -426,58 +374,30 @@
             if self._finishes.get(finish.attempt_id) is finish:
                 del self._finishes[finish.attempt_id]
             actions.append(ce.Finished(finish.attempt_id, True))
-        for segment_id in self._batch.expired:
+        for segment_id in self._batch.obsolete:
             actions.append(ce.DeleteSegment(segment_id))
         self._batch = None
+        self._archive.settle(self._head.segments)
+        actions.extend(self._archive.start(self._head.segments))
         has_finishes = bool(self._finishes)
         delay_s = self._settings.finish_delay_s
         self._finish_due = now + delay_s if has_finishes else float("inf")
 
     def _drop_claim(self, claim: ce.Claim) -> None:
         self._claims.pop(claim.attempt_id, None)
-        self._checked.pop(claim.attempt_id, None)
-
-    def _split_sealed(
-        self, records: dict[bytes, cr.ClaimRecord]
-    ) -> tuple[tuple[cr.ClaimRecord, ...], tuple[cr.ClaimRecord, ...]]:
-        """Returns the records that stay in the head and those to seal."""
-        finished = [
-            record
-            for record in records.values()
-            if record.state is not cr.ClaimState.PENDING
-        ]
-        size = sum(len(r.body) + _RECORD_OVERHEAD_BYTES for r in finished)
-        if size <= self._settings.seal_bytes:
-            return tuple(records.values()), ()
-        pending = tuple(
-            record
-            for record in records.values()
-            if record.state is cr.ClaimState.PENDING
-        )
-        return pending, tuple(finished)
+        self._index.forget_claim(claim.attempt_id)
 
-    def _split_expired(
+    def _update_segments(
         self, now_unix_s: float
     ) -> tuple[tuple[cr.SegmentEntry, ...], tuple[str, ...]]:
-        """Returns the segments to keep and the ids of the expired ones."""
+        """Returns the segments to list and the ids of those to delete."""
+        listed = self._head.segments
+        obsolete: list[str] = []
+        replacement = self._archive.replace(listed)
+        if replacement is not None:
+            listed = replacement.segments
+            obsolete.extend(replacement.obsolete)
         oldest = now_unix_s - self._settings.retention_s
-        kept = []
-        expired = []
-        for entry in self._head.segments:
-            if entry.newest_unix_s < oldest:
-                expired.append(entry.segment_id)
-            else:
-                kept.append(entry)
-        return tuple(kept), tuple(expired)
-
-
-def _answer_claim(
-    claim: ce.Claim, record: cr.ClaimRecord
-) -> ce.CommitterAction:
-    if record.attempt_id == claim.attempt_id:
-        if record.state is cr.ClaimState.PENDING:
-            return ce.Claimed(claim.attempt_id)
-        return ce.Repeated(claim.attempt_id, record)
-    if record.fingerprint != claim.fingerprint:
-        return ce.Mismatched(claim.attempt_id)
-    return ce.Repeated(claim.attempt_id, record)
+        kept = tuple(e for e in listed if e.newest_unix_s >= oldest)
+        obsolete.extend(e.segment_id for e in listed if e not in kept)
+        return kept, tuple(obsolete)
--- a/tests/core/test_committer.py
+++ b/tests/core/test_committer.py
@@ -1,13 +1,13 @@
 """Tests of the committer: a key runs at most once, whatever the store does."""
 
 import dataclasses
-import random
 
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
 import pytest
 
+from tamaracktide.core import claim_archive
 from tamaracktide.core import claim_events as ce
 from tamaracktide.core import claim_records as cr
 from tamaracktide.core import committer
@@ -48,10 +48,14 @@
 class Node:
     """A committer with the calls that it has under way."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(
+        self,
+        store: Store,
+        settings: committer.CommitterSettings = SETTINGS,
+    ) -> None:
         """Starts a committer in front of the store."""
         self.store = store
-        self.core = committer.Committer(SETTINGS)
+        self.core = committer.Committer(settings)
         self.calls: list[ce.CommitterAction] = []
         self.replies: list[Reply] = []
 
@@ -97,13 +101,27 @@
                 if applied:
                     return ce.HeadWritten(store.version)
                 return ce.HeadRefused()
+            case _:
+                return self.answer_segment_call(action)
+
+    def answer_segment_call(
+        self, action: ce.CommitterAction
+    ) -> ce.CommitterEvent | None:
+        """Carries a call on a segment out, without faults."""
+        stored = self.store.segments
+        match action:
             case ce.StoreSegment(segment_id, data, filter_data):
-                store.segments[segment_id] = (data, filter_data)
+                stored[segment_id] = (data, filter_data)
                 return ce.SegmentStored(segment_id)
-            case ce.ReadFilter(segment_id):
-                return ce.FilterRead(segment_id, store.segments[segment_id][1])
-            case ce.ReadSegment(segment_id):
-                return ce.SegmentRead(segment_id, store.segments[segment_id][0])
+            case ce.ReadFilter(segment_id) | ce.ReadSegment(segment_id):
+                if segment_id not in stored:
+                    return ce.SegmentMissing(segment_id)
+                data, filter_data = stored[segment_id]
+                if isinstance(action, ce.ReadFilter):
+                    return ce.FilterRead(segment_id, filter_data)
+                return ce.SegmentRead(segment_id, data)
+            case ce.DeleteSegment(segment_id):
+                stored.pop(segment_id, None)
         return None
 
 
@@ -246,6 +264,22 @@
     )
 
 
+def complete_claim(node: Node, number: int) -> None:
+    """Claims a distinct key and reports its outcome, without faults."""
+    claim = make_claim(number)
+    node.feed(claim, float(number))
+    drain(node, float(number))
+    finish = ce.Finish(
+        attempt_id=claim.attempt_id,
+        key_hash=claim.key_hash,
+        state=cr.ClaimState.COMPLETED,
+        status=200,
+        body=b"x" * 20,
+    )
+    node.feed(finish, float(number))
+    drain(node, float(number))
+
+
 def test_claims_that_wait_together_share_one_write() -> None:
     """A group of claims costs one conditional write."""
     node = Node(Store())
@@ -261,20 +295,8 @@
     """A repeat of a sealed key is answered from its segment."""
     store = Store()
     node = Node(store)
-    rng = random.Random(1)
     for number in range(40):
-        claim = make_claim(number)
-        node.feed(claim, float(number))
-        drain(node, float(number))
-        finish = ce.Finish(
-            attempt_id=claim.attempt_id,
-            key_hash=claim.key_hash,
-            state=cr.ClaimState.COMPLETED,
-            status=200,
-            body=rng.randbytes(20),
-        )
-        node.feed(finish, float(number))
-        drain(node, float(number))
+        complete_claim(node, number)
     assert store.segments
     late = Node(store)
     late.feed(dataclasses.replace(make_claim(0), attempt_id="again"), 99.0)
@@ -284,6 +306,33 @@
     assert reply.record.state is cr.ClaimState.COMPLETED
 
 
+def test_merged_segments_keep_every_key() -> None:
+    """The head stays short, and each old key is found by a new committer."""
+    settings = dataclasses.replace(
+        SETTINGS,
+        archive=claim_archive.ArchiveSettings(
+            recent_limit=4, merge_count=3, archive_keys=60
+        ),
+    )
+    store = Store()
+    node = Node(store, settings)
+    for number in range(200):
+        complete_claim(node, number)
+    listed = node.core.head.segments
+    assert len(listed) < 4 + 200 // 30
+    assert any(entry.is_archive for entry in listed)
+    assert {entry.segment_id for entry in listed} == set(store.segments)
+    late = Node(store, settings)
+    for number in range(200):
+        repeat = dataclasses.replace(make_claim(number), attempt_id="again")
+        late.feed(repeat, 999.0)
+        drain(late, 999.0)
+    states = [
+        r.record.state for r in late.replies if isinstance(r, ce.Repeated)
+    ]
+    assert states == [cr.ClaimState.COMPLETED] * 200
+
+
 def test_outage_refuses_waiting_claims_at_once() -> None:
     """A failed read answers every waiting claim as unavailable."""
     node = Node(Store())
