--- a/scripts/gateway_bench.py
+++ b/scripts/gateway_bench.py
@@ -10,8 +10,8 @@
 import topology
 
 ENGINES = 6
-BATCH_LIMIT = 400
-TOKEN_S = 0.02
+BATCH_LIMIT = 64
+TOKEN_S = 0.01
 
 
 def build(directory: pathlib.Path, trace_ratio: float) -> deployment.Deployment:
@@ -67,8 +67,8 @@
     """Returns 0 if the benchmark ran."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=10.0)
-    parser.add_argument("--requests", type=int, default=64)
-    parser.add_argument("--streams", type=int, default=600)
+    parser.add_argument("--requests", type=int, default=160)
+    parser.add_argument("--streams", type=int, default=320)
     parser.add_argument("--trace-ratio", type=float, default=0.01)
     parser.add_argument("--directory", type=pathlib.Path, default="run/bench")
     flags = parser.parse_args()
--- /dev/null
+++ b/scripts/start_example.py
@@ -0,0 +1,109 @@
+"""Starts an example deployment on stand-ins, on loopback.
+
+It reads the files that `examples/make_example.py` wrote. With `--requests N`
+it sends N mixed requests and ends; without, it serves until Ctrl-C and prints
+how to reach it.
+"""
+
+import argparse
+import json
+import pathlib
+import sys
+import time
+
+import deployment
+import quickstart
+import topology
+
+SLOTS = 8
+BATCH_LIMIT = 16
+
+
+def build(
+    example: pathlib.Path, directory: pathlib.Path, seed: int
+) -> deployment.Deployment:
+    """Returns the deployment of an example's files; nothing is started."""
+    shape = topology.Topology(
+        gateways=_list_zones(example, "gateway"),
+        schedulers=_list_zones(example, "scheduler"),
+        engines=_list_zones(example, "engine"),
+        services=_list_zones(example, "service"),
+        slots=SLOTS,
+        batch_limit=BATCH_LIMIT,
+        seed=seed,
+    )
+    running = topology.build_deployment(shape, directory)
+    store = _read_json(example / "scheduler-0.json")["store"]
+    for node in list(running.nodes.values()):
+        if node.program == "tamaracktide-scheduler":
+            node.settings["store"] = store
+        elif node.program == "tamaracktide-platform":
+            node.settings["full_speed_loads"] = int(store["in_flight"])
+        running.add(node)
+    tables = (example / "tables.json").read_text(encoding="utf-8")
+    (directory / "tables.json").write_text(tables, encoding="utf-8")
+    (directory / "secret").write_text(deployment.SECRET, encoding="utf-8")
+    return running
+
+
+def _list_zones(example: pathlib.Path, role: str) -> tuple[str, ...]:
+    listed = _read_json(example / "instances.json")["instances"]
+    return tuple(item["zone"] for item in listed if item["role"] == role)
+
+
+def _read_json(path: pathlib.Path) -> deployment.Json:
+    value = json.loads(path.read_text(encoding="utf-8"))
+    assert isinstance(value, dict)
+    return value
+
+
+def serve(running: deployment.Deployment) -> None:
+    """Tells how to reach the deployment and waits for Ctrl-C."""
+    flags = quickstart.make_ctl_flags(running)
+    settings = running.directory / "ctl.json"
+    content = _read_json(settings)
+    content["secret_path"] = str(running.directory / "secret")
+    settings.write_text(json.dumps(content), encoding="utf-8")
+    print(f"tamaracktidectl {' '.join(flags)} status")
+    for node in running.nodes.values():
+        if node.program == "tamaracktide-gateway":
+            print(f"{node.name} ({node.zone}): http://{node.address}")
+    print(f"API keys are made under the secret {deployment.SECRET!r}")
+    try:
+        while True:
+            time.sleep(1.0)
+    except KeyboardInterrupt:
+        print("stopping")
+
+
+def main() -> int:
+    """Returns 0 if no answer was wrong, truncated or doubled."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("example", type=pathlib.Path)
+    parser.add_argument("--requests", type=int, default=0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--directory", type=pathlib.Path, default="run")
+    flags = parser.parse_args()
+    running = build(flags.example, flags.directory.resolve(), flags.seed)
+    summary = dict.fromkeys(quickstart.PROBLEMS, 0)
+    try:
+        quickstart.start_all(running)
+        if flags.requests:
+            output = quickstart.run_load(
+                running, flags.requests, flags.seed, check=False
+            )
+            print(output, end="")
+            summary = json.loads(output.splitlines()[-1])
+        else:
+            serve(running)
+    finally:
+        statuses = running.stop_all()
+    failed = [name for name, status in statuses.items() if status != 0]
+    if failed:
+        print(f"ended with an error: {failed}", file=sys.stderr)
+    wrong = any(summary[key] for key in quickstart.PROBLEMS)
+    return 1 if failed or wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/tamaracktide/bench/main.py
+++ b/src/tamaracktide/bench/main.py
@@ -1,16 +1,23 @@
 """`tamaracktide-bench`: benchmarks of the decision core."""
 
+import dataclasses
 import json
 
 import fire
 
+from tamaracktide.bench import random_cell
+from tamaracktide.bench.gateway import runs as gateway_runs
+from tamaracktide.bench.policy import decisions
 from tamaracktide.bench.policy import runs
 from tamaracktide.bench.policy import workload
+from tamaracktide.bench.slopes import commands
 
 
 class Commands:
     """Benchmarks; each prints one JSON object as its last line."""
 
+    gateway = staticmethod(gateway_runs.run)
+
     def policy(self, workload: str, seed: int = 1) -> None:
         """Compares scheduling policies in virtual time.
 
@@ -20,6 +27,47 @@
         """
         _run_policy(workload, seed)
 
+    def decisions(self, seed: int = 1) -> None:
+        """Measures the processor time of a cell's decisions.
+
+        Args:
+            seed: Seed of the requests.
+        """
+        costs = {
+            str(nodes): dataclasses.asdict(
+                decisions.measure_decisions(nodes, seed)
+            )
+            for nodes in (55, 330)
+        }
+        print(json.dumps(costs))
+
+    def random(self, seed: int = 1, steps: int = 100_000) -> None:
+        """Feeds a cell random events and checks every action.
+
+        Args:
+            seed: Seed of the events.
+            steps: Random operations.
+        """
+        summary = random_cell.RandomCell(seed).run(steps)
+        print(json.dumps(dataclasses.asdict(summary)))
+
+    def slopes(
+        self,
+        only: commands.Names = "",
+        repeats: int = 3,
+        plot: str = "",
+        data: commands.Names = "",
+    ) -> None:
+        """Measures how costs grow with sizes, with lines through them.
+
+        Args:
+            only: Comma-separated trials; all if empty.
+            repeats: Runs at each size.
+            plot: Directory for the data and the plots; none if empty.
+            data: Comma-separated reports to take instead of measuring.
+        """
+        commands.run_slopes(only, repeats, plot, data)
+
 
 def _run_policy(name: str, seed: int) -> None:
     profile = workload.PROFILES[name]
--- a/src/tamaracktide/bench/policy/measures.py
+++ b/src/tamaracktide/bench/policy/measures.py
@@ -36,6 +36,7 @@
         load_stalls: Requests that waited for their adapter to load.
         stall_s_per_request: Seconds of that wait, mean over all requests.
         batch_efficiency: Tokens made per place of the steps that were run.
+        batch_efficiency_alone: The same without the large customer.
         small_p99_wait_s: 99th percentile wait of the small customers; a
             refused request counts with its whole time limit.
         small_p99_wait_alone_s: The same without the large customer.
@@ -50,6 +51,7 @@
     load_stalls: int
     stall_s_per_request: float
     batch_efficiency: float
+    batch_efficiency_alone: float
     small_p99_wait_s: float
     small_p99_wait_alone_s: float
     stall_alone_s_per_request: float
--- a/src/tamaracktide/bench/policy/runs.py
+++ b/src/tamaracktide/bench/policy/runs.py
@@ -32,6 +32,12 @@
     return [r for r in world_.records if r.request.arrival >= warm_up_s]
 
 
+def _find_efficiency(world_: world.World) -> float:
+    steps = sum(engine.steps for engine in world_.engines.values())
+    tokens = sum(engine.tokens for engine in world_.engines.values())
+    return tokens / (steps * world_.workload.profile.batch_limit)
+
+
 def _average_stall_s(records: list[measures.Record]) -> float:
     return sum(record.stall_s for record in records) / len(records)
 
@@ -44,8 +50,6 @@
     alone = run_world(workload.remove_large_customer(workload_), make)
     records = _list_measured(mixed)
     records_alone = _list_measured(alone)
-    steps = sum(engine.steps for engine in mixed.engines.values())
-    tokens = sum(engine.tokens for engine in mixed.engines.values())
     small = [
         r for r in records if r.request.customer != workload.LARGE_CUSTOMER
     ]
@@ -53,7 +57,8 @@
         load_stalls=sum(record.stall_s > 0 for record in records),
         stall_s_per_request=_average_stall_s(records),
         stall_alone_s_per_request=_average_stall_s(records_alone),
-        batch_efficiency=tokens / (steps * workload_.profile.batch_limit),
+        batch_efficiency=_find_efficiency(mixed),
+        batch_efficiency_alone=_find_efficiency(alone),
         small_p99_wait_s=measures.find_small_p99_wait(records),
         small_p99_wait_alone_s=measures.find_small_p99_wait(records_alone),
         completed_weighted=measures.count_completed(records),
--- /dev/null
+++ b/src/tamaracktide/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes of memory, processor time, bytes and calls against sizes."""
--- /dev/null
+++ b/src/tamaracktide/bench/slopes/commands.py
@@ -0,0 +1,51 @@
+"""The subcommand `slopes` of `tamaracktide-bench`."""
+
+import pathlib
+
+import anyio
+import loguru
+import msgspec
+
+from tamaracktide.bench.slopes import plots
+from tamaracktide.bench.slopes import projection
+from tamaracktide.bench.slopes import runs
+from tamaracktide.bench.slopes import series
+
+Names = str | tuple[str, ...]
+"""Comma-separated names, which `fire` makes a tuple of."""
+
+
+def run_slopes(only: Names, repeats: int, plot: str, data: Names) -> None:
+    """Measures the slopes, or takes them from a file, and draws them.
+
+    Args:
+        only: Comma-separated trials; all if empty.
+        repeats: Runs at each size.
+        plot: Directory for the data and the plots; none if empty.
+        data: Comma-separated reports to take instead of measuring.
+    """
+    if data:
+        paths = [pathlib.Path(path) for path in _split(data)]
+        report = runs.read_reports(paths)
+    else:
+        loguru.logger.remove()
+        trials = runs.choose_trials(_split(only))
+        report = anyio.run(runs.measure_all, trials, repeats, _tell)
+    if plot:
+        directory = pathlib.Path(plot)
+        runs.write_report(report, directory / runs.DATA_FILE)
+        plots.draw_all(report.series, directory)
+    if not only:
+        for figure in projection.project(report.fits):
+            print(f"{figure.what}: {figure.value:.4g} {figure.unit}")
+    print(msgspec.json.encode(report).decode())
+
+
+def _split(names: Names) -> tuple[str, ...]:
+    if isinstance(names, str):
+        return tuple(names.split(",")) if names else ()
+    return names
+
+
+def _tell(one: series.Series, fit: series.Fit) -> None:
+    print(runs.describe_series(one, fit), flush=True)
--- /dev/null
+++ b/src/tamaracktide/bench/slopes/instance_lists.py
@@ -0,0 +1,78 @@
+"""Bytes and processor time of reading the instance list."""
+
+import json
+
+import anyio
+
+from tamaracktide.bench.slopes import clocks
+from tamaracktide.bench.slopes import relay
+from tamaracktide.bench.slopes import series
+from tamaracktide.gateway import membership
+from tamaracktide.platform import instances
+from tamaracktide.platform import settings as client_settings
+from tamaracktide.standins.service import server
+from tamaracktide.standins.service import web
+
+READS = 20
+
+
+def _make_body(size: int) -> bytes:
+    entries = [
+        {
+            "id": f"instance-{number:04d}",
+            "role": "scheduler" if number % 4 == 0 else "engine",
+            "zone": f"region-{number % 3}-{number % 2}",
+            "address": "10.123.12.123:8080",
+            "inner_address": "10.123.12.123:8090",
+            "state": "live",
+        }
+        for number in range(size)
+    ]
+    return json.dumps({"version": 1, "instances": entries}).encode()
+
+
+async def measure_list(size: int, _seed: int) -> tuple[series.Reading, ...]:
+    """Reads a list of some instances again and again."""
+    body = _make_body(size)
+
+    async def answer(request: web.Request) -> web.Reply:
+        await request.read_body()
+        return web.Reply(200, body)
+
+    async with (
+        server.run_embedded(web.make_app(answer)) as address,
+        relay.run_relay(address) as (metered, meter),
+    ):
+        used = await _read_lists(address)
+        await _read_lists(metered)
+        passed = meter.up_bytes + meter.down_bytes
+    return (
+        series.Reading("instance list: a read", "bytes", passed / READS),
+        series.Reading(
+            "instance list: processor time of a read", "us", used / READS * 1e6
+        ),
+    )
+
+
+async def _read_lists(address: str) -> float:
+    """Returns the processor time of the reads, the server's small part too."""
+    settings = client_settings.PlatformSettings(address=address)
+    source = instances.InstanceClient(settings)
+    members = membership.Membership(source)
+    spent = clocks.ProcessorTime()
+    for _ in range(READS):
+        await members.refresh()
+    used = spent.seconds
+    with anyio.CancelScope(shield=True):
+        await source.close()
+    return used
+
+
+TRIALS = (
+    series.Trial(
+        name="instance_list",
+        size_label="instances",
+        sizes=(100, 400, 1260),
+        run=measure_list,
+    ),
+)
--- /dev/null
+++ b/src/tamaracktide/bench/slopes/processor.py
@@ -0,0 +1,353 @@
+"""Processor time of decisions and messages, without I/O."""
+
+from tamaracktide.bench.slopes import clocks
+from tamaracktide.bench.slopes import samples
+from tamaracktide.bench.slopes import series
+from tamaracktide.core import cell as cell_core
+from tamaracktide.core import cell_actions
+from tamaracktide.core import cell_events
+from tamaracktide.core import claim_events
+from tamaracktide.core import claim_records
+from tamaracktide.core import committer
+from tamaracktide.core import epochs
+from tamaracktide.core import membership
+from tamaracktide.core import table_assembly
+from tamaracktide.protocol import codec
+from tamaracktide.protocol import messages
+
+GRANTS = 200
+WAITING_ENGINES = 4
+COMMITS = 40
+SEGMENT_COMMITS = 41
+SEGMENT_KEYS = 16_000
+ROUNDS = 300
+EDITS = 5
+ZONES = 6
+MICROSECONDS = 1e6
+
+
+async def measure_grants(size: int, seed: int) -> tuple[series.Reading, ...]:
+    """Grants and ends requests in a cell of some engines, half full."""
+    cell = samples.make_cell(size, seed)
+    adapters = size * samples.SLOTS
+    held = _submit(cell, 0, size * samples.BATCH_LIMIT // 2, adapters)
+    spent = clocks.ProcessorTime()
+    for number in range(GRANTS):
+        held += _submit(cell, len(held) + 10**6 + number, 1, adapters)
+        cell.handle(cell_events.GrantEnded(grant_id=held.pop(0)), 1.0)
+    each = spent.seconds / GRANTS * MICROSECONDS
+    return (series.Reading("processor time of a grant", "us", each),)
+
+
+async def measure_waiting_grants(
+    size: int, seed: int
+) -> tuple[series.Reading, ...]:
+    """Ends and submits requests in a full cell with a queue."""
+    cell = samples.make_cell(WAITING_ENGINES, seed)
+    adapters = WAITING_ENGINES * samples.SLOTS
+    places = WAITING_ENGINES * samples.BATCH_LIMIT
+    held = _submit(cell, 0, places, adapters)
+    _submit(cell, 10**6, size, adapters)
+    granted = 0
+    spent = clocks.ProcessorTime()
+    for number in range(GRANTS):
+        ended = cell_events.GrantEnded(grant_id=held.pop(0))
+        found = _list_grants(cell.handle(ended, 1.0))
+        found += _submit(cell, 2 * 10**6 + number, 1, adapters)
+        held += found
+        granted += len(found)
+    each = spent.seconds / max(granted, 1) * MICROSECONDS
+    name = "processor time of a grant from a queue"
+    return (series.Reading(name, "us", each),)
+
+
+def _submit(
+    cell: cell_core.Cell, first: int, count: int, adapters: int
+) -> list[str]:
+    """Submits requests; returns the ids of the grants."""
+    granted: list[str] = []
+    for number in range(first, first + count):
+        submit = samples.make_submit(number, number % adapters)
+        granted += _list_grants(cell.handle(submit, 1.0))
+    return granted
+
+
+def _list_grants(actions: list[cell_actions.CellAction]) -> list[str]:
+    return [a.grant_id for a in actions if isinstance(a, cell_actions.Grant)]
+
+
+async def measure_commits(size: int, _seed: int) -> tuple[series.Reading, ...]:
+    """Commits batches of some claims and their outcomes in memory."""
+    core = committer.Committer(committer.CommitterSettings())
+    version = 0
+    spent = clocks.ProcessorTime()
+    for number in range(COMMITS):
+        now = float(number)
+        events = _make_claim_events(number, size)
+        while events:
+            for action in core.handle(events.pop(0), now, 1.7e9 + now):
+                match action:
+                    case claim_events.ReadHead():
+                        events.insert(0, claim_events.HeadRead(b"", 0))
+                    case claim_events.WriteHead():
+                        version += 1
+                        written = claim_events.HeadWritten(version)
+                        events.append(written)
+                    case claim_events.StoreSegment(segment_id):
+                        stored = claim_events.SegmentStored(segment_id)
+                        events.insert(0, stored)
+    each = spent.seconds / COMMITS * MICROSECONDS
+    return (
+        series.Reading("processor time of a claim commit", "us", each),
+        series.Reading("commits", "commits", core.commits / COMMITS),
+    )
+
+
+def _make_claim_events(
+    number: int, size: int
+) -> list[claim_events.CommitterEvent]:
+    """Returns outcomes of the last batch and a batch of new claims."""
+    events: list[claim_events.CommitterEvent] = []
+    for index in range(size):
+        if number:
+            events.append(_make_finish(number - 1, index))
+    events.extend(_make_claim(number, index) for index in range(size))
+    return events
+
+
+def _make_finish(number: int, index: int) -> claim_events.Finish:
+    attempt = f"{number:016x}{index:016x}"
+    return claim_events.Finish(
+        attempt_id=attempt,
+        key_hash=claim_records.hash_key("caller", attempt),
+        state=claim_records.ClaimState.COMPLETED,
+        status=200,
+        body=b"x" * 64,
+    )
+
+
+async def measure_segments(size: int, _seed: int) -> tuple[series.Reading, ...]:
+    """Commits single claims to a shard with some sealed segments."""
+    core = committer.Committer(committer.CommitterSettings())
+    now_unix_s = 1.7e9
+    segment = samples.make_segment(0, SEGMENT_KEYS)
+    saved = claim_records.build_filter(segment)
+    head = claim_records.encode_head(_make_sealed_head(size, now_unix_s))
+    reads = 0
+    written = 0
+    spent = clocks.ProcessorTime()
+    for number in range(SEGMENT_COMMITS):
+        events: list[claim_events.CommitterEvent] = [_make_claim(number, 0)]
+        while events:
+            event = events.pop(0)
+            for action in core.handle(event, float(number), now_unix_s):
+                match action:
+                    case claim_events.ReadHead():
+                        events.insert(0, claim_events.HeadRead(head, 1))
+                    case claim_events.ReadFilter(segment_id):
+                        reads += 1
+                        read = claim_events.FilterRead(segment_id, saved)
+                        events.append(read)
+                    case claim_events.WriteHead(data):
+                        written = len(data)
+                        events.append(claim_events.HeadWritten(number + 2))
+        if not number:
+            # The first commit reads the head and all filters.
+            first_us = spent.seconds * MICROSECONDS
+            spent = clocks.ProcessorTime()
+    each = spent.seconds / (SEGMENT_COMMITS - 1) * MICROSECONDS
+    return (
+        series.Reading("processor time of a claim in a full shard", "us", each),
+        series.Reading("processor time of a shard's start", "us", first_us),
+        series.Reading("reads of a shard's start", "calls", reads + 1),
+        series.Reading("claim head written", "bytes", written),
+    )
+
+
+def _make_sealed_head(size: int, now_unix_s: float) -> claim_records.ClaimHead:
+    return claim_records.ClaimHead(
+        segments=tuple(
+            claim_records.SegmentEntry(
+                segment_id=f"{number:032x}",
+                newest_unix_s=now_unix_s,
+                count=SEGMENT_KEYS,
+                is_archive=True,
+            )
+            for number in range(size)
+        )
+    )
+
+
+def _make_claim(number: int, index: int) -> claim_events.Claim:
+    attempt = f"{number:016x}{index:016x}"
+    return claim_events.Claim(
+        attempt_id=attempt,
+        key_hash=claim_records.hash_key("caller", attempt),
+        fingerprint=attempt,
+    )
+
+
+async def measure_digests(size: int, _seed: int) -> tuple[series.Reading, ...]:
+    """Codes a digest with some epochs and takes it in."""
+    digest = messages.Digest(
+        revision=1000,
+        epochs={f"engine-{number}": 12 for number in range(size)},
+    )
+    record = epochs.EpochRecord()
+
+    def exchange() -> None:
+        match codec.decode_message(codec.encode_message(digest)):
+            case messages.Digest() as taken:
+                record.observe_all(taken.epochs)
+
+    each = clocks.measure_call_s(exchange, ROUNDS) * MICROSECONDS
+    coded = len(codec.encode_message(digest))
+    return (
+        series.Reading("processor time of a digest", "us", each),
+        series.Reading("digest", "bytes", coded),
+    )
+
+
+async def measure_heartbeats(
+    size: int, _seed: int
+) -> tuple[series.Reading, ...]:
+    """Codes a heartbeat with the loads of some cells."""
+    loads = tuple(
+        messages.CellLoad(
+            pool=f"base-{number}",
+            zone="region-1-a",
+            running=900,
+            capacity=1280,
+            waiting=3,
+            wait_s=0.25,
+        )
+        for number in range(size)
+    )
+    heartbeat = messages.Heartbeat(sequence=100_000, loads=loads)
+
+    def exchange() -> None:
+        codec.decode_message(codec.encode_message(heartbeat))
+
+    each = clocks.measure_call_s(exchange, ROUNDS) * MICROSECONDS
+    coded = len(codec.encode_message(heartbeat))
+    return (
+        series.Reading("processor time of a heartbeat", "us", each),
+        series.Reading("heartbeat", "bytes", coded),
+    )
+
+
+async def measure_owners(size: int, _seed: int) -> tuple[series.Reading, ...]:
+    """Finds the owners of all cells among some schedulers."""
+    settings = membership.MembershipSettings()
+    view = membership.Membership(settings, "scheduler-0", "zone-0")
+    view.handle(membership.ListRead(_list_members(size)), 0.0)
+    pools = samples.make_pools()
+
+    def look() -> None:
+        for pool in pools:
+            for cell in view.list_cells(pool):
+                view.find_owner(cell, 0.0)
+
+    each = clocks.measure_call_s(look, 10) * MICROSECONDS
+    return (series.Reading("processor time of finding owners", "us", each),)
+
+
+def _list_members(schedulers: int) -> tuple[membership.Member, ...]:
+    made = [
+        membership.Member(
+            instance=f"{role}-{number}",
+            role=role,
+            # Pools take every fifth engine, so zones change by blocks.
+            zone=f"zone-{number // samples.POOLS % ZONES}",
+            address="10.0.0.1:8080",
+            inner_address="10.0.0.1:8090",
+        )
+        for role, count in (
+            ("scheduler", schedulers),
+            ("gateway", schedulers),
+            ("engine", samples.SERVERS),
+        )
+        for number in range(count)
+    ]
+    return tuple(made)
+
+
+async def measure_edits(size: int, _seed: int) -> tuple[series.Reading, ...]:
+    """Takes in edits of one row with tables of some routes."""
+    assembly = table_assembly.Assembly()
+    _accept(assembly, size, 1, "1")
+    coded = [_make_edit(size, number) for number in range(2, 2 + EDITS)]
+    spent = clocks.ProcessorTime()
+    for head, contents in coded:
+        assembly.accept_head(head)
+        missing = assembly.list_missing()
+        assembly.accept_shards({digest: contents[digest] for digest in missing})
+    each = spent.seconds / EDITS * MICROSECONDS
+    return (series.Reading("processor time of an edit", "us", each),)
+
+
+def _make_edit(size: int, revision: int) -> tuple[bytes, dict[str, bytes]]:
+    """Returns tables whose last row has another version."""
+    changed = samples.make_route(size - 1, str(revision))
+    return samples.store_changed(size, revision, changed)
+
+
+def _accept(
+    assembly: table_assembly.Assembly, size: int, revision: int, version: str
+) -> None:
+    changed = samples.make_route(size - 1, version)
+    head, contents = samples.store_changed(size, revision, changed)
+    assembly.accept_head(head)
+    assembly.accept_shards(contents)
+
+
+TRIALS = (
+    series.Trial(
+        name="grants",
+        size_label="engines of a cell",
+        sizes=(5, 10, 20, 40),
+        run=measure_grants,
+    ),
+    series.Trial(
+        name="waiting_grants",
+        size_label="waiting requests of a cell",
+        sizes=(16, 128, 512),
+        run=measure_waiting_grants,
+    ),
+    series.Trial(
+        name="commits",
+        size_label="claims in a commit",
+        sizes=(1, 4, 16, 64),
+        run=measure_commits,
+    ),
+    series.Trial(
+        name="segments",
+        size_label="segments of a claim shard",
+        sizes=(16, 64, 128),
+        run=measure_segments,
+    ),
+    series.Trial(
+        name="digests",
+        size_label="epochs in a digest",
+        sizes=(0, 20, 100, 600),
+        run=measure_digests,
+    ),
+    series.Trial(
+        name="heartbeats",
+        size_label="cells in a heartbeat",
+        sizes=(0, 1, 5, 30),
+        run=measure_heartbeats,
+    ),
+    series.Trial(
+        name="owners",
+        size_label="schedulers",
+        sizes=(20, 80, 330),
+        run=measure_owners,
+    ),
+    series.Trial(
+        name="edits",
+        size_label="routes",
+        sizes=(4096, 16_384, 68_000),
+        run=measure_edits,
+    ),
+)
--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -16,6 +16,9 @@
 from tamaracktide.core import routing
 from tamaracktide.core import rows
 
+SHORTEST_SLEEP_S = 0.001
+"""Shortest time to a timer; rounding must not make a timer fire at once."""
+
 _Code = result_codes.ResultCode
 
 
@@ -59,7 +62,7 @@
         after = self._parts.queue.virtual_time
         invariants.check_virtual_time(virtual_time, after)
         self._check_longest_wait(now)
-        self._plan_wake_up()
+        self._plan_wake_up(now)
         return self._actions
 
     def measure_use(self) -> routing.CellUse:
@@ -224,11 +227,13 @@
             self._refuse(waiter.submit, code, now)
 
     def _check_longest_wait(self, now: float) -> None:
-        if not self._expiries:
-            return
-        waiter = self._find_waiter(self._expiries[0][2])
-        if waiter is not None:
-            invariants.check_wait(waiter, now)
+        while self._expiries:
+            expires_at, _, request_id = self._expiries[0]
+            waiter = self._find_waiter(request_id)
+            if waiter is not None and waiter.expires_at == expires_at:
+                invariants.check_wait(waiter, now)
+                return
+            heapq.heappop(self._expiries)
 
     def _find_waiter(self, request_id: str) -> cell_state.Waiter | None:
         waiter = self._parts.queue.waiters.get(request_id)
@@ -264,9 +269,10 @@
                 )
         self._actions.extend(self._planner.prefetch(now))
 
-    def _plan_wake_up(self) -> None:
+    def _plan_wake_up(self, now: float) -> None:
         at = self._planner.recheck_at
         if self._expiries:
             at = min(at, self._expiries[0][0])
         if at != float("inf"):
+            at = max(at, now + SHORTEST_SLEEP_S)
             self._actions.append(cell_actions.WakeAt(at))
--- a/src/tamaracktide/core/cell_parts.py
+++ b/src/tamaracktide/core/cell_parts.py
@@ -48,16 +48,17 @@
     inventory_ = inventory.Inventory()
     queue = fairness.FairQueue()
     estimates_ = estimates.Estimates(settings)
+    budget = loading.LoadBudget(settings.loads_per_s, settings.loads_in_flight)
     return CellParts(
         settings=settings,
         rng=rng,
         inventory=inventory_,
         queue=queue,
         estimates=estimates_,
-        budget=loading.LoadBudget(
-            settings.loads_per_s, settings.loads_in_flight
+        budget=budget,
+        placer=placement.Placer(
+            settings, inventory_, queue, estimates_, budget
         ),
-        placer=placement.Placer(settings, inventory_, queue, estimates_),
         admission=admission.Admission(
             settings, inventory_, queue, estimates_, rng
         ),
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -61,6 +61,7 @@
         batch_limit: Requests that run at once.
         slots: Slots in use by engine-side name.
         running: Own grants and requests of earlier owners.
+        pending: Loads under way on it.
         unattributed: Those of earlier owners whose adapter is not known.
         leaving: Whether it gets no new work.
         exclusive: Request id that it is kept free for or that runs alone on
@@ -77,6 +78,7 @@
     batch_limit: int
     slots: dict[str, Slot] = dataclasses.field(default_factory=dict)
     running: int = 0
+    pending: int = 0
     unattributed: int = 0
     leaving: bool = False
     exclusive: str = ""
@@ -105,13 +107,6 @@
             slot.in_use for slot in self.slots.values()
         )
 
-    @property
-    def pending(self) -> int:
-        """Loads under way on it."""
-        return sum(
-            slot.state is SlotState.LOADING for slot in self.slots.values()
-        )
-
     @property
     def free_places(self) -> int:
         """Requests that it could run besides those it runs now."""
--- a/src/tamaracktide/core/claim_events.py
+++ b/src/tamaracktide/core/claim_events.py
@@ -32,6 +32,7 @@
         status: HTTP status of the answer.
         content_type: Content type of the answer.
         body: The answer.
+        body_kept: Whether `body` is the whole answer; it may be empty.
     """
 
     attempt_id: str
@@ -40,6 +41,7 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    body_kept: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/core/claim_records.py
+++ b/src/tamaracktide/core/claim_records.py
@@ -21,6 +21,8 @@
 
 SHARD_COUNT = 16
 KEY_HASH_BYTES = 16
+ANSWER_LIMIT_BYTES = 4096
+"""Largest answer that is kept for repeats."""
 FILTER_FALSE_POSITIVE_RATE = 0.001
 
 
@@ -44,7 +46,8 @@
         state: What is known of the request.
         status: HTTP status of a completed answer.
         content_type: Content type of a completed answer.
-        body: A completed answer, empty if too large to keep.
+        body: A completed answer.
+        body_kept: Whether `body` is the whole answer; it may be empty.
     """
 
     key_hash: bytes
@@ -55,6 +58,7 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    body_kept: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/core/claim_rules.py
+++ b/src/tamaracktide/core/claim_rules.py
@@ -34,13 +34,14 @@
     if finish.state is None:
         del records[record.key_hash]
         return
-    fits = len(finish.body) <= answer_bytes
+    kept = finish.body_kept and len(finish.body) <= answer_bytes
     records[record.key_hash] = dataclasses.replace(
         record,
         state=finish.state,
         status=finish.status,
         content_type=finish.content_type,
-        body=finish.body if fits else b"",
+        body=finish.body if kept else b"",
+        body_kept=kept,
     )
 
 
--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -141,6 +141,8 @@
         accounts: Accounts by customer.
         waiters: Waiting requests by request id.
         virtual_time: Start tag of the latest grant; never falls.
+        demand: Places that all customers would use now.
+        slot_demand: Adapter slots that they would use now.
     """
 
     def __init__(self) -> None:
@@ -148,8 +150,8 @@
         self.accounts: dict[str, Account] = {}
         self.waiters: dict[str, cell_state.Waiter] = {}
         self.virtual_time = 0.0
-        self._demand = 0
-        self._slot_demand = 0
+        self.demand = 0
+        self.slot_demand = 0
         self._waiting_by_key: collections.Counter[rows.AdapterKey] = (
             collections.Counter()
         )
@@ -171,10 +173,10 @@
             account.start = max(account.start, self.virtual_time)
         account.weight = submit.weight
         account.urgencies.add((*get_urgency(waiter), waiter.expires_at))
-        self._demand += 1
+        self.demand += 1
         group_key = GroupKey(submit.key, submit.avoid)
         if group_key not in account.groups:
-            self._slot_demand += 1
+            self.slot_demand += 1
             account.groups[group_key] = sortedcontainers.SortedKeyList(
                 key=get_urgency
             )
@@ -194,9 +196,9 @@
         group.remove(waiter)
         if not group:
             del account.groups[group_key]
-            self._slot_demand -= 1
+            self.slot_demand -= 1
         account.urgencies.remove((*get_urgency(waiter), waiter.expires_at))
-        self._demand -= 1
+        self.demand -= 1
         self._waiting_by_key[submit.key] -= 1
         if not self._waiting_by_key[submit.key]:
             del self._waiting_by_key[submit.key]
@@ -214,9 +216,9 @@
 
     def _start(self, account: Account, lora_name: str) -> None:
         account.running += 1
-        self._demand += 1
+        self.demand += 1
         if lora_name not in account.pins:
-            self._slot_demand += 1
+            self.slot_demand += 1
         account.pins[lora_name] = account.pins.get(lora_name, 0) + 1
 
     def add_running(self, customer: str, weight: float, lora_name: str) -> None:
@@ -230,11 +232,11 @@
         """Gives a place back and corrects the charge by the real cost."""
         account = self.accounts[grant.customer]
         account.running -= 1
-        self._demand -= 1
+        self.demand -= 1
         account.pins[grant.lora_name] -= 1
         if not account.pins[grant.lora_name]:
             del account.pins[grant.lora_name]
-            self._slot_demand -= 1
+            self.slot_demand -= 1
         account.start += (cost - grant.cost) / account.weight
 
     def _drop_idle(self) -> None:
@@ -271,7 +273,7 @@
     def find_levels(self, places: int, slots: int) -> Levels:
         """Returns the fair shares of so many places and slots."""
         place_level = slot_level = math.inf
-        if self._demand > places:
+        if self.demand > places:
             place_level = _fill(
                 [
                     (account.demand, account.weight)
@@ -280,7 +282,7 @@
                 ],
                 places,
             )
-        if self._slot_demand > slots:
+        if self.slot_demand > slots:
             slot_level = _fill(
                 [
                     (account.slot_demand, account.weight)
--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -60,7 +60,7 @@
         beyond_share = levels.limits(account)
         for _, group in account.list_groups():
             waiter = group[0]
-            place = self._parts.placer.find_ready(waiter, beyond_share)
+            place = self._parts.placer.find_ready(waiter, beyond_share, now)
             if place is not None:
                 engine, slot = place
                 priority = self._find_priority(account, beyond_share)
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -258,6 +258,7 @@
             used_at=load.started_at,
         )
         self._add_slot(engine, slot)
+        engine.pending += 1
         self.loads[load.load_id] = load
 
     def end_load(
@@ -268,6 +269,7 @@
         if load is None:
             return None
         engine = self.engines[load.upstream]
+        engine.pending -= 1
         if not event.succeeded:
             self._drop_slot(engine, load.lora_name)
             return load
--- a/src/tamaracktide/core/load_planner.py
+++ b/src/tamaracktide/core/load_planner.py
@@ -45,7 +45,7 @@
         levels = parts.admission.find_levels()
         for account, group_key, group in parts.queue.iterate_groups():
             needed, replica = parts.placer.needs_load(
-                group_key, parts.queue.count_waiting(group_key.key)
+                group_key, parts.queue.count_waiting(group_key.key), now
             )
             if not needed or self._is_held_back(group_key, now):
                 continue
--- a/src/tamaracktide/core/membership.py
+++ b/src/tamaracktide/core/membership.py
@@ -114,6 +114,9 @@
         self._silent: dict[str, float] = {}
         self._leaving: dict[str, float] = {}
         self._returned: dict[str, float] = {}
+        self._usable: tuple[tuple[str, str], ...] = ()
+        self._usable_until = -float("inf")
+        self._owners: dict[str, list[str]] = {}
 
     def handle(self, event: MembershipEvent, now: float) -> None:
         """Takes in a fact.
@@ -127,7 +130,9 @@
                 self._members = {one.instance: one for one in members}
             case Heard(instance):
                 self._heard[instance] = now
-                self._silent.pop(instance, None)
+                if self._silent.pop(instance, None) is None:
+                    self._forget_old_facts(now)
+                    return
             case Silent(instance):
                 self._silent[instance] = now
                 self._heard.pop(instance, None)
@@ -140,6 +145,7 @@
             case PeersTold(leaving):
                 self._believe_peers(leaving, now)
         self._forget_old_facts(now)
+        self._usable_until = -float("inf")
 
     def find(self, instance: str) -> Member | None:
         """Returns an instance of the list, leaving or not."""
@@ -184,15 +190,12 @@
         Schedulers that leave or are known to be silent are left out; this
         scheduler itself counts also before the list shows it.
         """
-        zones = {self._instance: self._zone}
-        for one in self.list_role(ROLE_SCHEDULER):
-            zones[one.instance] = one.zone
-        usable = [
-            (instance, zone)
-            for instance, zone in zones.items()
-            if self._is_usable(instance, now)
-        ]
-        return rendezvous.order_owners(cell.text, usable, cell.zone)
+        self._update_usable(now)
+        known = self._owners.get(cell.text)
+        if known is None:
+            known = rendezvous.order_owners(cell.text, self._usable, cell.zone)
+            self._owners[cell.text] = known
+        return known
 
     def find_owner(self, cell: rows.CellId, now: float) -> str:
         """Returns who should own a cell, empty if nobody can."""
@@ -224,6 +227,31 @@
             if instance != self._instance and instance not in self._returned:
                 self._leaving.setdefault(instance, now)
 
+    def _update_usable(self, now: float) -> None:
+        """Finds the usable schedulers again once that may have changed."""
+        if now < self._usable_until:
+            return
+        zones = {self._instance: self._zone}
+        for one in self.list_role(ROLE_SCHEDULER):
+            zones[one.instance] = one.zone
+        usable = tuple(
+            (instance, zone)
+            for instance, zone in zones.items()
+            if self._is_usable(instance, now)
+        )
+        if usable != self._usable:
+            self._usable = usable
+            self._owners.clear()
+        silent_s = self._settings.silent_s
+        self._usable_until = min(
+            (
+                at + silent_s
+                for at in self._silent.values()
+                if at > now - silent_s
+            ),
+            default=float("inf"),
+        )
+
     def _is_usable(self, instance: str, now: float) -> bool:
         if self.is_leaving(instance):
             return False
@@ -243,3 +271,5 @@
                 k for k, at in facts.items() if now - at >= limit_s
             ]:
                 del facts[instance]
+                if facts is not self._heard:
+                    self._usable_until = -float("inf")
--- a/src/tamaracktide/core/ownership.py
+++ b/src/tamaracktide/core/ownership.py
@@ -66,7 +66,9 @@
         self._wanted: dict[str, bool] = {}
         self._settled: set[str] = set()
         self._unsure: set[str] = set()
+        self._inherited: frozenset[str] = frozenset()
         self._incarnation = ""
+        self._loaded: frozenset[str] | None = None
         self._checks_fencing = False
         self._out = False
         self._suspended = False
@@ -142,8 +144,7 @@
     def _note_check(self, event: events.OwnerChecked, now: float) -> None:
         if self.state is not State.TAKING or self._pending is not None:
             return
-        record = self._record
-        checked = (event.owner, event.incarnation)
+        record, checked = self._record, (event.owner, event.incarnation)
         if record is None or _get_owner(record) != checked:
             return
         if event.reachable:
@@ -224,6 +225,8 @@
         self._settled.clear()
         self._unsure.clear()
         self._incarnation = ""
+        self._loaded = None
+        self._inherited = frozenset(self.withheld)
         self._actions.append(events.Ready(self.epoch, self.withheld))
 
     def _write_taking(self) -> None:
@@ -240,14 +243,19 @@
         if self._pending or self.state is not State.OWNING or not self._wanted:
             return
         intents = self._keep_open_intents()
+        if len(intents) + len(self._wanted) > MAX_INTENTS:
+            self._settle_gone(intents)
+            intents = self._keep_open_intents()
         known = {intent.lora_name for intent in intents}
-        for lora_name in list(self._wanted):
-            if len(intents) >= MAX_INTENTS:
-                del self._wanted[lora_name]
-                self._actions.append(events.RefuseUnload(lora_name))
-            elif lora_name not in known:
-                intents += (events.Intent(lora_name, self.epoch),)
-        self._write(self._settings.instance, self.epoch, intents)
+        added = [name for name in self._wanted if name not in known]
+        for lora_name in added[max(0, MAX_INTENTS - len(intents)) :]:
+            del self._wanted[lora_name]
+            self._actions.append(events.RefuseUnload(lora_name))
+        if self._wanted:
+            # An inherited intent becomes one of the own epoch.
+            kept = [i for i in intents if i.lora_name not in self._wanted]
+            own = [events.Intent(name, self.epoch) for name in self._wanted]
+            self._write(self._settings.instance, self.epoch, (*kept, *own))
 
     def _write(
         self, owner: str, epoch: int, intents: tuple[events.Intent, ...]
@@ -275,6 +283,22 @@
             if intent.lora_name not in self._settled
         )
 
+    def _settle_gone(self, intents: tuple[events.Intent, ...]) -> None:
+        """Settles intents on names that the engine no longer has.
+
+        An intent is written for a name that is loaded, and no name is loaded
+        twice, so a late order on one that is gone changes nothing.
+        """
+        if self._loaded is None:
+            return
+        self._settled.update(
+            intent.lora_name
+            for intent in intents
+            if intent.lora_name not in self._loaded
+            and intent.lora_name not in self._unsure
+            and intent.lora_name not in self._wanted
+        )
+
     def _want_unload(self, lora_name: str) -> None:
         if self.state is not State.OWNING or self._suspended:
             self._actions.append(events.RefuseUnload(lora_name))
@@ -292,8 +316,8 @@
                 continue
             if self._wanted.pop(intent.lora_name, None):
                 self._allow(intent.lora_name)
-            elif intent.lora_name not in self._unsure:
-                self._settled.add(intent.lora_name)
+            else:
+                self._settle(intent.lora_name)
 
     def _allow(self, lora_name: str) -> None:
         intents = self._record.intents if self._record else ()
@@ -308,7 +332,12 @@
     def _end_unload(self, event: events.UnloadEnded) -> None:
         if event.certain and event.lora_name in self._unsure:
             self._unsure.discard(event.lora_name)
-            self._settled.add(event.lora_name)
+            self._settle(event.lora_name)
+
+    def _settle(self, lora_name: str) -> None:
+        """Notes that no order is open, unless an earlier owner's may be."""
+        if lora_name not in self._unsure and lora_name not in self._inherited:
+            self._settled.add(lora_name)
 
     def _refuse_wanted(self) -> None:
         for lora_name in self._wanted:
@@ -317,6 +346,8 @@
 
     def _read_engine(self, event: events.EngineRead) -> None:
         self._checks_fencing = event.checks_fencing
+        if event.loaded is not None:
+            self._loaded = frozenset(event.loaded)
         self._suspend(self._out)
         owning = self.state in (State.OWNING, State.RELEASING)
         if owning and event.highest_fencing_token > self.epoch:
@@ -330,6 +361,7 @@
         # before the restart can take effect after it.
         intents = self._record.intents if self._record else ()
         self._settled.update(intent.lora_name for intent in intents)
+        self._inherited = frozenset()
         self._unsure.clear()
         self._refuse_wanted()
 
--- a/src/tamaracktide/core/ownership_events.py
+++ b/src/tamaracktide/core/ownership_events.py
@@ -147,11 +147,14 @@
         incarnation: The engine's incarnation.
         checks_fencing: Whether it refuses orders with an old fencing token.
         highest_fencing_token: Highest token that it has seen.
+        loaded: Engine-side names in its slots, read since this scheduler
+            owns the upstream; None if they are not known.
     """
 
     incarnation: str
     checks_fencing: bool
     highest_fencing_token: int = 0
+    loaded: tuple[str, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -12,7 +12,7 @@
 from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
 
-RESERVED_PLACES_PART = 0.125
+RESERVED_PLACES_PART = 0.0625
 """Part of a batch that a customer beyond its share leaves free."""
 
 RESERVED_SLOTS_PART = 0.25
@@ -30,7 +30,12 @@
 WAITING_RATE = 10.0
 """Requests a second that a known waiter counts for."""
 
-_IDLE_ENGINE_COST_S = 0.3
+IDLE_ENGINE_COST_S = 0.3
+"""Cost of running a request on an engine that could stay idle."""
+
+PACKED_PART = 0.85
+"""Part of a batch that is filled before another engine is taken."""
+
 _EMPTY_PLACE_COST_S = 0.1
 _RENDEZVOUS_COST_S = 0.02
 _PREFIX_SCORE = 0.5
@@ -78,6 +83,7 @@
         inventory_: inventory.Inventory,
         queue: fairness.FairQueue,
         estimates_: estimates.Estimates,
+        budget: loading.LoadBudget,
     ) -> None:
         """Reads the given state; it changes none of it."""
         self.popularity = popularity.Popularity()
@@ -86,12 +92,18 @@
         self._inventory = inventory_
         self._queue = queue
         self._estimates = estimates_
+        self._budget = budget
 
     def find_ready(
-        self, waiter: cell_state.Waiter, beyond_share: bool
+        self, waiter: cell_state.Waiter, beyond_share: bool, now: float
     ) -> tuple[cell_state.Engine, cell_state.Slot] | None:
-        """Returns a place on an engine that has the adapter loaded."""
+        """Returns a place on an engine that has the adapter loaded.
+
+        A pool that prefers full batches takes an engine outside the packed
+        ones only if none of these can load the adapter.
+        """
         submit = waiter.submit
+        packed = self._find_packed(submit.key, submit.avoid, now)
         best: tuple[cell_state.Engine, cell_state.Slot] | None = None
         best_score = -1.0
         for engine, slot in self._inventory.find_slots(submit.key):
@@ -99,6 +111,8 @@
                 continue
             if engine.name in submit.avoid:
                 continue
+            if packed and engine.name not in packed:
+                continue
             if not _has_place(engine, slot, beyond_share):
                 continue
             score = self._score_ready(engine, submit.prefix)
@@ -111,8 +125,56 @@
         fill = engine.running / engine.batch_limit
         return self._settings.batch_weight * fill + _PREFIX_SCORE * cached
 
+    def _find_packed(
+        self, key: rows.AdapterKey, avoid: tuple[str, ...], now: float
+    ) -> set[str]:
+        """Returns the engines to keep full for an adapter; empty for any.
+
+        These are the busiest engines that together have places and slots
+        for what the cell runs and what waits.
+        """
+        settings = self._settings
+        gain_s = settings.batch_weight * IDLE_ENGINE_COST_S
+        if gain_s <= settings.stall_weight * self._estimates.load_s:
+            return set()
+        able = [
+            engine
+            for engine in self._inventory.list_usable()
+            if not engine.exclusive
+        ]
+        able.sort(key=lambda engine: engine.name)
+        places, slots = self._queue.demand, self._queue.slot_demand
+        packed = []
+        for engine in able:
+            if places <= 0 and slots <= 0:
+                break
+            packed.append(engine)
+            places -= int(engine.batch_limit * PACKED_PART)
+            slots -= engine.slot_limit
+        if any(self._may_pack(engine, key, avoid, now) for engine in packed):
+            return {engine.name for engine in packed}
+        return set()
+
+    def _may_pack(
+        self,
+        engine: cell_state.Engine,
+        key: rows.AdapterKey,
+        avoid: tuple[str, ...],
+        now: float,
+    ) -> bool:
+        """Returns whether an engine serves an adapter or may load it now."""
+        if engine.name in avoid or engine.free_places <= engine.pending:
+            return False
+        if self._inventory.find_slot(engine, key) is not None:
+            return True
+        if self.backoff.blocks(key, engine.name, now):
+            return False
+        if not self._budget.allows(len(self._inventory.loads), now):
+            return False
+        return self.find_victim(engine, now) is not None
+
     def needs_load(
-        self, group_key: fairness.GroupKey, waiting: int
+        self, group_key: fairness.GroupKey, waiting: int, now: float
     ) -> tuple[bool, bool]:
         """Returns whether to load an adapter, and whether as a replica.
 
@@ -121,9 +183,12 @@
         """
         running = 0
         replicas = 0
+        packed = self._find_packed(group_key.key, group_key.avoid, now)
         for engine, slot in self._inventory.find_slots(group_key.key):
             if engine.name in group_key.avoid:
                 continue
+            if packed and engine.name not in packed:
+                continue
             if slot.state is cell_state.SlotState.LOADING:
                 return False, False
             if engine.exclusive:
@@ -148,8 +213,10 @@
         key = group_key.key
         best: LoadPlan | None = None
         best_cost = float("inf")
-        usable = self._list_loadable(key, group_key.avoid, now)
-        for engine in usable:
+        packed = self._find_packed(key, group_key.avoid, now)
+        for engine in self._list_loadable(key, group_key.avoid, now):
+            if packed and engine.name not in packed:
+                continue
             wait_s = self._predict_place_s(engine, beyond_share, replica)
             if wait_s is None:
                 continue
@@ -197,7 +264,7 @@
         settings = self._settings
         fill = engine.running / engine.batch_limit
         empty = _EMPTY_PLACE_COST_S * (1.0 - fill)
-        idle = 0.0 if engine.running else _IDLE_ENGINE_COST_S
+        idle = 0.0 if engine.running else IDLE_ENGINE_COST_S
         missed_s = victim.rate * EVICTION_HORIZON_S * self._estimates.load_s
         return settings.stall_weight * missed_s + settings.batch_weight * (
             empty + idle
--- /dev/null
+++ b/src/tamaracktide/core/quarantine.py
@@ -0,0 +1,149 @@
+"""Requests that crash their upstreams: suspects and quarantine.
+
+A request that ran when its upstream was lost is a suspect and runs alone from
+then on. One that completes alone is innocent. One that loses a further
+upstream alone is quarantined for a time. A request runs alone only after an
+earlier loss, so a loss alone is the second at least, also if another
+scheduler saw the first.
+
+Requests are known by a fingerprint of their content.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from tamaracktide import invariants
+
+LOSSES_TO_QUARANTINE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuarantineSettings:
+    """How long verdicts hold and how many are kept.
+
+    Attributes:
+        suspect_s: Time that a request stays a suspect after a loss.
+        quarantine_s: Time that a quarantined request is refused.
+        told_s: Time that a quarantine is told to others; less than
+            `quarantine_s`, so that peers can't keep it alive by turns.
+        max_suspects: Suspects that are remembered.
+        max_quarantined: Quarantined requests that are remembered and told.
+    """
+
+    suspect_s: float = 600.0
+    quarantine_s: float = 600.0
+    told_s: float = 60.0
+    max_suspects: int = 4096
+    max_quarantined: int = 256
+
+
+@dataclasses.dataclass(slots=True)
+class _Suspect:
+    """What speaks against a request."""
+
+    losses: int
+    lost_at: float
+
+
+class Quarantine:
+    """What one scheduler knows of requests that crash upstreams."""
+
+    __slots__ = ("_quarantined", "_settings", "_suspects")
+
+    def __init__(self, settings: QuarantineSettings) -> None:
+        """Starts without suspects."""
+        invariants.check(
+            settings.told_s < settings.quarantine_s,
+            f"told for {settings.told_s} s, held {settings.quarantine_s} s",
+        )
+        self._settings = settings
+        self._suspects: dict[str, _Suspect] = {}
+        self._quarantined: dict[str, float] = {}
+
+    def note_lost(self, fingerprint: str, alone: bool, now: float) -> None:
+        """Takes in that a request ran when its upstream was lost.
+
+        Args:
+            fingerprint: The request's.
+            alone: Whether nothing else ran on the upstream.
+            now: Present time, seconds.
+        """
+        self._forget_old(now)
+        known = self._suspects.pop(fingerprint, None)
+        losses = known.losses + 1 if known is not None else 1
+        if not alone:
+            self._suspects[fingerprint] = _Suspect(losses, now)
+            _keep_newest(self._suspects, self._settings.max_suspects)
+            return
+        losses = max(losses, LOSSES_TO_QUARANTINE)
+        invariants.check(
+            losses >= LOSSES_TO_QUARANTINE,
+            f"{fingerprint} quarantined after {losses} losses",
+        )
+        self._quarantine(fingerprint, now)
+
+    def note_completed(self, fingerprint: str, alone: bool, now: float) -> None:
+        """Takes in that a request ended and its upstream went on."""
+        self._forget_old(now)
+        if alone:
+            self._suspects.pop(fingerprint, None)
+
+    def learn(self, fingerprints: Iterable[str], now: float) -> None:
+        """Takes in what a peer has quarantined."""
+        self._forget_old(now)
+        for fingerprint in fingerprints:
+            if fingerprint and fingerprint not in self._quarantined:
+                self._quarantine(fingerprint, now)
+
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Whether a request must be refused."""
+        self._forget_old(now)
+        return fingerprint in self._quarantined
+
+    def must_run_alone(self, fingerprint: str, now: float) -> bool:
+        """Whether no other request may run beside a request."""
+        self._forget_old(now)
+        return fingerprint in self._suspects
+
+    def list_told(self, now: float) -> tuple[str, ...]:
+        """Returns the quarantined fingerprints to tell others, sorted."""
+        self._forget_old(now)
+        limit = now - self._settings.told_s
+        return tuple(
+            sorted(one for one, at in self._quarantined.items() if at > limit)
+        )
+
+    def count_quarantined(self, now: float) -> int:
+        """Returns how many requests are refused."""
+        self._forget_old(now)
+        return len(self._quarantined)
+
+    def _quarantine(self, fingerprint: str, now: float) -> None:
+        self._suspects.pop(fingerprint, None)
+        self._quarantined.pop(fingerprint, None)
+        self._quarantined[fingerprint] = now
+        _keep_newest(self._quarantined, self._settings.max_quarantined)
+
+    def _forget_old(self, now: float) -> None:
+        """Drops aged facts; both dictionaries are in order of time."""
+        while self._suspects:
+            fingerprint, suspect = next(iter(self._suspects.items()))
+            if now - suspect.lost_at < self._settings.suspect_s:
+                break
+            del self._suspects[fingerprint]
+        while self._quarantined:
+            fingerprint, at = next(iter(self._quarantined.items()))
+            if now - at < self._settings.quarantine_s:
+                break
+            del self._quarantined[fingerprint]
+        invariants.check(
+            self._suspects.keys().isdisjoint(self._quarantined),
+            "a quarantined request is a suspect as well",
+        )
+
+
+def _keep_newest(
+    facts: dict[str, _Suspect] | dict[str, float], most: int
+) -> None:
+    while len(facts) > most:
+        del facts[next(iter(facts))]
--- a/src/tamaracktide/core/table_assembly.py
+++ b/src/tamaracktide/core/table_assembly.py
@@ -2,6 +2,7 @@
 
 Heads and shards come from the platform or from peers, in any order, late or
 more than once. A revision is in force once every shard of its head is there.
+A reader that needs no routes assembles the pools only.
 """
 
 from collections.abc import Iterable
@@ -12,6 +13,7 @@
 from tamaracktide import result_codes
 from tamaracktide.core import rows
 from tamaracktide.core import table_head
+from tamaracktide.core import table_shards
 from tamaracktide.core import tables
 
 
@@ -23,12 +25,18 @@
         head: Head of the snapshot in force, None before the first.
     """
 
-    def __init__(self) -> None:
-        """Starts with empty tables at revision 0."""
+    def __init__(self, *, wants_routes: bool = True) -> None:
+        """Starts with empty tables at revision 0.
+
+        Args:
+            wants_routes: Whether routes are assembled beside the pools.
+        """
         self.tables = tables.EMPTY
+        self._wants_routes = wants_routes
+        self._cache = table_shards.RowCache()
         self.head: table_head.Head | None = None
         self._pending: table_head.Head | None = None
-        self._shards: dict[str, tables.Shard] = {}
+        self._shards: dict[str, table_shards.EncodedShard] = {}
         self._pools: dict[str, Mapping[str, rows.Pool]] = {}
 
     @property
@@ -47,7 +55,7 @@
         if head.revision <= self.newest_revision:
             return False
         self._pending = head
-        wanted = set(head.routes)
+        wanted = self._list_wanted(head)
         self._shards = {k: v for k, v in self._shards.items() if k in wanted}
         self._pools = {k: v for k, v in self._pools.items() if k == head.pools}
         self._apply_when_complete()
@@ -71,7 +79,7 @@
         """Returns the hashes that the newer revision still lacks."""
         if self._pending is None:
             return []
-        missing = set(self._pending.routes) - self._shards.keys()
+        missing = self._list_wanted(self._pending) - self._shards.keys()
         if self.head is not None:
             missing.difference_update(self.head.routes)
         if not self._has_pools(self._pending.pools):
@@ -80,34 +88,43 @@
 
     def read_shards(self, hashes: Iterable[str]) -> dict[str, bytes]:
         """Returns the content of the shards that are at hand."""
-        index = self._index_hashes()
-        return {
-            digest: table_head.encode_rows(index[digest].values())
-            for digest in hashes
-            if digest in index
-        }
+        known = self._index_shards()
+        contents: dict[str, bytes] = {}
+        for digest in hashes:
+            if digest in known:
+                contents[digest] = known[digest].read_content()
+            elif digest in self._pools:
+                contents[digest] = _encode_pools(self._pools[digest])
+            elif self.head is not None and self.head.pools == digest:
+                contents[digest] = _encode_pools(self.tables.pools)
+        return contents
+
+    def _list_wanted(self, head: table_head.Head) -> set[str]:
+        return set(head.routes) if self._wants_routes else set()
 
     def _accept_content(self, digest: str, content: bytes) -> None:
         if self._pending is None:
             return
         if digest == self._pending.pools:
             self._pools[digest] = table_head.decode_pools(content)
-        if digest in self._pending.routes:
-            self._shards[digest] = table_head.decode_routes(content)
+        if digest in self._list_wanted(self._pending):
+            self._shards[digest] = table_shards.EncodedShard(
+                digest,
+                content,
+                table_head.decode_routes(content).values(),
+                self._cache,
+            )
 
     def _has_pools(self, digest: str) -> bool:
         in_force = self.head is not None and self.head.pools == digest
         return in_force or digest in self._pools
 
-    def _index_hashes(self) -> dict[str, Mapping[str, tables.Row]]:
-        index: dict[str, Mapping[str, tables.Row]] = {
-            **self._shards,
-            **self._pools,
-        }
-        if self.head is not None:
-            shards = self.tables.routes.shards
-            index.update(zip(self.head.routes, shards, strict=True))
-            index[self.head.pools] = self.tables.pools
+    def _index_shards(self) -> dict[str, table_shards.EncodedShard]:
+        """Returns the shards at hand by hash."""
+        index = dict(self._shards)
+        for shard in self.tables.routes.shards:
+            if isinstance(shard, table_shards.EncodedShard):
+                index[shard.digest] = shard
         return index
 
     def _apply_when_complete(self) -> None:
@@ -126,17 +143,16 @@
         self._pools = {}
 
     def _build_tables(self, head: table_head.Head) -> tables.Tables:
-        known = dict(self._shards)
         pools = self._pools.get(head.pools, self.tables.pools)
-        if self.head is not None:
-            shards = self.tables.routes.shards
-            known.update(zip(self.head.routes, shards, strict=True))
-        return tables.replace_shards(
-            self.tables,
-            head.revision,
-            tuple(known[digest] for digest in head.routes),
-            pools,
-        )
+        if not self._wants_routes:
+            return tables.Tables(head.revision, tables.EMPTY.routes, pools)
+        known = self._index_shards()
+        shards = tuple(known[digest] for digest in head.routes)
+        return tables.Tables(head.revision, tables.ShardedRoutes(shards), pools)
+
+
+def _encode_pools(pools: Mapping[str, rows.Pool]) -> bytes:
+    return table_head.encode_rows(pools.values())
 
 
 def _check_hash(digest: str, content: bytes) -> None:
--- a/src/tamaracktide/core/table_checks.py
+++ b/src/tamaracktide/core/table_checks.py
@@ -69,7 +69,7 @@
 def find_table_faults(snapshot: tables.Tables) -> list[Fault]:
     """Returns what rows of a snapshot break with regard to each other."""
     faults = _find_upstream_faults(snapshot.pools.values())
-    for route in snapshot.routes.values():
+    for route in snapshot.routes.iterate_routes():
         faults.extend(_find_route_faults(route, snapshot.pools))
     return sorted(faults)
 
--- a/src/tamaracktide/core/table_edits.py
+++ b/src/tamaracktide/core/table_edits.py
@@ -107,9 +107,14 @@
     pools: tuple[PoolChange, ...] = ()
 
 
+def make_revision_prefix(revision: int) -> str:
+    """Returns the prefix of records of a revision; prefixes sort as they do."""
+    return f"{EDITS_PREFIX}{revision:010d}/"
+
+
 def make_record_key(revision: int, edit_id: str, part: int) -> str:
     """Returns the key of a part of an edit's record."""
-    return f"{EDITS_PREFIX}{revision:010d}/{edit_id}/{part:04d}"
+    return f"{make_revision_prefix(revision)}{edit_id}/{part:04d}"
 
 
 def make_records(
@@ -177,12 +182,11 @@
             changes.append(PutRow(row, base))
     if not prune:
         return tuple(changes)
-    for table in (snapshot.routes, snapshot.pools):
-        changes.extend(
-            DeleteRow(row)
-            for row in table.values()
-            if (type(row), row.name) not in names
-        )
+    present: list[tables.Row] = [*snapshot.routes.iterate_routes()]
+    present.extend(snapshot.pools.values())
+    changes.extend(
+        DeleteRow(row) for row in present if (type(row), row.name) not in names
+    )
     return tuple(changes)
 
 
@@ -233,7 +237,8 @@
             case DeleteRow(rows.Pool() as pool):
                 pools.pop(pool.name, None)
     shards = _change_shards(snapshot.routes, puts, deletions)
-    return tables.replace_shards(snapshot, snapshot.revision + 1, shards, pools)
+    routes = tables.ShardedRoutes(shards)
+    return tables.Tables(snapshot.revision + 1, routes, pools)
 
 
 def _change_shards(
@@ -246,7 +251,8 @@
     removed = sum(name in routes for name in deletions)
     needed = tables.choose_shard_count(len(routes) + added - removed, count)
     if needed != count:
-        whole = {**routes, **puts}
+        whole = {route.name: route for route in routes.iterate_routes()}
+        whole.update(puts)
         kept = [r for name, r in whole.items() if name not in deletions]
         return tables.split_routes(kept, needed)
     shards: list[tables.Shard] = list(routes.shards)
--- a/src/tamaracktide/core/tables.py
+++ b/src/tamaracktide/core/tables.py
@@ -1,7 +1,7 @@
 """Immutable snapshots of the routes and pools tables.
 
 Routes are held in shards, each chosen by a hash of the route's name, so that
-an edit copies only the shards that it changes.
+an edit copies only the shards that it changes and snapshots share the others.
 """
 
 from collections.abc import Iterable
@@ -12,13 +12,14 @@
 import xxhash
 
 from tamaracktide.core import rows
+from tamaracktide.core import table_shards
 
 ROUTES_PER_SHARD = 256
 MIN_ROUTES_PER_SHARD = 64
 MAX_ROUTES_PER_SHARD = 512
 
 Row = rows.Route | rows.Pool
-Shard = Mapping[str, rows.Route]
+Shard = table_shards.Shard
 
 
 def find_shard_index(name: str, shard_count: int) -> int:
@@ -77,6 +78,11 @@
         """Returns the number of routes."""
         return self._length
 
+    def iterate_routes(self) -> Iterator[rows.Route]:
+        """Iterates over the routes, shard by shard."""
+        for shard in self.shards:
+            yield from table_shards.list_routes(shard)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tables:
@@ -86,13 +92,11 @@
         revision: Grows by one with each edit; 0 is before the first edit.
         routes: Routes by name.
         pools: Pools by name.
-        customer_routes: Names of the routes of each customer.
     """
 
     revision: int
     routes: ShardedRoutes
     pools: Mapping[str, rows.Pool]
-    customer_routes: Mapping[str, frozenset[str]]
 
     def find_route(self, name: str) -> rows.Route | None:
         """Returns the route of a name, None if there is none."""
@@ -104,8 +108,12 @@
 
     def list_customer_routes(self, customer: str) -> list[rows.Route]:
         """Returns the customer's routes, ordered by name."""
-        names = self.customer_routes.get(customer, frozenset())
-        return [self.routes[name] for name in sorted(names)]
+        found = [
+            route
+            for shard in self.routes.shards
+            for route in table_shards.list_customer_routes(shard, customer)
+        ]
+        return sorted(found, key=lambda route: route.name)
 
 
 def make_tables(
@@ -118,61 +126,9 @@
     all_routes = list(routes)
     count = choose_shard_count(len(all_routes), shard_count)
     shards = split_routes(all_routes, count)
-    return replace_shards(
-        Tables(revision, ShardedRoutes(({},)), {}, {}),
-        revision,
-        shards,
-        {pool.name: pool for pool in pools},
-    )
-
-
-def replace_shards(
-    tables: Tables,
-    revision: int,
-    shards: tuple[Shard, ...],
-    pools: Mapping[str, rows.Pool],
-) -> Tables:
-    """Returns a snapshot with other shards, sharing what stays the same."""
     return Tables(
-        revision,
-        ShardedRoutes(shards),
-        pools,
-        _index_customers(tables, shards),
+        revision, ShardedRoutes(shards), {pool.name: pool for pool in pools}
     )
 
 
-def _index_customers(
-    tables: Tables, shards: tuple[Shard, ...]
-) -> dict[str, frozenset[str]]:
-    before, after = _list_changed(tables.routes.shards, shards)
-    changed: dict[str, set[str]] = {}
-    for route in before:
-        _copy_names(changed, tables, route.customer).discard(route.name)
-    for route in after:
-        _copy_names(changed, tables, route.customer).add(route.name)
-    index = dict(tables.customer_routes)
-    for customer, names in changed.items():
-        index[customer] = frozenset(names)
-        if not names:
-            del index[customer]
-    return index
-
-
-def _copy_names(
-    changed: dict[str, set[str]], tables: Tables, customer: str
-) -> set[str]:
-    if customer not in changed:
-        changed[customer] = set(tables.customer_routes.get(customer, ()))
-    return changed[customer]
-
-
-def _list_changed(
-    old: tuple[Shard, ...], new: tuple[Shard, ...]
-) -> tuple[list[rows.Route], list[rows.Route]]:
-    kept = {id(shard) for shard in old} & {id(shard) for shard in new}
-    before = [r for s in old if id(s) not in kept for r in s.values()]
-    after = [r for s in new if id(s) not in kept for r in s.values()]
-    return before, after
-
-
-EMPTY = Tables(0, ShardedRoutes(({},)), {}, {})
+EMPTY = Tables(0, ShardedRoutes(({},)), {})
--- a/src/tamaracktide/ctl/arguments.py
+++ b/src/tamaracktide/ctl/arguments.py
@@ -12,6 +12,7 @@
 from tamaracktide import result_codes
 
 FIRE_FLAGS_SEPARATOR = "--"
+HELP_FLAGS = ("--help", "-h")
 
 
 def quote_words(words: Iterable[str]) -> list[str]:
@@ -27,6 +28,21 @@
     return quoted
 
 
+def move_help(words: Iterable[str]) -> list[str]:
+    """Returns the words with a help flag where Fire itself reads it.
+
+    Fire would pass the flag on to a command that takes any flags.
+    """
+    kept = list(words)
+    end = len(kept)
+    if FIRE_FLAGS_SEPARATOR in kept:
+        end = kept.index(FIRE_FLAGS_SEPARATOR)
+    own = [word for word in kept[:end] if word not in HELP_FLAGS]
+    if len(own) == end:
+        return kept
+    return [*own, FIRE_FLAGS_SEPARATOR, HELP_FLAGS[0]]
+
+
 def parse_revision(text: str | int) -> int:
     """Returns a revision; 0 stands for none.
 
--- a/src/tamaracktide/ctl/editing.py
+++ b/src/tamaracktide/ctl/editing.py
@@ -173,12 +173,16 @@
         revision = await session.commit(changes, summary)
     printer.print_value(
         {"revision": revision, "changes": len(changes)},
-        f"{len(changes)} rows changed, revision {revision}"
+        f"{_count_rows(len(changes))} changed, revision {revision}"
         if changes
         else f"nothing to change, revision {revision}",
     )
 
 
+def _count_rows(count: int) -> str:
+    return "1 row" if count == 1 else f"{count} rows"
+
+
 def _print_changes(
     printer: output.Printer,
     title: str,
--- a/src/tamaracktide/ctl/exits.py
+++ b/src/tamaracktide/ctl/exits.py
@@ -6,6 +6,8 @@
 UNEXPECTED_STATUS = 1
 USAGE_STATUS = 2
 
+MAX_DETAILS = 20
+
 _STATUSES = {
     result_codes.ResultCode.TABLE_INVALID: 3,
     result_codes.ResultCode.EDIT_CONFLICT: 4,
@@ -26,11 +28,17 @@
         "look for the edit id in `tamaracktidectl history`; if it is missing,"
         " the same edit may be made again"
     ),
-    result_codes.ResultCode.SETTINGS_INVALID: "mend the settings file",
+    result_codes.ResultCode.SETTINGS_INVALID: (
+        "mend the settings file; `tamaracktidectl print_schema` describes it"
+    ),
     result_codes.ResultCode.PLATFORM_UNAVAILABLE: (
-        "nothing changed; try again when the platform answers"
+        "nothing changed; try again when the platform answers; requests are"
+        " served on with the tables in force"
+    ),
+    result_codes.ResultCode.ROW_UNKNOWN: (
+        "`get` lists the rows, `history` the revisions, `status` the"
+        " instances; gateways remember their latest requests only"
     ),
-    result_codes.ResultCode.ROW_UNKNOWN: "see `tamaracktidectl get`",
     result_codes.ResultCode.NOT_IN_FORCE: (
         "`tamaracktidectl status` shows the instances that lag"
     ),
@@ -48,7 +56,9 @@
     """Returns the text for stderr: the code, each detail, the next step."""
     details = error.detail.split("; ")
     lines = [f"error {error.code.value} {error.code.name}"]
-    lines.extend(f"  {detail}" for detail in details)
+    lines.extend(f"  {detail}" for detail in details[:MAX_DETAILS])
+    if len(details) > MAX_DETAILS:
+        lines.append(f"  and {len(details) - MAX_DETAILS} more")
     if error.code in _NEXT_STEPS:
         lines.append(f"next: {_NEXT_STEPS[error.code]}")
     return "\n".join(lines)
--- a/src/tamaracktide/ctl/files.py
+++ b/src/tamaracktide/ctl/files.py
@@ -14,12 +14,20 @@
     """Returns the checked rows of a file.
 
     Raises:
-        errors.EditError: TABLE_INVALID; the detail names each fault by
-            table, row and column.
+        errors.EditError: BAD_REQUEST, the file cannot be read; or
+            TABLE_INVALID, the detail names each fault by table, row and
+            column.
     """
     try:
-        values = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise errors.EditError(
+            result_codes.ResultCode.BAD_REQUEST,
+            f"{path} cannot be read: {error.strerror}",
+        ) from error
+    try:
+        values = json.loads(text)
+    except ValueError as error:
         raise _make_error(f"{path}: {error}") from error
     if not isinstance(values, dict):
         raise _make_error(f"{path}: not an object with routes and pools")
--- a/src/tamaracktide/ctl/main.py
+++ b/src/tamaracktide/ctl/main.py
@@ -56,7 +56,13 @@
     def get(
         self, table: str = "routes", name: str = "", customer: str = ""
     ) -> None:
-        """Shows a table, one row, or the routes of one customer."""
+        """Shows a table, one row, or the routes of one customer.
+
+        Args:
+            table: routes or pools.
+            name: Name of the only row to show.
+            customer: Customer whose routes are shown.
+        """
         self._run(
             lambda session, printer: editing.show_rows(
                 session, printer, table, name, customer
@@ -77,7 +83,12 @@
         )
 
     def diff(self, file: str, prune: bool = False) -> None:
-        """Shows what applying a file would change."""
+        """Shows what applying a file would change.
+
+        Args:
+            file: Path of an object with the lists "routes" and "pools".
+            prune: Count rows that the file does not have as deleted.
+        """
         self._run(
             lambda session, printer: editing.diff_file(
                 session, printer, file, arguments.parse_switch(prune)
@@ -89,6 +100,13 @@
 
         A row that does not exist is added. A pool's upstreams are given as
         ID,ID,...
+
+        Args:
+            table: routes or pools.
+            name: Name of the row.
+            **columns: Values by column, such as --adapter NAME --version 7
+                --idempotent false --weight 2 of a route, or --kind engine
+                --upstreams ID,ID --max_queue_s 30 of a pool.
         """
         self._run(
             lambda session, printer: editing.edit_row(
@@ -97,7 +115,12 @@
         )
 
     def delete(self, table: str, name: str) -> None:
-        """Deletes one row."""
+        """Deletes one row.
+
+        Args:
+            table: routes or pools.
+            name: Name of the row. A pool that routes name stays.
+        """
         self._run(
             lambda session, printer: editing.delete_row(
                 session, printer, table, name
@@ -105,7 +128,11 @@
         )
 
     def history(self, revision: int = 0) -> None:
-        """Shows the recent edits, or the rows changed by one revision."""
+        """Shows the recent edits, or the rows changed by one revision.
+
+        Args:
+            revision: Revision whose rows are shown; 0 lists the edits.
+        """
         self._run(
             lambda session, printer: editing.show_history(
                 session, printer, arguments.parse_revision(revision)
@@ -113,7 +140,13 @@
         )
 
     def revert(self, revision: int) -> None:
-        """Undoes the edit of a revision by a new edit."""
+        """Undoes the edit of a revision by a new edit.
+
+        Refused as a conflict if a later edit changed one of its rows.
+
+        Args:
+            revision: Revision of the edit, as `history` shows it.
+        """
         self._run(
             lambda session, printer: editing.revert_edit(
                 session, printer, arguments.parse_revision(revision)
@@ -121,11 +154,23 @@
         )
 
     def status(self) -> None:
-        """Shows instances, zones, cells with epochs, and revisions."""
+        """Shows instances, cells and upstreams as they are now.
+
+        Instances: zone, state, revision of the tables in force, requests in
+        progress, schedulers that a gateway cannot reach, and why a daemon
+        did not answer. Cells: owner and queue. Upstreams: owner, epoch,
+        loaded adapters, and adapter names withheld from requests.
+        """
         self._run(operating.show_status)
 
     def drain(self, instance: str) -> None:
-        """Keeps new work from an upstream or instance."""
+        """Keeps new work from an upstream or instance until `undrain`.
+
+        Requests in progress go on to their end.
+
+        Args:
+            instance: Instance id, as `status` shows it.
+        """
         self._run(
             lambda session, printer: operating.drain_instance(
                 session, printer, instance
@@ -133,7 +178,11 @@
         )
 
     def undrain(self, instance: str) -> None:
-        """Gives an upstream or instance new work again."""
+        """Gives an upstream or instance new work again.
+
+        Args:
+            instance: Instance id of a drained upstream or instance.
+        """
         self._run(
             lambda session, printer: operating.undrain_instance(
                 session, printer, instance
@@ -141,7 +190,11 @@
         )
 
     def explain(self, request_id: str) -> None:
-        """Shows which hop decided what about a request, and why."""
+        """Shows which hop decided what about a request, and why.
+
+        Args:
+            request_id: The answer's X-Request-Id.
+        """
         self._run(
             lambda session, printer: operating.explain_request(
                 session, printer, request_id
@@ -151,7 +204,12 @@
     def wait(
         self, revision: int = 0, timeout_s: float = DEFAULT_WAIT_S
     ) -> None:
-        """Waits until a revision (default: the newest) is in force."""
+        """Waits until a revision is in force at every live daemon.
+
+        Args:
+            revision: The revision; 0 stands for the newest.
+            timeout_s: Longest wait, seconds.
+        """
         self._run(
             lambda session, printer: operating.wait_until_in_force(
                 session,
@@ -162,7 +220,11 @@
         )
 
     def key(self, customer: str) -> None:
-        """Prints the API key of a customer."""
+        """Prints the API key of a customer.
+
+        Args:
+            customer: The customer's name, as in its routes.
+        """
 
         async def print_key(
             session: ctl_session.Session, printer: ctl_output.Printer
@@ -197,7 +259,7 @@
 
 def main() -> None:
     """Runs the command line."""
-    words = arguments.quote_words(sys.argv[1:])
+    words = arguments.move_help(arguments.quote_words(sys.argv[1:]))
     fire.Fire(Commands, command=words, name="tamaracktidectl")
 
 
@@ -220,6 +282,10 @@
 
 
 def _read_secret(path: str) -> str:
+    if not path:
+        raise errors.SettingsError(
+            result_codes.ResultCode.SETTINGS_INVALID, "secret_path is not set"
+        )
     try:
         return pathlib.Path(path).read_text(encoding="utf-8").strip()
     except OSError as error:
--- a/src/tamaracktide/ctl/operating.py
+++ b/src/tamaracktide/ctl/operating.py
@@ -1,5 +1,6 @@
 """Commands on the running system: status, drains, explanations, waiting."""
 
+from collections.abc import Mapping
 import time
 
 import anyio
@@ -20,27 +21,31 @@
     "zone",
     "state",
     "revision",
-    "draining",
+    "requests",
+    "unreachable",
     "fault",
 )
-DECISION_COLUMNS = ("at", "gateway", "step", "detail", "upstream", "code")
-CELL_COLUMNS = (
+CELL_COLUMNS = ("pool", "zone", "owner", "running", "capacity", "waiting")
+UPSTREAM_COLUMNS = (
+    "upstream",
     "pool",
     "zone",
     "owner",
+    "epoch",
+    "phase",
     "running",
-    "capacity",
-    "waiting",
-    "upstreams",
+    "loaded",
+    "withheld",
 )
+DECISION_COLUMNS = ("at", "hop", "step", "upstream", "code", "detail")
 
 
 async def show_status(
     session: ctl_session.Session, printer: output.Printer
 ) -> None:
     """Prints every instance, with what each daemon says of itself."""
-    instances = await session.instances.list()
-    drained = await drains.list_drained(session.objects)
+    instances = await session.list_instances()
+    drained = await _list_drained(session)
     answers = await daemons.ask_daemons(
         session.settings, instances, STATUS_PATH
     )
@@ -50,10 +55,12 @@
         for instance in sorted(instances, key=lambda i: (i.role, i.id))
     ]
     cells = [row for answer in answers for row in _list_cell_rows(answer)]
+    upstreams = [row for cell in cells for row in _list_upstream_rows(cell)]
     printer.print_sections(
         [
             output.Section("instances", INSTANCE_COLUMNS, listed),
             output.Section("cells", CELL_COLUMNS, cells),
+            output.Section("upstreams", UPSTREAM_COLUMNS, upstreams),
         ]
     )
 
@@ -87,10 +94,10 @@
 async def explain_request(
     session: ctl_session.Session, printer: output.Printer, request_id: str
 ) -> None:
-    """Prints what each gateway decided about a request, and why."""
+    """Prints which hop decided what about a request, and why, by time."""
     answers = await daemons.ask_daemons(
         session.settings,
-        await session.instances.list(),
+        await session.list_instances(),
         daemons.make_explain_path(request_id),
         roles=("gateway",),
     )
@@ -105,7 +112,10 @@
     printer.print_rows(
         f"request {request_id}",
         DECISION_COLUMNS,
-        [row for answer in found for row in _list_decision_rows(answer)],
+        sorted(
+            (row for answer in found for row in _list_decision_rows(answer)),
+            key=lambda row: str(row["at"]),
+        ),
     )
 
 
@@ -142,7 +152,7 @@
     session: ctl_session.Session, revision: int
 ) -> list[str]:
     try:
-        instances = await session.instances.list()
+        instances = await session.list_instances()
     except errors.PlatformUnavailableError as error:
         return [error.detail]
     live = tuple(item for item in instances if item.state == "live")
@@ -156,23 +166,43 @@
     ]
 
 
+async def _list_drained(session: ctl_session.Session) -> set[str]:
+    try:
+        return await drains.list_drained(session.objects)
+    except errors.PlatformUnavailableError as error:
+        output.print_note(f"drains are not shown: {error.detail}")
+        return set()
+
+
 def _make_instance_row(
     instance: platform_instances.Instance,
     answer: daemons.DaemonAnswer | None,
     drained: set[str],
 ) -> dict[str, object]:
     value = answer.value if answer else {}
+    schedulers = value.get("schedulers", {})
     return {
         "instance": instance.id,
         "role": instance.role,
         "zone": instance.zone,
-        "state": "drained" if instance.id in drained else instance.state,
+        "state": _tell_state(instance, value, drained),
         "revision": value.get("revision"),
-        "draining": value.get("draining"),
+        "requests": value.get("in_progress"),
+        "unreachable": sorted(n for n, up in schedulers.items() if not up),
         "fault": answer.fault if answer else "",
     }
 
 
+def _tell_state(
+    instance: platform_instances.Instance,
+    status: Mapping[str, object],
+    drained: set[str],
+) -> str:
+    if instance.id in drained:
+        return "drained"
+    return "stopping" if status.get("draining") else instance.state
+
+
 def _list_cell_rows(answer: daemons.DaemonAnswer) -> list[dict[str, object]]:
     """Returns the cells that a scheduler owns, one row each."""
     cells = answer.value.get("cells", [])
@@ -183,14 +213,38 @@
     ]
 
 
+def _list_upstream_rows(
+    cell: Mapping[str, object],
+) -> list[dict[str, object]]:
+    """Returns the upstreams of a cell, one row each."""
+    upstreams = cell.get("upstreams", [])
+    if not isinstance(upstreams, list):
+        return []
+    place = {"pool": cell["pool"], "zone": cell["zone"]}
+    # An upstream names an owner only where it is not the cell's own.
+    return [
+        {**upstream, **place, "owner": upstream.get("owner") or cell["owner"]}
+        for upstream in upstreams
+    ]
+
+
 def _list_decision_rows(
     answer: daemons.DaemonAnswer,
 ) -> list[dict[str, object]]:
     """Returns a gateway's decisions about a request, one row each."""
-    rows = []
-    for decision in answer.value.get("decisions", []):
-        at_unix_s = float(decision.get("at_unix_s", 0.0))
-        at = output.show_time(at_unix_s)
-        gateway = answer.instance.id
-        rows.append({"at": at, "gateway": gateway, **decision})
-    return rows
+    return [
+        {
+            **decision,
+            "at": output.show_time(float(decision.get("at_unix_s", 0.0))),
+            "hop": answer.instance.id,
+            "code": _name_code(decision.get("code", 0)),
+        }
+        for decision in answer.value.get("decisions", [])
+    ]
+
+
+def _name_code(number: int) -> str:
+    try:
+        return f"{number} {result_codes.ResultCode(number).name}"
+    except ValueError:
+        return str(number or "")
--- a/src/tamaracktide/ctl/output.py
+++ b/src/tamaracktide/ctl/output.py
@@ -9,6 +9,7 @@
 from typing import Literal
 
 import msgspec
+from rich import box
 from rich import console
 from rich import progress
 from rich import table
@@ -16,6 +17,8 @@
 
 OutputFormat = Literal["table", "json"]
 
+PIPE_WIDTH = 400
+
 Row = Mapping[str, object]
 
 
@@ -40,7 +43,9 @@
     def __init__(self, output: OutputFormat) -> None:
         """Chooses the format."""
         self._output = output
-        self._console = console.Console(soft_wrap=True)
+        # Lines that go to a file or a pipe are not folded.
+        width = None if sys.stdout.isatty() else PIPE_WIDTH
+        self._console = console.Console(soft_wrap=True, width=width)
 
     def print_value(self, value: object, line: str) -> None:
         """Prints a value as JSON, or its line for people."""
@@ -70,7 +75,12 @@
     def _print_grid(
         self, title: str, columns: Sequence[str], rows: Sequence[Row]
     ) -> None:
-        grid = table.Table(title=title, title_justify="left")
+        if not rows:
+            self._console.print(f"{title}: none", markup=False, highlight=False)
+            return
+        grid = table.Table(
+            title=title, title_justify="left", box=box.SIMPLE_HEAD
+        )
         for column in columns:
             grid.add_column(column, overflow="fold")
         for row in rows:
@@ -84,6 +94,11 @@
         sys.stdout.write(data.decode() + "\n")
 
 
+def print_note(text: str) -> None:
+    """Prints a line to stderr."""
+    sys.stderr.write(f"note: {text}\n")
+
+
 def make_progress() -> progress.Progress:
     """Returns a progress bar on stderr."""
     return progress.Progress(
@@ -105,8 +120,10 @@
 
 def _show(value: object) -> str:
     match value:
-        case None:
+        case None | "":
             return "-"
+        case bool():
+            return "yes" if value else "no"
         case list() | tuple():
             return ", ".join(map(_show, value))
         case dict():
--- a/src/tamaracktide/ctl/session.py
+++ b/src/tamaracktide/ctl/session.py
@@ -64,6 +64,22 @@
         await self._collect(revision)
         return revision
 
+    async def list_instances(self) -> tuple[platform_instances.Instance, ...]:
+        """Returns the instance list, or the settings' one in an outage.
+
+        Raises:
+            errors.PlatformUnavailableError: The settings name no instance.
+        """
+        try:
+            return await self.instances.list()
+        except errors.PlatformUnavailableError as error:
+            if not self.settings.instances:
+                raise
+            output.print_note(
+                f"{error.detail}; asking the instances of the settings file"
+            )
+            return self.settings.instances
+
     async def _collect(self, revision: int) -> None:
         editor = self.settings.editor
         if revision % editor.collect_every:
@@ -72,6 +88,9 @@
             await collector.collect_unused_shards(
                 self.objects, time.time(), editor.collect_after_s
             )
+            await collector.collect_old_records(
+                self.objects, editor.history_revisions
+            )
 
 
 @contextlib.asynccontextmanager
--- a/src/tamaracktide/ctl/settings.py
+++ b/src/tamaracktide/ctl/settings.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from tamaracktide.platform import instances as platform_instances
 from tamaracktide.platform import settings as platform_settings
 from tamaracktide.tables import settings as tables_settings
 
@@ -20,6 +21,8 @@
         admin_token: Credential for the daemons' admin calls.
         call_timeout_s: Longest wait for a daemon's answer.
         editor: How edits are committed.
+        instances: Daemons that are asked while the platform's instance list
+            cannot be read.
     """
 
     platform: platform_settings.PlatformSettings
@@ -30,3 +33,4 @@
     editor: tables_settings.EditorSettings = dataclasses.field(
         default_factory=tables_settings.EditorSettings
     )
+    instances: tuple[platform_instances.Instance, ...] = ()
--- a/src/tamaracktide/gateway/admission.py
+++ b/src/tamaracktide/gateway/admission.py
@@ -57,6 +57,7 @@
         prefix: Hash of the prompt's beginning.
         avoid: Upstreams that must not run it.
         alone: Whether nothing may run beside it.
+        fingerprint: Hash of the request's content.
         traceparent: W3C trace context.
     """
 
@@ -69,6 +70,7 @@
     prefix: str
     avoid: tuple[str, ...] = ()
     alone: bool = False
+    fingerprint: str = ""
     traceparent: str = ""
 
 
@@ -212,6 +214,7 @@
             prefix=ask.prefix,
             avoid=ask.avoid,
             alone=ask.alone,
+            fingerprint=ask.fingerprint,
             suspects=owner.suspects,
             traceparent=ask.traceparent,
         )
--- a/src/tamaracktide/gateway/app.py
+++ b/src/tamaracktide/gateway/app.py
@@ -139,6 +139,8 @@
             tasks.cancel_scope.cancel()
         if failure is not None:
             raise failure
+        if not responder.finished:
+            raise asgi.make_error(Codes.CALLER_LEFT)
 
     def _check_limits(self, scope: asgi.Scope) -> None:
         limits = self._parts.settings.http
@@ -255,6 +257,8 @@
 async def _tell_error(
     responder: asgi.Responder, error: errors.TamaracktideError
 ) -> None:
+    if error.code is Codes.CALLER_LEFT:
+        return
     if responder.started:
         await responder.finish(asgi.encode_error_event(error))
         return
--- a/src/tamaracktide/gateway/asgi.py
+++ b/src/tamaracktide/gateway/asgi.py
@@ -76,6 +76,7 @@
         content_type: Its media type.
         code: Result code that the answer carries.
         headers: Further headers.
+        whole: Whether `body` is the whole answer, to be kept for repeats.
     """
 
     status: int
@@ -83,6 +84,7 @@
     content_type: str = JSON_TYPE
     code: result_codes.ResultCode = result_codes.ResultCode.OK
     headers: Headers = ()
+    whole: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -165,15 +167,17 @@
 
     Attributes:
         started: Whether the answer's status has been sent.
+        finished: Whether its last part has been sent.
     """
 
-    __slots__ = ("_request_id", "_send", "started")
+    __slots__ = ("_request_id", "_send", "finished", "started")
 
     def __init__(self, send: Send, request_id: str) -> None:
         """Builds the responder of one request."""
         self._send = send
         self._request_id = request_id
         self.started = False
+        self.finished = False
 
     async def start(
         self,
@@ -205,6 +209,7 @@
 
     async def finish(self, part: bytes = b"") -> None:
         """Sends the last part of the body."""
+        self.finished = True
         await self._send({"type": "http.response.body", "body": part})
 
     async def reply(self, reply: Reply) -> None:
--- a/src/tamaracktide/gateway/claims.py
+++ b/src/tamaracktide/gateway/claims.py
@@ -125,8 +125,9 @@
             answer: The answer to keep; its body is left out if too large.
         """
         body = answer.body if answer else b""
+        kept = answer is not None and answer.whole
         if len(body) > self._settings.max_kept_bytes:
-            body = b""
+            body, kept = b"", False
         self.unreported += 1
         self._send.send_nowait(
             messages.OutcomeReport(
@@ -137,6 +138,7 @@
                 status=answer.status if answer else 0,
                 content_type=answer.content_type if answer else "",
                 body=body,
+                body_kept=kept,
             )
         )
 
@@ -201,7 +203,9 @@
     match reply.state:
         case "claimed":
             return claim
-        case "completed" if not reply.body and reply.status not in BODILESS:
+        case "completed" if not (
+            reply.body_kept or reply.body or reply.status in BODILESS
+        ):
             raise asgi.make_error(
                 Codes.OUTCOME_UNKNOWN,
                 f"the request of idempotency key {claim.key!r} was answered "
--- a/src/tamaracktide/gateway/completions.py
+++ b/src/tamaracktide/gateway/completions.py
@@ -1,5 +1,6 @@
 """Answers completion requests."""
 
+import anyio
 import msgspec
 
 from tamaracktide import errors
@@ -42,7 +43,8 @@
             customer,
             rows.UpstreamKind.ENGINE,
         )
-        if prompt.fingerprint in self._parts.schedulers.quarantined:
+        now = anyio.current_time()
+        if self._parts.is_quarantined(prompt.fingerprint, now):
             raise asgi.make_error(Codes.QUARANTINED)
         job = engine_runs.Job(request=request, prompt=prompt, target=target)
         key = request.find_header(b"idempotency-key")
@@ -95,6 +97,7 @@
         return asgi.Reply(
             status=200,
             body=bytes(sink.kept or b""),
+            whole=sink.kept is not None,
             content_type=asgi.EVENT_STREAM_TYPE,
         )
     try:
--- a/src/tamaracktide/gateway/engine_runs.py
+++ b/src/tamaracktide/gateway/engine_runs.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from tamaracktide import result_codes
 from tamaracktide.core import attempts
 from tamaracktide.gateway import admission
 from tamaracktide.gateway import asgi
@@ -47,6 +48,7 @@
     detail: str
 
 
+Codes = result_codes.ResultCode
 Ended = attempts.Completed | results.Rejected | Failed
 _Step = attempts.Action | results.Rejected
 
@@ -87,8 +89,16 @@
 
     async def _try_all(self) -> _Step:
         avoid: tuple[str, ...] = ()
-        alone = False
+        fingerprint = self._job.prompt.fingerprint
+        alone = self._parts.quarantine.must_run_alone(
+            fingerprint, anyio.current_time()
+        )
         while True:
+            now = anyio.current_time()
+            if self._parts.is_quarantined(fingerprint, now):
+                return self._attempts.handle(
+                    attempts.AskRefused(Codes.QUARANTINED, 0.0)
+                )
             step = await self._try_once(avoid, alone)
             if not isinstance(step, attempts.AskAgain):
                 return step
@@ -99,7 +109,7 @@
             )
             self._sink.clear()
             await anyio.sleep(step.wait_s)
-            avoid, alone = step.avoid, step.alone
+            avoid, alone = step.avoid, alone or step.alone
 
     async def _try_once(self, avoid: tuple[str, ...], alone: bool) -> _Step:
         with traces.start_span("gateway.ask") as span:
@@ -118,7 +128,7 @@
             {"pool": pool}, reply.queued_s
         )
         self._job.request.note.upstream = reply.upstream
-        use = _GrantUse(self._parts, self._job, result)
+        use = _GrantUse(self._parts, self._job, result, alone=alone)
         try:
             self._attempts.handle(attempts.Granted(reply.upstream))
             with traces.start_span(
@@ -142,6 +152,7 @@
             prefix=job.prompt.prefix,
             avoid=avoid,
             alone=alone,
+            fingerprint=job.prompt.fingerprint,
             traceparent=traceparent,
         )
 
@@ -176,6 +187,8 @@
             step = await self._handle_result(result, relay, use)
             use.generated_tokens = relay.offset
             if not isinstance(step, attempts.Resume):
+                if not use.finished:
+                    use.note_lost(crashed=self._is_crash(result))
                 return step
             self._record("resume", f"at {step.offset}: {self._detail}")
             self._parts.metrics.stream_resumes.inc(
@@ -212,10 +225,13 @@
             case calls.Failure():
                 self._detail = result.detail
                 step = self._attempts.handle(attempts.ResumeFailed(gone=False))
-        if not isinstance(step, attempts.Resume):
-            use.note_lost(crashed=not self._attempts.silent)
         return step
 
+    def _is_crash(self, result: results.Stream | results.Resumption) -> bool:
+        """Whether a lost engine fell by a crash, not by a silent link."""
+        gone = isinstance(result, results.StreamUnknown)
+        return gone or not self._attempts.silent
+
     async def _relay(
         self,
         answer: upstream_streams.StreamedAnswer,
@@ -267,9 +283,15 @@
     """One grant in use, given back at the end whatever happens."""
 
     def __init__(
-        self, parts: gateway_parts.Parts, job: Job, grant: grants.Grant
+        self,
+        parts: gateway_parts.Parts,
+        job: Job,
+        grant: grants.Grant,
+        *,
+        alone: bool,
     ) -> None:
         self._parts = parts
+        self._alone = alone
         self._job = job
         self._lost = False
         self._adapter_missing = False
@@ -289,12 +311,23 @@
 
     def note_lost(self, *, crashed: bool) -> None:
         self._lost = True
-        if crashed:
-            self._suspect = self._job.prompt.fingerprint
+        if not crashed:
+            return
+        fingerprint = self._job.prompt.fingerprint
+        self._suspect = fingerprint
+        self._parts.quarantine.note_lost(
+            fingerprint, self._alone, anyio.current_time()
+        )
 
     async def end(self) -> None:
         """Cancels what may still run and gives the grant back."""
         reply = self.grant.reply
+        if self.finished and self.generated_tokens:
+            self._parts.quarantine.note_completed(
+                self._job.prompt.fingerprint,
+                self._alone,
+                anyio.current_time(),
+            )
         if self.dispatched and not self.finished:
             self._parts.tasks.start_soon(
                 self._parts.engines.cancel, reply.address, reply.request_id
--- a/src/tamaracktide/gateway/grants.py
+++ b/src/tamaracktide/gateway/grants.py
@@ -1,5 +1,6 @@
 """The grants that the gateway has in use."""
 
+from collections.abc import Collection
 import dataclasses
 
 from tamaracktide.core import rows
@@ -53,9 +54,18 @@
         }
 
     def make_reply(
-        self, cell: rows.CellId, query_id: str
+        self,
+        cell: rows.CellId,
+        query_id: str,
+        upstreams: Collection[str] = (),
     ) -> messages.OutstandingReply:
-        """Returns the grants of a cell, whoever gave them."""
+        """Returns the grants of a cell, whoever gave them.
+
+        Args:
+            cell: The cell.
+            query_id: The query that is answered, empty for none.
+            upstreams: Further upstreams, which may have changed their pool.
+        """
         return messages.OutstandingReply(
             query_id=query_id,
             pool=cell.pool,
@@ -69,6 +79,6 @@
                     customer=grant.customer,
                 )
                 for grant in self._grants.values()
-                if grant.cell == cell
+                if grant.cell == cell or grant.reply.upstream in upstreams
             ),
         )
--- a/src/tamaracktide/gateway/main.py
+++ b/src/tamaracktide/gateway/main.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import gc
 import random
 import signal
 import uuid
@@ -25,6 +26,7 @@
 
 STOP_POLL_S = 0.05
 REPORT_TIMEOUT_S = 10.0
+COLLECT_THRESHOLDS = (20_000, 20, 20)
 
 
 class _Server(uvicorn.Server):
@@ -85,6 +87,7 @@
             log_config=None,
             access_log=False,
             server_header=False,
+            proxy_headers=True,
             timeout_keep_alive=http.keep_alive_s,
         )
     )
@@ -130,6 +133,9 @@
     traces.configure_traces(
         checked.observability, gateway_parts.ROLE, checked.instance
     )
+    # Each collection halts all streams; what was imported stays anyway.
+    gc.freeze()
+    gc.set_threshold(*COLLECT_THRESHOLDS)
     try:
         anyio.run(serve, checked, backend="asyncio")
     finally:
--- a/src/tamaracktide/gateway/operators.py
+++ b/src/tamaracktide/gateway/operators.py
@@ -3,6 +3,8 @@
 import dataclasses
 import hmac
 
+import anyio
+
 from tamaracktide import result_codes
 from tamaracktide.gateway import asgi
 from tamaracktide.gateway import parts as gateway_parts
@@ -90,7 +92,10 @@
     def _render_metrics(self, headers: asgi.Headers) -> asgi.Reply:
         instruments = self._parts.metrics
         instruments.table_revision.set({}, self._parts.tables.tables.revision)
-        instruments.quarantined.set({}, len(self._parts.schedulers.quarantined))
+        now = anyio.current_time()
+        instruments.quarantined.set(
+            {}, self._parts.quarantine.count_quarantined(now)
+        )
         accept = asgi.find_header(headers, b"accept")
         body, content_type = instruments.render([accept])
         return asgi.Reply(status=200, body=body, content_type=content_type)
--- a/src/tamaracktide/gateway/parts.py
+++ b/src/tamaracktide/gateway/parts.py
@@ -5,6 +5,7 @@
 
 import anyio.abc
 
+from tamaracktide.core import quarantine
 from tamaracktide.core import retry_budget
 from tamaracktide.gateway import admission
 from tamaracktide.gateway import claims
@@ -38,6 +39,7 @@
         schedulers: Links to schedulers.
         admission: Asks for grants.
         claims: Claims idempotency keys.
+        quarantine: Requests that may crash upstreams.
         caller: Connections to upstreams.
         stream_caller: Connections for streamed answers.
         pace: Spaces out the reads of streams.
@@ -57,6 +59,7 @@
     schedulers: schedulers.SchedulerPool
     admission: admission.Admission
     claims: claims.Claims
+    quarantine: quarantine.Quarantine
     caller: calls.Caller
     stream_caller: upstream_streams.StreamCaller
     pace: streams.Pace
@@ -68,6 +71,11 @@
     rng: random.Random
     tasks: anyio.abc.TaskGroup
 
+    def is_quarantined(self, fingerprint: str, now: float) -> bool:
+        """Whether a request is refused as one that crashes upstreams."""
+        self.quarantine.learn(self.schedulers.quarantined, now)
+        return self.quarantine.is_quarantined(fingerprint, now)
+
 
 def make_parts(
     settings: gateway_settings.GatewaySettings,
@@ -115,6 +123,7 @@
         schedulers=pool,
         admission=admission.Admission(members, pool, records, settings.zone),
         claims=claims.Claims(settings, pool, incarnation, instruments),
+        quarantine=quarantine.Quarantine(settings.quarantine),
         caller=caller,
         stream_caller=stream_caller,
         pace=streams.Pace(),
--- a/src/tamaracktide/gateway/schedulers.py
+++ b/src/tamaracktide/gateway/schedulers.py
@@ -153,7 +153,11 @@
             case messages.OutstandingQuery():
                 self.epochs.observe_all(message.epochs)
                 cell = rows.CellId(message.pool, message.zone)
-                await link.send(self.grants.make_reply(cell, message.query_id))
+                await link.send(
+                    self.grants.make_reply(
+                        cell, message.query_id, message.epochs
+                    )
+                )
             case messages.Digest():
                 await self._take_digest(link, message)
             case messages.TableReply():
--- a/src/tamaracktide/gateway/settings.py
+++ b/src/tamaracktide/gateway/settings.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from tamaracktide.core import attempts
+from tamaracktide.core import claim_records
+from tamaracktide.core import quarantine as core_quarantine
 from tamaracktide.observability import settings as observability_settings
 from tamaracktide.platform import settings as platform_settings
 from tamaracktide.protocol import settings as protocol_settings
@@ -59,7 +61,7 @@
     timeout_s: Seconds = 3.0
     max_tries: Annotated[int, msgspec.Meta(ge=1, le=10)] = 2
     max_key_bytes: Size = 256
-    max_kept_bytes: Size = 16_384
+    max_kept_bytes: Size = claim_records.ANSWER_LIMIT_BYTES
     report_tries: Annotated[int, msgspec.Meta(ge=1, le=100)] = 10
     report_backoff_s: Seconds = 0.5
 
@@ -79,6 +81,7 @@
         tables: How the tables are followed.
         retries: When requests are tried again.
         claims: How idempotency keys are claimed.
+        quarantine: How long verdicts on crashing requests hold.
         observability: Logs and traces.
         instances_period_s: Time between two reads of the instance list.
         decision_records: Requests whose decisions are kept.
@@ -105,6 +108,9 @@
         default_factory=attempts.RetrySettings
     )
     claims: ClaimSettings = dataclasses.field(default_factory=ClaimSettings)
+    quarantine: core_quarantine.QuarantineSettings = dataclasses.field(
+        default_factory=core_quarantine.QuarantineSettings
+    )
     observability: observability_settings.ObservabilitySettings = (
         dataclasses.field(
             default_factory=observability_settings.ObservabilitySettings
--- a/src/tamaracktide/load/checks.py
+++ b/src/tamaracktide/load/checks.py
@@ -27,6 +27,7 @@
 class _ErrorFields(msgspec.Struct):
     code: int = 0
     execution: str = ""
+    retry_after_s: float | None = None
 
 
 class _ErrorBody(msgspec.Struct):
@@ -97,6 +98,15 @@
         return 0
 
 
+def read_retry_after(body: bytes) -> float | None:
+    """Returns when a refused caller may come back, None if not told."""
+    try:
+        error = msgspec.json.decode(body, type=_ErrorBody).error
+    except msgspec.MsgspecError:
+        return None
+    return error.retry_after_s
+
+
 def _check_stream(call: mix.ModelCall, body: bytes) -> Verdict:
     texts: list[str] = []
     model = call.route.name
--- a/src/tamaracktide/load/main.py
+++ b/src/tamaracktide/load/main.py
@@ -1,12 +1,15 @@
 """The program `tamaracktide-load`."""
 
 import collections
+from collections.abc import Sequence
 import dataclasses
 import pathlib
 import sys
+from typing import Any
 import uuid
 
 import anyio
+import anyio.abc
 import fire
 import httpcore
 import msgspec
@@ -42,11 +45,40 @@
         runner = sender.Sender(settings, pool)
         pending = iter(enumerate(calls))
         async with anyio.create_task_group() as tasks:
-            for _ in range(settings.concurrency):
-                tasks.start_soon(_send_some, settings, runner, pending, results)
+            if settings.pace_s:
+                await _send_paced(settings, runner, calls, results, tasks)
+            else:
+                for _ in range(settings.concurrency):
+                    tasks.start_soon(
+                        _send_some, settings, runner, pending, results
+                    )
         duration_s = anyio.current_time() - started_at
         effects = await _read_effects(settings, pool)
-    return report.make_report(results, effects, duration_s, settings.seed)
+        runs = await _read_runs(settings, pool)
+    return report.make_report(results, effects, duration_s, settings.seed, runs)
+
+
+async def _send_paced(
+    settings: load_settings.LoadSettings,
+    runner: sender.Sender,
+    calls: Sequence[mix.Call],
+    results: list[sender.Result],
+    tasks: anyio.abc.TaskGroup,
+) -> None:
+    """Starts a call at each period, unless too many are in progress."""
+    places = anyio.Semaphore(settings.concurrency)
+    start_at = anyio.current_time()
+
+    async def send(number: int, call: mix.Call) -> None:
+        try:
+            await _send_call(settings, runner, number, call, results)
+        finally:
+            places.release()
+
+    for number, call in enumerate(calls):
+        await anyio.sleep_until(start_at + number * settings.pace_s)
+        await places.acquire()
+        tasks.start_soon(send, number, call)
 
 
 async def _send_some(
@@ -56,20 +88,31 @@
     results: list[sender.Result],
 ) -> None:
     """Sends calls until none are left."""
-    targets = settings.targets
     for number, call in pending:
-        target = targets[number % len(targets)]
-        if not call.resend:
-            results.append(await runner.send(call, target))
-            continue
-        other = targets[(number + 1) % len(targets)]
-        if number % 2:
-            results.append(await runner.send(call, target))
-            results.append(await runner.send(call, other))
-            continue
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_send_one, runner, call, target, results)
-            tasks.start_soon(_send_one, runner, call, other, results)
+        await _send_call(settings, runner, number, call, results)
+
+
+async def _send_call(
+    settings: load_settings.LoadSettings,
+    runner: sender.Sender,
+    number: int,
+    call: mix.Call,
+    results: list[sender.Result],
+) -> None:
+    """Sends a call, and again elsewhere if the mix says so."""
+    targets = settings.targets
+    target = targets[number % len(targets)]
+    if not call.resend:
+        results.append(await runner.send(call, target))
+        return
+    other = targets[(number + 1) % len(targets)]
+    if number % 2:
+        results.append(await runner.send(call, target))
+        results.append(await runner.send(call, other))
+        return
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_send_one, runner, call, target, results)
+        tasks.start_soon(_send_one, runner, call, other, results)
 
 
 async def _send_one(
@@ -97,6 +140,25 @@
     return dict(total)
 
 
+async def _read_runs(
+    settings: load_settings.LoadSettings, pool: httpcore.AsyncConnectionPool
+) -> report.Runs:
+    """Returns what the engines ran; one that has ended has no record."""
+    found: set[str] = set()
+    unread = 0
+    for address in settings.engine_records:
+        try:
+            with anyio.fail_after(EFFECTS_TIMEOUT_S):
+                response = await pool.request(
+                    "GET", f"http://{address}/admin/record"
+                )
+        except (*sender.HTTP_ERRORS, TimeoutError):
+            unread += 1
+            continue
+        found.update(msgspec.json.decode(response.content, type=dict[str, Any]))
+    return report.Runs(frozenset(found), unread)
+
+
 def run(
     targets: str | tuple[str, ...],
     key_secret_file: str,
@@ -112,6 +174,9 @@
     skew: float = 0.8,
     timeout_s: float = 30.0,
     effects: str | tuple[str, ...] = "",
+    engine_records: str | tuple[str, ...] = "",
+    pace_s: float = 0.0,
+    retries: int = 0,
 ) -> None:
     """Sends a seeded mix, checks every answer, prints one JSON line last.
 
@@ -133,6 +198,12 @@
         skew: Exponent of the popularity of routes by rank.
         timeout_s: Deadline of each request.
         effects: `HOST:PORT,...` of services whose effects are counted.
+        engine_records: `HOST:PORT,...` of engines whose runs are compared
+            with the refusals.
+        pace_s: Time between two starts, whether or not calls have ended, up
+            to `concurrency` in progress; 0 starts one when one ends.
+        retries: Times that a call is sent to another target after a refused
+            connection or a refusal as not run with a time to come back.
     """
     settings = load_settings.LoadSettings(
         targets=_split(targets),
@@ -148,6 +219,9 @@
         skew=skew,
         timeout_s=timeout_s,
         effects=_split(effects),
+        engine_records=_split(engine_records),
+        pace_s=pace_s,
+        retries=retries,
     )
     data = pathlib.Path(routes).read_bytes()
     table = msgspec.json.decode(data, type=RoutesFile)
--- a/src/tamaracktide/load/sender.py
+++ b/src/tamaracktide/load/sender.py
@@ -29,6 +29,9 @@
         first_token_s: Time to the first token of a stream, 0 for none.
         total_s: Time to the end.
         request_id: The gateway's id of the request.
+        retry_after_s: When a refused caller may come back, None if not told.
+        retried: Sendings before this one that were refused unrun.
+        earlier_ids: The gateways' ids of those.
     """
 
     call: mix.Call
@@ -37,6 +40,20 @@
     first_token_s: float = 0.0
     total_s: float = 0.0
     request_id: str = ""
+    retry_after_s: float | None = None
+    retried: int = 0
+    earlier_ids: tuple[str, ...] = ()
+
+    @property
+    def may_retry(self) -> bool:
+        """Whether the call certainly did not run and may be sent again."""
+        if self.verdict is checks.Verdict.UNREACHABLE:
+            return True
+        refused = self.verdict is checks.Verdict.REFUSED
+        return refused and self.retry_after_s is not None
+
+
+UNREACHABLE_WAIT_S = 0.2
 
 
 class Sender:
@@ -52,8 +69,32 @@
         self._pool = pool
 
     async def send(self, call: mix.Call, target: str) -> Result:
-        """Sends a call to one gateway and judges the answer."""
+        """Sends a call, again elsewhere while it is refused unrun.
+
+        Args:
+            call: The call.
+            target: The first gateway; the others follow in turn.
+        """
+        targets = self._settings.targets
+        first = targets.index(target)
         started_at = anyio.current_time()
+        earlier: list[str] = []
+        result = await self._send_once(call, target, started_at)
+        for number in range(1, self._settings.retries + 1):
+            if not result.may_retry:
+                break
+            earlier.append(result.request_id)
+            await anyio.sleep(result.retry_after_s or UNREACHABLE_WAIT_S)
+            other = targets[(first + number) % len(targets)]
+            result = await self._send_once(call, other, started_at)
+        return dataclasses.replace(
+            result, retried=len(earlier), earlier_ids=tuple(earlier)
+        )
+
+    async def _send_once(
+        self, call: mix.Call, target: str, started_at: float
+    ) -> Result:
+        """Sends a call to one gateway and judges the answer."""
         try:
             with anyio.fail_after(self._settings.timeout_s * 1.5):
                 return await self._send(call, target, started_at)
@@ -95,6 +136,7 @@
             call=call,
             verdict=verdict,
             code=checks.read_error_code(body),
+            retry_after_s=checks.read_retry_after(body),
             first_token_s=first_token_s if streamed else 0.0,
             total_s=anyio.current_time() - started_at,
             request_id=_find_request_id(response),
--- a/src/tamaracktide/load/settings.py
+++ b/src/tamaracktide/load/settings.py
@@ -22,6 +22,10 @@
         skew: Exponent of the popularity of routes by rank.
         timeout_s: Deadline of each request.
         effects: `HOST:PORT` of the services whose effects are counted.
+        engine_records: `HOST:PORT` of the engines whose runs are compared
+            with the refusals.
+        pace_s: Time between two starts, 0 to start when one ends.
+        retries: Times that a call refused unrun is sent again.
     """
 
     targets: tuple[str, ...]
@@ -37,3 +41,6 @@
     skew: float = 0.8
     timeout_s: float = 30.0
     effects: tuple[str, ...] = ()
+    engine_records: tuple[str, ...] = ()
+    pace_s: float = 0.0
+    retries: int = 0
--- a/src/tamaracktide/platform/instances.py
+++ b/src/tamaracktide/platform/instances.py
@@ -29,7 +29,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _InstanceList:
+class InstanceListing:
+    """The instances as listed at one version.
+
+    Attributes:
+        version: Grows with each change of the list.
+        instances: All instances.
+    """
+
     version: int
     instances: tuple[Instance, ...]
 
@@ -48,8 +55,16 @@
     async def list(self) -> tuple[Instance, ...]:
         """Returns the instances as the platform lists them now.
 
+        Raises:
+            errors.PlatformUnavailableError: No certain answer came.
+        """
+        return (await self.read()).instances
+
+    async def read(self) -> InstanceListing:
+        """Returns the list with its version.
+
         Raises:
             errors.PlatformUnavailableError: No certain answer came.
         """
         answer = await self._calls.call("GET", "/instances")
-        return calls.decode_body(answer, _InstanceList).instances
+        return calls.decode_body(answer, InstanceListing)
--- a/src/tamaracktide/protocol/codec.py
+++ b/src/tamaracktide/protocol/codec.py
@@ -1,5 +1,6 @@
 """Encodes messages as CBOR and decodes them, with limits on what is read."""
 
+import math
 from typing import NoReturn
 
 import cbor2
@@ -51,6 +52,8 @@
             (`MALFORMED_MESSAGE`).
     """
     number, fields = _split_frame(_load(data))
+    if _has_nan(fields):
+        raise _make_error("a number is not a number (NaN)")
     kind = messages.NUMBERS.get(number)
     if kind is None:
         return None
@@ -84,6 +87,18 @@
     raise _make_error("the message is not an array of number and fields")
 
 
+def _has_nan(value: object) -> bool:
+    """Whether not-a-number, which passes every bound, is in a value."""
+    match value:
+        case float():
+            return math.isnan(value)
+        case dict():
+            return any(_has_nan(one) for one in value.values())
+        case list():
+            return any(_has_nan(one) for one in value)
+    return False
+
+
 def _refuse_tag(*_args: object) -> NoReturn:
     raise ValueError("tags are not allowed")
 
--- a/src/tamaracktide/protocol/connection.py
+++ b/src/tamaracktide/protocol/connection.py
@@ -27,9 +27,17 @@
         peer: The peer's first message.
         version: Protocol version that both sides speak.
         received: Count of messages received, unknown ones too.
+        sent: Count of messages sent.
     """
 
-    __slots__ = ("_settings", "_socket", "peer", "received", "version")
+    __slots__ = (
+        "_settings",
+        "_socket",
+        "peer",
+        "received",
+        "sent",
+        "version",
+    )
 
     def __init__(
         self,
@@ -44,6 +52,7 @@
         )
         self.version = 0
         self.received = 0
+        self.sent = 0
 
     async def send(self, message: messages.Message) -> None:
         """Sends one message.
@@ -61,6 +70,7 @@
             )
         try:
             await self._socket.send(data)
+            self.sent += 1
         except websockets.ConnectionClosed as error:
             raise self._make_closed_error(error) from error
 
--- a/src/tamaracktide/protocol/heartbeats.py
+++ b/src/tamaracktide/protocol/heartbeats.py
@@ -2,18 +2,42 @@
 
 from collections.abc import Callable
 import itertools
+from typing import Protocol
 
 import anyio
 
 from tamaracktide import errors
 from tamaracktide import result_codes
-from tamaracktide.protocol import connection
 from tamaracktide.protocol import messages
 from tamaracktide.protocol import settings as protocol_settings
 
 LoadsReader = Callable[[], tuple[messages.CellLoad, ...]]
 
 
+class Link(Protocol):
+    """The part of a connection that heartbeats need."""
+
+    @property
+    def peer(self) -> messages.Hello:
+        """The peer's first message."""
+
+    @property
+    def received(self) -> int:
+        """Count of messages received."""
+
+    @property
+    def sent(self) -> int:
+        """Count of messages sent."""
+
+    async def send(self, message: messages.Message) -> None:
+        """Sends one message."""
+
+    async def close(
+        self, code: result_codes.ResultCode, detail: str = ""
+    ) -> None:
+        """Says goodbye with a code and closes."""
+
+
 class Silence:
     """Adds up how long a peer has been silent.
 
@@ -50,12 +74,14 @@
 
 
 async def keep_alive(
-    opened: connection.Connection,
+    opened: Link,
     settings: protocol_settings.InnerSettings,
     read_loads: LoadsReader = tuple,
 ) -> None:
     """Sends heartbeats until the connection closes or falls silent.
 
+    A connection that sent something else meanwhile needs none.
+
     The caller must go on receiving meanwhile.
 
     Args:
@@ -68,10 +94,14 @@
             (`PEER_UNREACHABLE`); it is closed then.
     """
     silence = Silence(settings, anyio.current_time())
+    sent = opened.sent
     for sequence in itertools.count():
-        heartbeat = messages.Heartbeat(sequence=sequence, loads=read_loads())
-        with anyio.move_on_after(settings.heartbeat_timeout_s):
-            await opened.send(heartbeat)
+        loads = read_loads()
+        if loads or opened.sent == sent:
+            heartbeat = messages.Heartbeat(sequence=sequence, loads=loads)
+            with anyio.move_on_after(settings.heartbeat_timeout_s):
+                await opened.send(heartbeat)
+        sent = opened.sent
         await anyio.sleep(settings.heartbeat_period_s)
         if silence.update(opened.received, anyio.current_time()):
             detail = f"{opened.peer.instance} silent for {silence.seconds:g} s"
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -8,6 +8,8 @@
 
 import dataclasses
 
+from tamaracktide.protocol import peer_messages
+
 PROTOCOL_VERSION = 1
 
 
@@ -61,6 +63,7 @@
         prefix: Hash of the prompt's prefix.
         avoid: Upstreams that must not run this attempt.
         alone: Whether no other request may run beside it.
+        fingerprint: Hash of the request's content; empty for none.
         suspects: Owners before this one that the gateway cannot reach.
         traceparent: W3C trace context.
     """
@@ -78,6 +81,7 @@
     prefix: str = ""
     avoid: tuple[str, ...] = ()
     alone: bool = False
+    fingerprint: str = ""
     suspects: tuple[str, ...] = ()
     traceparent: str = ""
 
@@ -178,13 +182,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class OutstandingReply:
-    """Gateway to owner: its grants of the cell in use.
-
-    A gateway also sends it unasked after it has connected again.
+    """Gateway to owner: its grants in use; also after a reconnection.
 
     Attributes:
         query_id: The query that asked; empty if none did.
-        grants: Grants in use.
+        grants: Those of the cell and on the upstreams that the query names.
         pool: Pool of the cell.
         zone: Availability zone of the cell.
     """
@@ -260,8 +262,9 @@
             `reused` or `unavailable` (certainly not claimed).
         status: HTTP status of a completed answer.
         content_type: Content type of a completed answer.
-        body: A completed answer, empty if it was too large to keep.
+        body: A completed answer.
         retry_after_s: When to come back.
+        body_kept: Whether `body` is the whole answer; it may be empty.
     """
 
     attempt_id: str
@@ -270,6 +273,7 @@
     content_type: str = ""
     body: bytes = b""
     retry_after_s: float = 1.0
+    body_kept: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -284,6 +288,7 @@
         status: HTTP status of the answer.
         content_type: Content type of the answer.
         body: The answer, within the size limit.
+        body_kept: Whether `body` is the whole answer; it may be empty.
     """
 
     attempt_id: str
@@ -293,6 +298,7 @@
     status: int = 0
     content_type: str = ""
     body: bytes = b""
+    body_kept: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -313,6 +319,7 @@
         leaving: Instance ids that the sender knows to be leaving.
         quarantined: Fingerprints of quarantined requests.
         epochs: Highest ownership epoch seen per upstream, those changed.
+        instances_version: Version of its instance list, -1 for none.
     """
 
     revision: int
@@ -320,6 +327,7 @@
     leaving: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
     epochs: dict[str, int] = dataclasses.field(default_factory=dict)
+    instances_version: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -344,23 +352,6 @@
     shards: dict[str, bytes] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ShareOffer:
-    """Lends a part of the weight store's rate for a short time.
-
-    Attributes:
-        offer_id: Unique id.
-        loads_per_s: Lent rate, loads a second.
-        in_flight: Lent loads under way.
-        duration_s: How long the borrower may use it.
-    """
-
-    offer_id: str
-    loads_per_s: float
-    in_flight: float
-    duration_s: float
-
-
 Message = (
     Hello
     | Goodbye
@@ -378,7 +369,10 @@
     | Digest
     | TableFetch
     | TableReply
-    | ShareOffer
+    | peer_messages.ShareOffer
+    | peer_messages.InstancesFetch
+    | peer_messages.InstancesReply
+    | peer_messages.ShareRequest
 )
 
 NUMBERS: dict[int, type] = {
@@ -398,5 +392,8 @@
     14: Digest,
     15: TableFetch,
     16: TableReply,
-    17: ShareOffer,
+    17: peer_messages.ShareOffer,
+    18: peer_messages.InstancesFetch,
+    19: peer_messages.InstancesReply,
+    20: peer_messages.ShareRequest,
 }
--- a/src/tamaracktide/protocol/settings.py
+++ b/src/tamaracktide/protocol/settings.py
@@ -26,6 +26,6 @@
     port: Annotated[int, msgspec.Meta(ge=0, le=65535)] = 0
     token: str = dataclasses.field(default="", repr=False)
     max_message_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 1 << 21
-    heartbeat_period_s: Seconds = 0.5
-    heartbeat_timeout_s: Seconds = 2.0
+    heartbeat_period_s: Seconds = 1.0
+    heartbeat_timeout_s: Seconds = 2.5
     handshake_timeout_s: Seconds = 2.0
--- a/src/tamaracktide/result_codes.py
+++ b/src/tamaracktide/result_codes.py
@@ -47,6 +47,7 @@
     UPSTREAM_LOST = 3001
     STREAM_BROKEN = 3002
     PROGRESS_TIMEOUT = 3003
+    CALLER_LEFT = 3004
 
     EDIT_CONFLICT = 4000
     TABLE_INVALID = 4001
@@ -157,6 +158,9 @@
     ResultCode.PROGRESS_TIMEOUT: Meaning(
         504, _U, True, "The upstream made no progress in time."
     ),
+    ResultCode.CALLER_LEFT: Meaning(
+        499, _U, False, "The caller left before the answer was whole."
+    ),
     ResultCode.EDIT_CONFLICT: Meaning(
         409, _N, False, "Another edit changed the same row first."
     ),
--- a/src/tamaracktide/scheduler/admin.py
+++ b/src/tamaracktide/scheduler/admin.py
@@ -8,6 +8,7 @@
 from typing import Any
 from typing import TypeAlias
 
+import anyio
 import msgspec
 
 from tamaracktide.core import rows
@@ -176,10 +177,13 @@
             return "draining"
         if not self._follower.is_ready:
             return "tables not loaded"
-        listed = self._peers.listed_at is not None
+        listed = self._peers.directory.listed_at is not None
         return "" if listed else "instance list not read"
 
     def _render_metrics(self, scope: Scope) -> _Answer:
+        now = anyio.current_time()
+        quarantined = self._peers.quarantine.count_quarantined(now)
+        self._metrics.quarantined.set({}, quarantined)
         self._metrics.table_revision.set({}, self._follower.tables.revision)
         accept = tuple(
             value.decode("latin-1")
--- a/src/tamaracktide/scheduler/cells.py
+++ b/src/tamaracktide/scheduler/cells.py
@@ -1,11 +1,9 @@
 """The shell around one owned cell: carries out what its core decides."""
 
 import collections
-import dataclasses
 import math
 
 import anyio
-import anyio.abc
 
 from tamaracktide import result_codes
 from tamaracktide.core import cell as cell_core
@@ -13,47 +11,20 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_settings
 from tamaracktide.core import membership
-from tamaracktide.core import randomness
 from tamaracktide.core import rows
-from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.protocol import messages
+from tamaracktide.scheduler import cell_parts
+from tamaracktide.scheduler import engine_parts
 from tamaracktide.scheduler import engines
 from tamaracktide.scheduler import gateways
 from tamaracktide.scheduler import requests as requests_module
 from tamaracktide.scheduler import settings as scheduler_settings
-from tamaracktide.upstreams import calls
-from tamaracktide.upstreams import engine as engine_client
 
 Codes = result_codes.ResultCode
 
 START_POLL_S = 0.02
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class CellParts:
-    """What all cells of a scheduler share.
-
-    Attributes:
-        settings: The scheduler's settings.
-        client: Client of engines.
-        caller: Connections of that client.
-        gateways: The gateways.
-        metrics: Instruments.
-        make_keeper: Builds the ownership shell of an upstream.
-        rng: Source of ids and jitter.
-        tasks: Runs the cells' tasks.
-    """
-
-    settings: scheduler_settings.SchedulerSettings
-    client: engine_client.EngineClient
-    caller: calls.Caller
-    gateways: gateways.Gateways
-    metrics: metrics_module.Metrics
-    make_keeper: engines.KeeperMaker
-    rng: randomness.Random
-    tasks: anyio.abc.TaskGroup
-
-
 class CellShell:
     """Owns and serves one cell.
 
@@ -67,7 +38,7 @@
         self,
         cell: rows.CellId,
         settings: cell_settings.CellSettings,
-        parts: CellParts,
+        parts: cell_parts.CellParts,
     ) -> None:
         """Starts without engines; `update_engines` adds them."""
         self.cell = cell
@@ -95,6 +66,7 @@
                 tasks.start_soon(self._run_timer)
                 tasks.start_soon(self._start)
                 tasks.start_soon(self._measure)
+                tasks.start_soon(self._confirm)
         for engine in self.engines.values():
             engine.stopped.cancel()
 
@@ -167,6 +139,18 @@
         if engine is not None:
             engine.adopt(grant)
 
+    def read_epochs(self) -> dict[str, int]:
+        """Returns the epochs of the engines that are owned."""
+        return {
+            name: engine.keeper.epoch
+            for name, engine in self.engines.items()
+            if engine.keeper.epoch
+        }
+
+    def measure_need(self) -> float:
+        """Returns how many loads are under way, if requests wait for any."""
+        return float(len(self._loads)) if len(self._requests) else 0.0
+
     def make_load(self) -> messages.CellLoad:
         """Returns the cell's load for the gateways."""
         use = self._core.measure_use()
@@ -288,12 +272,13 @@
         return now - max(started, request.submitted_at)
 
     def _add_engine(self, member: membership.Member) -> None:
-        parts = engines.EngineParts(
+        parts = engine_parts.EngineParts(
             settings=self._parts.settings,
             client=self._parts.client,
             caller=self._parts.caller,
             feed=self.feed,
             collect=self._collect,
+            list_missing=self._parts.confirmer.list_missing,
         )
         engine = engines.Engine(member, parts, self._parts.make_keeper)
         self.engines[member.instance] = engine
@@ -313,6 +298,22 @@
         )
         return tuple(one for one in grants if one.upstream == upstream)
 
+    async def _confirm(self) -> None:
+        """Has every gateway tell its grants on engines taken over."""
+        period_s = self._parts.settings.periods.confirm_s
+        while True:
+            await anyio.sleep(period_s)
+            epochs = {
+                name: engine.keeper.epoch
+                for name, engine in self.engines.items()
+                if engine.is_unconfirmed()
+            }
+            if epochs:
+                for grant in await self._parts.confirmer.ask(self.cell, epochs):
+                    self.adopt(grant)
+            for engine in self.engines.values():
+                engine.review_evictions()
+
     async def _start(self) -> None:
         """Holds requests until it is known which engines can be used."""
         with anyio.move_on_after(self._parts.settings.limits.start_wait_s):
@@ -325,18 +326,20 @@
 
     def _is_settled(self) -> bool:
         phases = {engine.phase for engine in self.engines.values()}
-        undecided = {engines.Phase.TAKING, engines.Phase.READING}
+        undecided = {engine_parts.Phase.TAKING, engine_parts.Phase.READING}
         return bool(phases) and not phases & undecided
 
     def _submit_or_refuse(self, request: requests_module.Request) -> None:
         shells = self.engines.values()
-        if any(engine.phase is engines.Phase.LIVE for engine in shells):
+        if any(engine.phase is engine_parts.Phase.LIVE for engine in shells):
             self._submit(request)
             return
         owner = max((engine.owner for engine in shells), default="")
         if owner:
             self._requests.refuse(request, Codes.NOT_OWNER, owner=owner)
-        elif any(engine.phase is engines.Phase.TAKING for engine in shells):
+        elif any(
+            engine.phase is engine_parts.Phase.TAKING for engine in shells
+        ):
             self._requests.refuse(request, Codes.OWNER_UNREACHABLE)
         else:
             self._requests.refuse(request, Codes.NO_UPSTREAM)
--- a/src/tamaracktide/scheduler/claims.py
+++ b/src/tamaracktide/scheduler/claims.py
@@ -236,6 +236,7 @@
             status=report.status,
             content_type=report.content_type,
             body=report.body,
+            body_kept=report.body_kept,
         )
         shard = self._find_shard(report.customer, report.key)
         kept = await shard.finish(finish)
@@ -266,6 +267,8 @@
                 status=record.status,
                 content_type=record.content_type,
                 body=record.body,
+                # Records of before the flag kept only answers with a body.
+                body_kept=record.body_kept or bool(record.body),
             )
         case ce.Mismatched():
             return messages.ClaimReply(attempt_id=attempt_id, state="reused")
--- a/src/tamaracktide/scheduler/engines.py
+++ b/src/tamaracktide/scheduler/engines.py
@@ -1,26 +1,22 @@
 """One engine of an owned cell: ownership, state, load reports and orders."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
-import dataclasses
-import enum
-from typing import Protocol
-
 import anyio
 
 from tamaracktide import invariants
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
+from tamaracktide.core import confirmations
 from tamaracktide.core import membership
 from tamaracktide.core import ownership_events
 from tamaracktide.observability import logs
 from tamaracktide.protocol import messages
-from tamaracktide.scheduler import keeper as keeper_module
-from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.scheduler import engine_parts
+from tamaracktide.scheduler import reports
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import engine as engine_client
 
 Outcome = engine_client.OrderOutcome
+Phase = engine_parts.Phase
 
 KICK_DELAY_S = 0.02
 RELEASE_POLL_S = 0.02
@@ -30,46 +26,6 @@
 _UNLOADED = frozenset({Outcome.DONE, Outcome.MISSING})
 
 
-class Phase(enum.Enum):
-    """What this scheduler can do with the engine."""
-
-    TAKING = "taking"
-    ELSEWHERE = "elsewhere"
-    READING = "reading"
-    LIVE = "live"
-    SILENT = "silent"
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EngineParts:
-    """What an engine's shell works with.
-
-    Attributes:
-        settings: The scheduler's settings.
-        client: Client of engines.
-        caller: Connections of that client.
-        feed: Hands an event to the cell.
-        collect: Returns the gateways' grants in use on an engine.
-    """
-
-    settings: scheduler_settings.SchedulerSettings
-    client: engine_client.EngineClient
-    caller: calls.Caller
-    feed: Callable[[cell_events.CellEvent], None]
-    collect: Callable[
-        [str, int], Awaitable[tuple[messages.OutstandingGrant, ...]]
-    ]
-
-
-class KeeperMaker(Protocol):
-    """Builds the keeper of an upstream."""
-
-    def __call__(
-        self, upstream: str, listener: keeper_module.Listener
-    ) -> keeper_module.Keeper:
-        """Returns a keeper that tells the listener."""
-
-
 class Engine:
     """The shell around one engine.
 
@@ -85,8 +41,8 @@
     def __init__(
         self,
         member: membership.Member,
-        parts: EngineParts,
-        make_keeper: KeeperMaker,
+        parts: engine_parts.EngineParts,
+        make_keeper: engine_parts.KeeperMaker,
     ) -> None:
         """Starts to take the engine once `run` runs."""
         self.member = member
@@ -100,6 +56,8 @@
         self._told_leaving = False
         self._silent_since: float | None = None
         self._suspended = False
+        self._told_suspended = False
+        self._inherited = confirmations.Inheritance()
         self._orders_seen = 0
         self._orders_open = 0
         self._kicked = anyio.Event()
@@ -109,7 +67,7 @@
         with self.stopped:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self.keeper.run)
-                tasks.start_soon(self._poll_load)
+                tasks.start_soon(reports.poll_reports, self, self._parts)
                 self.keeper.feed(ownership_events.Acquire())
                 await self._poll_state()
 
@@ -138,7 +96,22 @@
     def suspend_unloads(self, suspended: bool) -> None:
         """Passes on that evictions are not allowed for now, or are again."""
         self._suspended = suspended
-        if self.phase is Phase.LIVE:
+        self.review_evictions()
+
+    def is_unconfirmed(self) -> bool:
+        """Whether gateways may use inherited names in ways not known."""
+        if self.phase is not Phase.LIVE or not self._inherited.names:
+            return False
+        upstream = self.member.instance
+        return bool(self._parts.list_missing(upstream, self.keeper.epoch))
+
+    def review_evictions(self) -> None:
+        """Tells the cell when evictions stop or start to be allowed."""
+        if self.phase is not Phase.LIVE:
+            return
+        suspended = self._suspended or self.is_unconfirmed()
+        if suspended != self._told_suspended:
+            self._told_suspended = suspended
             upstream = self.member.instance
             self._parts.feed(
                 cell_events.EvictionsSuspended(upstream, suspended)
@@ -196,8 +169,9 @@
         epoch = self.keeper.epoch
         if not await self.keeper.ask_unload(load.evict):
             return False
-        if self.keeper.epoch != epoch:
-            # Ownership changed before the order was sent.
+        in_use = await self._is_in_use(load.evict)
+        if in_use or self.keeper.epoch != epoch:
+            # The order is not sent, or ownership changed before it was.
             ended = ownership_events.UnloadEnded(load.evict, certain=True)
             self.keeper.feed(ended)
             return False
@@ -208,6 +182,16 @@
         self._judge(result, order)
         return result.outcome in _UNLOADED
 
+    async def _is_in_use(self, lora_name: str) -> bool:
+        """Whether a request may use a name by other grants than own ones."""
+        if self.state is None or _count_running(self.state, lora_name):
+            state = await self._ask_state()
+            if isinstance(state, calls.Failure):
+                return True
+            if _count_running(state, lora_name):
+                return True
+        return lora_name in self._inherited.names and self.is_unconfirmed()
+
     def _make_order(
         self, lora_name: str, incarnation: str
     ) -> engine_client.Order:
@@ -250,7 +234,8 @@
             self._note_silence(state, asked_at)
             return
         self._silent_since = None
-        self._tell_keeper(state, state.highest_fencing_token)
+        current = self.keeper.epoch == epoch
+        self._tell_keeper(state, state.highest_fencing_token, current)
         if self.keeper.epoch != epoch:
             return
         if self._orders_seen != orders:
@@ -297,13 +282,14 @@
         if self.keeper.epoch != epoch:
             return
         self.phase = Phase.LIVE
-        self._tell_state(state)
+        names = (one.lora_name for one in state.loaded)
+        self._inherited.begin(epoch, state.incarnation, names)
+        # Until the grants are counted, a request of unknown adapter runs.
+        self._tell_state(state, unknown=1)
         for grant in grants:
             self.adopt(grant)
-        if self._suspended:
-            self._parts.feed(cell_events.EvictionsSuspended(upstream))
-        self._told_leaving = False
-        self._tell_leaving()
+        self.review_evictions()
+        self._tell_state(state)
 
     def adopt(self, grant: messages.OutstandingGrant) -> None:
         """Counts a grant that a gateway holds from before."""
@@ -319,18 +305,29 @@
             )
 
     def _tell_keeper(
-        self, state: engine_client.EngineState, highest: int
+        self,
+        state: engine_client.EngineState,
+        highest: int,
+        current: bool = False,
     ) -> None:
+        names = tuple(one.lora_name for one in state.loaded)
         self.keeper.feed(
             ownership_events.EngineRead(
                 incarnation=state.incarnation,
                 checks_fencing=state.checks_fencing,
                 highest_fencing_token=highest,
+                loaded=names if current else None,
             )
         )
 
-    def _tell_state(self, state: engine_client.EngineState) -> None:
+    def _tell_state(
+        self, state: engine_client.EngineState, unknown: int = 0
+    ) -> None:
+        if self.state is None or self.state.incarnation != state.incarnation:
+            self._told_leaving = self._told_suspended = False
         self.state = state
+        names = (one.lora_name for one in state.loaded)
+        self._inherited.update(state.incarnation, names)
         self._parts.feed(
             cell_events.UpstreamRead(
                 upstream=self.member.instance,
@@ -343,12 +340,13 @@
                     )
                     for one in state.loaded
                 ),
-                running=len(state.running),
+                running=len(state.running) + unknown,
                 checks_fencing=state.checks_fencing,
                 withheld=self.keeper.withheld,
             )
         )
         self._tell_leaving()
+        self.review_evictions()
 
     def _tell_leaving(self) -> None:
         draining = self.state is not None and self.state.draining
@@ -375,23 +373,10 @@
         if self.phase is Phase.LIVE:
             self._parts.feed(cell_events.UpstreamLost(self.member.instance))
         self.phase = phase
-        self._told_leaving = False
+        self._told_leaving = self._told_suspended = False
 
-    async def _poll_load(self) -> None:
-        while True:
-            await anyio.sleep(self._parts.settings.periods.engine_load_s)
-            if self.phase is not Phase.LIVE:
-                continue
-            asked_at = anyio.current_time()
-            report = await self._parts.client.read_load(self.member.address)
-            if isinstance(report, calls.Failure):
-                self.kick()
-            elif self.phase is Phase.LIVE:
-                self._parts.feed(
-                    cell_events.LoadReported(
-                        upstream=self.member.instance,
-                        running=report.running,
-                        waiting=report.waiting,
-                        reported_at=asked_at - report.age_s,
-                    )
-                )
+
+def _count_running(state: engine_client.EngineState, lora_name: str) -> int:
+    return sum(
+        one.running for one in state.loaded if one.lora_name == lora_name
+    )
--- a/src/tamaracktide/scheduler/gateways.py
+++ b/src/tamaracktide/scheduler/gateways.py
@@ -3,6 +3,7 @@
 A grant in use survives a lost connection: the gateway announces it again.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 from typing import Protocol
@@ -10,11 +11,13 @@
 
 import anyio
 
+from tamaracktide.core import confirmations
 from tamaracktide.core import rows
 from tamaracktide.protocol import messages
 from tamaracktide.scheduler import outbox as outbox_module
 from tamaracktide.scheduler import settings as scheduler_settings
 
+ROLE = "gateway"
 REPLY_MARGIN_S = 2.0
 """A gateway may not count a grant yet that was sent so shortly before."""
 
@@ -26,10 +29,14 @@
     Attributes:
         cell: The cell that it belongs to.
         since: When it was submitted or granted.
+        fingerprint: Hash of the request's content; empty if not known.
+        alone: Whether it was granted to run alone on its upstream.
     """
 
     cell: rows.CellId
     since: float
+    fingerprint: str = ""
+    alone: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -70,12 +77,17 @@
 
 
 class Gateways:
-    """All gateways that this scheduler knows."""
+    """All gateways that this scheduler knows.
+
+    Attributes:
+        confirmations: For which epochs they have told their grants.
+    """
 
     def __init__(
         self, settings: scheduler_settings.LimitSettings, owner: Owner
     ) -> None:
         """Starts without gateways."""
+        self.confirmations = confirmations.Confirmations()
         self._settings = settings
         self._owner = owner
         self._gateways: dict[str, Gateway] = {}
@@ -94,6 +106,7 @@
                 instance=hello.instance, incarnation=hello.incarnation
             )
             self._gateways[hello.instance] = known
+        self.confirmations.note_start(hello.instance, hello.incarnation)
         known.outbox = outbox
         known.changed_at = now
         return known
@@ -117,22 +130,43 @@
         for gateway in self.list_connected():
             gateway.send(message)
 
-    async def collect(
+    def make_query(
         self, cell: rows.CellId, epochs: dict[str, int]
+    ) -> messages.OutstandingQuery:
+        """Returns a query for the grants in use of a cell."""
+        return messages.OutstandingQuery(
+            query_id=uuid.uuid4().hex,
+            pool=cell.pool,
+            zone=cell.zone,
+            epochs=epochs,
+        )
+
+    async def collect(
+        self,
+        cell: rows.CellId,
+        epochs: dict[str, int],
+        names: Collection[str] | None = None,
     ) -> list[messages.OutstandingGrant]:
         """Returns the grants of a cell that connected gateways hold.
 
         Waits for replies no longer than the settings say. A gateway that is
         not connected announces its grants when it connects.
+
+        Args:
+            cell: The cell.
+            epochs: Its upstreams' epochs, by instance id.
+            names: Gateways to ask, by default all that are connected.
         """
-        connected = self.list_connected()
+        connected = [
+            gateway
+            for gateway in self.list_connected()
+            if names is None or gateway.instance in names
+        ]
+        message = self.make_query(cell, epochs)
+        query_id = message.query_id
         missing = {gateway.instance for gateway in connected}
-        query = _Query(missing, anyio.current_time())
-        query_id = uuid.uuid4().hex
+        query = _Query(missing, anyio.current_time(), epochs)
         self._queries[query_id] = query
-        message = messages.OutstandingQuery(
-            query_id=query_id, pool=cell.pool, zone=cell.zone, epochs=epochs
-        )
         for gateway in connected:
             if not gateway.send(message):
                 query.settle(gateway.instance, ())
@@ -154,8 +188,14 @@
             limit = query.sent_at - REPLY_MARGIN_S
             self._end_unknown(gateway, cell, reply, limit)
             query.settle(gateway.instance, reply.grants)
+            self.confirmations.note_answer(
+                gateway.instance, gateway.incarnation, query.epochs
+            )
         for grant in reply.grants:
-            gateway.grants[grant.grant_id] = Held(cell, now)
+            known = gateway.grants.get(grant.grant_id, Held(cell, now))
+            gateway.grants[grant.grant_id] = dataclasses.replace(
+                known, cell=cell, since=now
+            )
 
     def end_abandoned(self, now: float) -> None:
         """Ends what gateways no longer know of, after the grace."""
@@ -210,10 +250,13 @@
 class _Query:
     """Replies of gateways to one query."""
 
-    __slots__ = ("_missing", "answered", "grants", "sent_at")
+    __slots__ = ("_missing", "answered", "epochs", "grants", "sent_at")
 
-    def __init__(self, missing: set[str], sent_at: float) -> None:
+    def __init__(
+        self, missing: set[str], sent_at: float, epochs: dict[str, int]
+    ) -> None:
         self._missing = missing
+        self.epochs = epochs
         self.sent_at = sent_at
         self.grants: list[messages.OutstandingGrant] = []
         self.answered = anyio.Event()
--- /dev/null
+++ b/src/tamaracktide/scheduler/lending.py
@@ -0,0 +1,107 @@
+"""Divides the weight store's rate over the owned cells, lends and borrows."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
+import uuid
+
+from tamaracktide.core import rows
+from tamaracktide.core import shares
+from tamaracktide.protocol import peer_messages
+from tamaracktide.scheduler import settings as scheduler_settings
+
+ASK_PERIOD_S = 1.0
+
+
+class Lending:
+    """This scheduler's part of the weight store's rate."""
+
+    def __init__(self, settings: scheduler_settings.SchedulerSettings) -> None:
+        """Starts without cells."""
+        self._store = settings.store
+        self._shares = shares.Shares(settings.shares)
+        self._needs: dict[str, float] = {}
+        self._asked_at = -math.inf
+
+    def update(
+        self,
+        cells: Iterable[rows.CellId],
+        needs: Mapping[rows.CellId, float],
+        now: float,
+    ) -> dict[rows.CellId, scheduler_settings.StoreSettings]:
+        """Returns the part of each owned cell.
+
+        Args:
+            cells: All cells of the deployment.
+            needs: How much each owned cell has to load, relative.
+            now: Present time, seconds.
+        """
+        bases = _divide_limit(self._store.loads_per_s, set(cells) | set(needs))
+        owned = {cell.text: bases[cell] for cell in needs}
+        self._shares.set_bases(owned, now)
+        self._needs = {cell.text: need for cell, need in needs.items()}
+        parts = self._shares.divide(self._needs, now)
+        return {cell: self._make_share(parts[cell.text]) for cell in needs}
+
+    def find_first(
+        self, cell: rows.CellId, cells: Iterable[rows.CellId]
+    ) -> scheduler_settings.StoreSettings:
+        """Returns the part of a cell that is owned from now on."""
+        bases = _divide_limit(self._store.loads_per_s, {cell, *cells})
+        return self._make_share(bases[cell] * self._shares.kept)
+
+    def make_request(self, now: float) -> peer_messages.ShareRequest | None:
+        """Returns a question for a loan, or None if none is needed now."""
+        if not any(self._needs.values()):
+            return None
+        if now - self._asked_at < ASK_PERIOD_S:
+            return None
+        self._asked_at = now
+        ask_id = uuid.uuid4().hex
+        self._shares.ask(ask_id, now)
+        return peer_messages.ShareRequest(
+            ask_id=ask_id, loads_per_s=self._store.loads_per_s
+        )
+
+    def answer(
+        self, request: peer_messages.ShareRequest, now: float
+    ) -> peer_messages.ShareOffer | None:
+        """Returns a loan of what no own cell needs, or None."""
+        if any(self._needs.values()):
+            return None
+        offer = self._shares.lend(request.ask_id, request.loads_per_s, now)
+        if offer is None:
+            return None
+        return peer_messages.ShareOffer(
+            offer_id=offer.ask_id,
+            loads_per_s=offer.amount,
+            in_flight=self._make_share(offer.amount).in_flight,
+            duration_s=offer.duration_s,
+        )
+
+    def take(self, offer: peer_messages.ShareOffer, now: float) -> None:
+        """Takes a loan in."""
+        self._shares.take(
+            shares.Offer(offer.offer_id, offer.loads_per_s, offer.duration_s),
+            now,
+        )
+
+    def _make_share(self, amount: float) -> scheduler_settings.StoreSettings:
+        in_flight = self._store.in_flight * amount / self._store.loads_per_s
+        return scheduler_settings.StoreSettings(
+            loads_per_s=amount, in_flight=in_flight
+        )
+
+
+def _divide_limit(
+    limit: float, cells: set[rows.CellId]
+) -> dict[rows.CellId, float]:
+    """Returns base shares: equal among zones, then among a zone's cells."""
+    zones: dict[str, list[rows.CellId]] = {}
+    for cell in cells:
+        zones.setdefault(cell.zone, []).append(cell)
+    return {
+        cell: limit / len(zones) / len(beside)
+        for beside in zones.values()
+        for cell in beside
+    }
--- a/src/tamaracktide/scheduler/peers.py
+++ b/src/tamaracktide/scheduler/peers.py
@@ -1,8 +1,7 @@
 """Knows the other instances: the list, probes, links and digests."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import contextlib
+import dataclasses
 import uuid
 
 import anyio
@@ -11,20 +10,36 @@
 from tamaracktide import errors
 from tamaracktide.core import epochs
 from tamaracktide.core import membership
+from tamaracktide.core import quarantine
+from tamaracktide.core import randomness
 from tamaracktide.core import rendezvous
 from tamaracktide.observability import logs
-from tamaracktide.platform import instances as instances_module
+from tamaracktide.peering import outgoing
 from tamaracktide.protocol import client
 from tamaracktide.protocol import connection
 from tamaracktide.protocol import heartbeats
 from tamaracktide.protocol import messages
+from tamaracktide.protocol import peer_messages
+from tamaracktide.scheduler import directory
+from tamaracktide.scheduler import lending
 from tamaracktide.scheduler import settings as scheduler_settings
 from tamaracktide.tables import follower as tables_follower
 
 LINK_RETRY_S = 1.0
-STATE_LEAVING = "leaving"
+LINKS_PERIOD_S = 0.1
 
-ListReader = Callable[[], Awaitable[tuple[instances_module.Instance, ...]]]
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayAnswer:
+    """A gateway's answer over a short connection.
+
+    Attributes:
+        incarnation: The incarnation that answered.
+        reply: Its grants in use.
+    """
+
+    incarnation: str
+    reply: messages.OutstandingReply
 
 
 class Peers:
@@ -33,16 +48,19 @@
     Attributes:
         membership: Live instances and owners of cells.
         epochs: Highest ownership epochs seen.
+        lending: This scheduler's part of the weight store's rate.
+        quarantine: Requests that crash upstreams.
         own_epochs: Epochs of the upstreams that this scheduler owns.
-        listed_at: When the instance list was last read, or None.
+        directory: The instance list.
     """
 
     def __init__(
         self,
         settings: scheduler_settings.SchedulerSettings,
         hello: messages.Hello,
-        read_list: ListReader,
+        read_list: directory.ListReader,
         follower: tables_follower.Follower,
+        rng: randomness.Random,
     ) -> None:
         """Starts without peers; `run` finds them."""
         self.membership = membership.Membership(
@@ -50,55 +68,35 @@
         )
         self.epochs = epochs.EpochRecord()
         self.own_epochs: dict[str, int] = {}
-        self.listed_at: float | None = None
+        self.lending = lending.Lending(settings)
+        self.quarantine = quarantine.Quarantine(settings.quarantine)
+        self.directory = directory.Directory(
+            settings, hello, read_list, follower, rng, self._take_list
+        )
         self._settings = settings
         self._hello = hello
         self._read_list = read_list
         self._follower = follower
         self._incarnations: dict[str, str] = {}
         self._probes: dict[str, anyio.Event] = {}
+        self._opened: list[connection.Connection] = []
         self._linked: dict[str, anyio.CancelScope] = {}
 
     async def run(self) -> None:
         """Follows the instance list and keeps links until cancelled."""
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.directory.run)
             while True:
-                await self.refresh()
                 self._update_links(tasks)
-                await anyio.sleep(self._settings.periods.instances_s)
+                await anyio.sleep(LINKS_PERIOD_S)
 
-    async def refresh(self) -> None:
-        """Reads the instance list once; a failed read changes nothing."""
-        try:
-            listed = await self._read_list()
-        except errors.PlatformError as error:
-            logs.bind(code=error.code.value).warning(
-                "instance list not read: {}", error.detail
-            )
-            return
-        self.listed_at = anyio.current_time()
-        members = tuple(
-            membership.Member(
-                instance=one.id,
-                role=one.role,
-                zone=one.zone,
-                address=one.address,
-                inner_address=one.inner_address,
-                leaving=one.state == STATE_LEAVING,
-            )
-            for one in listed
-        )
+    def _take_list(self, members: tuple[membership.Member, ...]) -> None:
         self.note(membership.ListRead(members))
 
-    def is_platform_heard(self) -> bool:
-        """Whether the platform answered the last read of the list."""
-        if self.listed_at is None:
-            return False
-        age_s = anyio.current_time() - self.listed_at
-        return age_s < 2 * self._settings.periods.instances_s
-
     def note(self, event: membership.MembershipEvent) -> None:
         """Takes in a fact about instances."""
+        if isinstance(event, membership.Silent | membership.Left):
+            self.directory.look_soon()
         self.membership.handle(event, anyio.current_time())
 
     async def probe(self, instance: str) -> bool:
@@ -129,23 +127,65 @@
     async def probe_owner(self, owner: str, incarnation: str) -> bool:
         """Returns whether this incarnation of a scheduler answers."""
         if self.membership.find(owner) is None:
-            await self.refresh()
+            await self.directory.refresh()
         now = anyio.current_time()
         reachable = self.membership.is_reachable(owner, now)
         if reachable is None:
             reachable = await self.probe(owner)
         return reachable and self._incarnations.get(owner) == incarnation
 
+    async def ask_gateway(
+        self, gateway: str, query: messages.OutstandingQuery
+    ) -> GatewayAnswer | None:
+        """Asks a gateway over a short connection to its inner address.
+
+        Returns:
+            Its answer, or None if it can't be reached or does not answer.
+        """
+        member = self.membership.find(gateway)
+        if member is None or not member.inner_address:
+            return None
+        timeout_s = self._settings.inner.handshake_timeout_s
+        with (
+            contextlib.suppress(errors.ProtocolError),
+            anyio.move_on_after(2 * timeout_s),
+        ):
+            opened = await client.open_connection(
+                member.inner_address, self._hello, self._settings.inner
+            )
+            try:
+                return await _ask_outstanding(opened, gateway, query)
+            finally:
+                with anyio.CancelScope(shield=True):
+                    await opened.close()
+        return None
+
     async def serve(self, opened: connection.Connection) -> None:
         """Exchanges heartbeats and digests with a peer until it closes."""
         self._hear(opened.peer)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(
-                heartbeats.keep_alive, opened, self._settings.inner
-            )
-            tasks.start_soon(self._send_digests, opened)
-            while True:
-                await self._handle(opened, await opened.receive())
+        self._opened.append(opened)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    heartbeats.keep_alive, opened, self._settings.inner
+                )
+                tasks.start_soon(self._send_digests, opened)
+                while True:
+                    await self._handle(opened, await opened.receive())
+        finally:
+            self._opened.remove(opened)
+
+    async def borrow(self) -> None:
+        """Asks the linked schedulers for a loan, one at a time, if needed."""
+        now = anyio.current_time()
+        if not self._opened:
+            return
+        request = self.lending.make_request(now)
+        if request is None:
+            return
+        self._opened.append(self._opened.pop(0))
+        with contextlib.suppress(errors.ProtocolError):
+            await self._opened[-1].send(request)
 
     def make_digest(self) -> messages.Digest:
         """Returns what this scheduler knows."""
@@ -153,6 +193,8 @@
         return messages.Digest(
             revision=self._follower.tables.revision,
             leaving=self.membership.list_leaving(now),
+            quarantined=self.quarantine.list_told(now),
+            instances_version=self.directory.listing.version,
             epochs=self.own_epochs,
         )
 
@@ -244,9 +286,13 @@
         self.note(membership.Heard(peer.instance))
 
     async def _send_digests(self, opened: connection.Connection) -> None:
+        periods = self._settings.periods
+        told = outgoing.Outgoing(periods.digest_refresh_s)
         while True:
-            await opened.send(self.make_digest())
-            await anyio.sleep(self._settings.periods.digest_s)
+            digest = told.next(self.make_digest(), anyio.current_time())
+            if digest is not None:
+                await opened.send(digest)
+            await anyio.sleep(periods.digest_s)
 
     async def _handle(
         self, opened: connection.Connection, message: messages.Message
@@ -254,14 +300,39 @@
         self._hear(opened.peer)
         match message:
             case messages.Digest():
-                self._note_leaving(opened.peer.instance, message.leaving)
-                self.epochs.observe_all(message.epochs)
-                if message.revision > self._follower.tables.revision:
-                    await opened.send(_make_fetch(()))
-            case messages.TableFetch():
-                await opened.send(self.make_table_reply(message))
+                await self._take_digest(opened, message)
             case messages.TableReply():
                 await self._take_tables(opened, message)
+            case peer_messages.InstancesReply():
+                self.directory.take(message)
+            case peer_messages.ShareOffer():
+                self.lending.take(message, anyio.current_time())
+            case _:
+                answer = self._answer(message)
+                if answer is not None:
+                    await opened.send(answer)
+
+    def _answer(self, message: messages.Message) -> messages.Message | None:
+        """Returns the answer to a peer's question, None for no question."""
+        match message:
+            case messages.TableFetch():
+                return self.make_table_reply(message)
+            case peer_messages.InstancesFetch():
+                return self.directory.make_reply(message)
+            case peer_messages.ShareRequest():
+                return self.lending.answer(message, anyio.current_time())
+        return None
+
+    async def _take_digest(
+        self, opened: connection.Connection, digest: messages.Digest
+    ) -> None:
+        self._note_leaving(opened.peer.instance, digest.leaving)
+        self.epochs.observe_all(digest.epochs)
+        self.quarantine.learn(digest.quarantined, anyio.current_time())
+        if digest.instances_version > self.directory.listing.version:
+            await opened.send(self.directory.make_fetch())
+        if digest.revision > self._follower.tables.revision:
+            await opened.send(_make_fetch(()))
 
     def _note_leaving(self, peer: str, leaving: tuple[str, ...]) -> None:
         leaves = peer in leaving
@@ -269,6 +340,13 @@
         self.note(event(peer))
         self.note(membership.PeersTold(leaving))
 
+    async def serve_reader(self, opened: connection.Connection) -> None:
+        """Answers a peer that only reads, until it closes."""
+        while True:
+            answer = self._answer(await opened.receive())
+            if answer is not None:
+                await opened.send(answer)
+
     def make_table_reply(
         self, fetch: messages.TableFetch
     ) -> messages.TableReply:
@@ -294,5 +372,22 @@
             await opened.send(_make_fetch((missing[0],)))
 
 
+async def _ask_outstanding(
+    opened: connection.Connection,
+    gateway: str,
+    query: messages.OutstandingQuery,
+) -> GatewayAnswer | None:
+    if opened.peer.instance != gateway:
+        return None
+    await opened.send(query)
+    while True:
+        reply = await opened.receive()
+        match reply:
+            case messages.OutstandingReply() if (
+                reply.query_id == query.query_id
+            ):
+                return GatewayAnswer(opened.peer.incarnation, reply)
+
+
 def _make_fetch(hashes: tuple[str, ...]) -> messages.TableFetch:
     return messages.TableFetch(fetch_id=uuid.uuid4().hex, hashes=hashes)
--- a/src/tamaracktide/scheduler/program.py
+++ b/src/tamaracktide/scheduler/program.py
@@ -19,8 +19,9 @@
 from tamaracktide.protocol import messages
 from tamaracktide.protocol import server
 from tamaracktide.scheduler import admin
-from tamaracktide.scheduler import cells
+from tamaracktide.scheduler import cell_parts
 from tamaracktide.scheduler import claims
+from tamaracktide.scheduler import confirming
 from tamaracktide.scheduler import drains
 from tamaracktide.scheduler import gateways
 from tamaracktide.scheduler import keeper
@@ -78,7 +79,11 @@
             objects, settings.tables, self._rng
         )
         self._peers = peers_module.Peers(
-            settings, self._hello, instance_client.list, self._follower
+            settings,
+            self._hello,
+            instance_client.read,
+            self._follower,
+            self._rng,
         )
         self.service = service_module.Service(
             settings,
@@ -105,6 +110,8 @@
 
     async def run_parts(self) -> None:
         """Runs everything but HTTP until cancelled."""
+        await self._peers.directory.start()
+        self._follower.add_listener(lambda _: self._peers.directory.look_soon())
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._follower.run)
             tasks.start_soon(self._peers.run)
@@ -121,7 +128,10 @@
 
         A scheduler that answered earlier would be handed cells too early.
         """
-        while not self._follower.is_ready or self._peers.listed_at is None:
+        while (
+            not self._follower.is_ready
+            or self._peers.directory.listed_at is None
+        ):
             await anyio.sleep(READY_POLL_S)
         inner = self._settings.inner
         bound = await self._tasks.start(
@@ -166,14 +176,15 @@
             await self.service.stop()
         http_server.should_exit = True
 
-    def _make_parts(self, known: gateways.Gateways) -> cells.CellParts:
-        return cells.CellParts(
+    def _make_parts(self, known: gateways.Gateways) -> cell_parts.CellParts:
+        return cell_parts.CellParts(
             settings=self._settings,
             client=engine_client.EngineClient(
                 self._settings.upstreams, self._caller
             ),
             caller=self._caller,
             gateways=known,
+            confirmer=confirming.Confirmer(self._settings, known, self._peers),
             metrics=self._metrics,
             make_keeper=self._make_keeper,
             rng=self._rng,
--- a/src/tamaracktide/scheduler/requests.py
+++ b/src/tamaracktide/scheduler/requests.py
@@ -127,8 +127,12 @@
         )
         if not request.gateway.send(reply):
             return False
-        held = gateways.Held(self._cell, now)
-        request.gateway.grants[grant.grant_id] = held
+        request.gateway.grants[grant.grant_id] = gateways.Held(
+            self._cell,
+            now,
+            request.message.fingerprint,
+            request.message.alone,
+        )
         self._count_grant(queued_s, load_wait_s)
         return True
 
--- a/src/tamaracktide/scheduler/service.py
+++ b/src/tamaracktide/scheduler/service.py
@@ -10,16 +10,23 @@
 from tamaracktide.core import rows
 from tamaracktide.core import tables as core_tables
 from tamaracktide.observability import logs
+from tamaracktide.peering import bootstrap
 from tamaracktide.protocol import connection
 from tamaracktide.protocol import heartbeats
 from tamaracktide.protocol import messages
+from tamaracktide.protocol import peer_messages
+from tamaracktide.scheduler import cell_list
+from tamaracktide.scheduler import cell_parts
 from tamaracktide.scheduler import cells
 from tamaracktide.scheduler import claims as claims_module
 from tamaracktide.scheduler import gateways as gateways_module
 from tamaracktide.scheduler import outbox as outbox_module
 from tamaracktide.scheduler import peers as peers_module
 from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.scheduler import suspects
+from tamaracktide.scheduler import telling
 from tamaracktide.tables import follower as tables_follower
+from tamaracktide.upstreams import engine as engine_client
 
 Codes = result_codes.ResultCode
 
@@ -46,7 +53,7 @@
         follower: tables_follower.Follower,
         peers: peers_module.Peers,
         claims: claims_module.ClaimShards,
-        make_parts: Callable[[gateways_module.Gateways], cells.CellParts],
+        make_parts: Callable[[gateways_module.Gateways], cell_parts.CellParts],
     ) -> None:
         """Starts without cells; `run` opens them."""
         self.cells: dict[rows.CellId, cells.CellShell] = {}
@@ -57,6 +64,7 @@
         self._follower = follower
         self._peers = peers
         self._claims = claims
+        self._cell_list = cell_list.CellList(follower, peers)
         self._parts = make_parts(self.gateways)
         self._tasks = self._parts.tasks
         self._claims_open = 0
@@ -66,6 +74,11 @@
         """Writes of claim shards that took effect."""
         return self._claims.commits
 
+    @property
+    def engine_client(self) -> engine_client.EngineClient:
+        """Client of all engines."""
+        return self._parts.client
+
     async def run(self) -> None:
         """Looks again and again at who should own what."""
         audited_at = anyio.current_time()
@@ -88,6 +101,8 @@
                     await self._serve_gateway(opened)
                 case "scheduler":
                     await self._peers.serve(opened)
+                case bootstrap.ROLE_READER:
+                    await self._peers.serve_reader(opened)
                 case _:
                     await opened.close(
                         Codes.BAD_REQUEST, f"role {peer.role!r} is not served"
@@ -102,7 +117,7 @@
         if self.draining:
             return
         self._peers.own_epochs = self._read_epochs()
-        wanted = self._list_cells()
+        wanted = self._cell_list.read()
         for cell in list(self.cells):
             await self._check_owned(cell, wanted)
         now = anyio.current_time()
@@ -112,6 +127,10 @@
                 continue
             if self._peers.membership.find_owner(cell, now) == own:
                 self._open_cell(cell)
+        for cell, share in self._divide_store(wanted).items():
+            if cell in self.cells:
+                self.cells[cell].set_store_share(share)
+        await self._peers.borrow()
 
     async def stop(self) -> None:
         """Hands all cells over and finishes the claims in progress."""
@@ -147,12 +166,17 @@
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(outbox.run)
-                tasks.start_soon(self._send_digests, gateway)
+                tasks.start_soon(
+                    telling.send_digests,
+                    gateway,
+                    self._peers.make_digest,
+                    self._settings.periods,
+                )
                 tasks.start_soon(
                     heartbeats.keep_alive,
                     opened,
                     self._settings.inner,
-                    self._read_loads,
+                    telling.make_loads_reader(self._list_loads),
                 )
                 while True:
                     self._handle(gateway, await opened.receive())
@@ -174,17 +198,24 @@
                 self._tasks.start_soon(self._claim, gateway, message)
             case messages.TableFetch():
                 gateway.send(self._peers.make_table_reply(message))
+            case peer_messages.InstancesFetch():
+                gateway.send(self._peers.directory.make_reply(message))
 
     def _request_grant(
         self,
         gateway: gateways_module.Gateway,
         request: messages.GrantRequest,
     ) -> None:
+        now = anyio.current_time()
+        screened = suspects.screen(self._peers.quarantine, request, now)
+        if screened is None:
+            self._refuse(gateway, request, Codes.QUARANTINED)
+            return
         shell = self.cells.get(rows.CellId(request.pool, request.zone))
         if shell is not None:
-            shell.submit(request, gateway)
+            shell.submit(screened, gateway)
         else:
-            self._tasks.start_soon(self._find_cell, gateway, request)
+            self._tasks.start_soon(self._find_cell, gateway, screened)
 
     async def _find_cell(
         self,
@@ -196,7 +227,7 @@
         if not self._follower.is_ready:
             self._refuse(gateway, request, Codes.TABLES_NOT_LOADED)
             return
-        if cell not in self._list_cells():
+        if cell not in self._cell_list.read():
             self._refuse(gateway, request, Codes.NO_UPSTREAM)
             return
         now = anyio.current_time()
@@ -234,6 +265,9 @@
             held = gateway.grants.pop(release.grant_id, None)
             if held is not None:
                 self.end_grant(held.cell, release)
+            if held is not None:
+                now = anyio.current_time()
+                suspects.judge(self._peers.quarantine, held, release, now)
             if held is not None and release.lost:
                 self._check_engine(held.cell, release.upstream)
             return
@@ -251,11 +285,11 @@
         gateway: gateways_module.Gateway,
         reply: messages.OutstandingReply,
     ) -> None:
-        self.gateways.take_reply(gateway, reply, anyio.current_time())
         shell = self.cells.get(rows.CellId(reply.pool, reply.zone))
-        if shell is not None and not reply.query_id:
+        if shell is not None:
             for grant in reply.grants:
                 shell.adopt(grant)
+        self.gateways.take_reply(gateway, reply, anyio.current_time())
 
     async def _claim(
         self,
@@ -272,39 +306,26 @@
         finally:
             self._claims_open -= 1
 
-    def _read_loads(self) -> tuple[messages.CellLoad, ...]:
-        return tuple(shell.make_load() for shell in self.cells.values())
-
-    async def _send_digests(self, gateway: gateways_module.Gateway) -> None:
-        while True:
-            gateway.send(self._peers.make_digest())
-            await anyio.sleep(self._settings.periods.digest_s)
+    def _list_loads(self) -> list[messages.CellLoad]:
+        return [shell.make_load() for shell in self.cells.values()]
 
     def _audit(self) -> None:
         """Asks for the grants in use; those unknown to gateways end."""
-        epochs = self._read_epochs()
-        for cell in self.cells:
-            self._tasks.start_soon(self.gateways.collect, cell, epochs)
+        self._parts.confirmer.forget_gone()
+        for cell, shell in self.cells.items():
+            self._tasks.start_soon(
+                self.gateways.collect, cell, shell.read_epochs()
+            )
 
     def _read_epochs(self) -> dict[str, int]:
         return {
-            name: engine.keeper.epoch
+            name: epoch
             for shell in self.cells.values()
-            for name, engine in shell.engines.items()
-            if engine.keeper.epoch
-        }
-
-    def _list_cells(self) -> set[rows.CellId]:
-        view = self._peers.membership
-        return {
-            cell
-            for pool in self._follower.tables.pools.values()
-            if pool.kind is rows.UpstreamKind.ENGINE
-            for cell in view.list_cells(pool)
+            for name, epoch in shell.read_epochs().items()
         }
 
     async def _check_owned(
-        self, cell: rows.CellId, wanted: set[rows.CellId]
+        self, cell: rows.CellId, wanted: frozenset[rows.CellId]
     ) -> None:
         shell = self.cells[cell]
         if shell.successor is not None:
@@ -318,7 +339,11 @@
         if owner == self._settings.instance:
             return
         # While the platform is out nobody could take the cell over.
-        if self._peers.is_platform_heard() and await self._peers.probe(owner):
+        if (
+            self._peers.directory.is_platform_heard()
+            and await self._peers.probe(owner)
+            and await self._peers.directory.refresh()
+        ):
             self._tasks.start_soon(self._hand_over, cell, owner)
 
     def _open_cell(self, cell: rows.CellId) -> cells.CellShell:
@@ -327,7 +352,8 @@
             return shell
         logs.bind(cell=cell.text).info("cell opened")
         pool = self._follower.tables.pools[cell.pool]
-        share = self._share_store(cell)
+        wanted = self._cell_list.read()
+        share = self._peers.lending.find_first(cell, wanted)
         settings = cell_settings.CellSettings(
             stall_weight=pool.stall_weight,
             batch_weight=pool.batch_weight,
@@ -350,20 +376,15 @@
         shell.update_engines(view.list_upstreams(pool, shell.cell.zone))
         for name, engine in shell.engines.items():
             engine.set_leaving(view.is_leaving(name) or name in self.drained)
-        shell.set_store_share(self._share_store(shell.cell))
-
-    def _share_store(
-        self, cell: rows.CellId
-    ) -> scheduler_settings.StoreSettings:
-        """Returns a cell's part: equal among zones, then among its cells."""
-        zones = self._peers.membership.list_zones(ROLE_ENGINE)
-        beside = [one for one in self._list_cells() if one.zone == cell.zone]
-        parts = max(1, len(zones)) * max(1, len(beside))
-        store = self._settings.store
-        return scheduler_settings.StoreSettings(
-            loads_per_s=store.loads_per_s / parts,
-            in_flight=store.in_flight / parts,
-        )
+
+    def _divide_store(
+        self, wanted: frozenset[rows.CellId]
+    ) -> dict[rows.CellId, scheduler_settings.StoreSettings]:
+        """Returns the parts of the weight store's rate of the owned cells."""
+        needs = {
+            cell: shell.measure_need() for cell, shell in self.cells.items()
+        }
+        return self._peers.lending.update(wanted, needs, anyio.current_time())
 
     def _find_next(self, cell: rows.CellId) -> str:
         now = anyio.current_time()
--- a/src/tamaracktide/scheduler/settings.py
+++ b/src/tamaracktide/scheduler/settings.py
@@ -6,6 +6,8 @@
 import msgspec
 
 from tamaracktide.core import membership as core_membership
+from tamaracktide.core import quarantine as core_quarantine
+from tamaracktide.core import shares as core_shares
 from tamaracktide.observability import settings as observability_settings
 from tamaracktide.platform import settings as platform_settings
 from tamaracktide.protocol import settings as protocol_settings
@@ -49,24 +51,33 @@
     """How often things are looked at.
 
     Attributes:
-        instances_s: Time between two reads of the instance list.
+        instances_s: Time between two reads of the instance list from the
+            platform, longer for a long list; peers tell newer ones meanwhile.
         reconcile_s: Time between two looks at who should own what.
         engine_state_s: Time between two reads of an engine's state.
         engine_load_s: Time between two reads of an engine's load report.
-        digest_s: Time between two digests to a peer or gateway.
+        digest_s: Time between two looks whether a digest has changed.
+        digest_refresh_s: Time after which an unchanged digest is sent again.
+        start_spread_s: Longest wait of a starting scheduler for a seed peer
+            before it reads the platform itself.
         ownership_retry_s: Wait while another scheduler owns an upstream.
         ownership_confirm_s: Time between two reads of an owned record.
+        confirm_s: Time between two questions to gateways that have not told
+            a new owner their grants.
         audit_s: Time between two comparisons of the gateways' grants.
         drains_watch_s: Longest wait of one watch of the drains.
     """
 
-    instances_s: Seconds = 1.0
+    instances_s: Seconds = 5.0
     reconcile_s: Seconds = 0.25
     engine_state_s: Seconds = 2.0
     engine_load_s: Seconds = 1.0
-    digest_s: Seconds = 2.0
+    digest_s: Seconds = 0.5
+    digest_refresh_s: Seconds = 20.0
+    start_spread_s: Seconds = 30.0
     ownership_retry_s: Seconds = 0.3
     ownership_confirm_s: Seconds = 10.0
+    confirm_s: Seconds = 1.0
     audit_s: Seconds = 15.0
     drains_watch_s: Seconds = 20.0
 
@@ -111,12 +122,16 @@
         instance: Instance id.
         zone: Availability zone.
         platform: How the platform is reached.
+        seed_peers: Inner addresses of schedulers that a starting one reads
+            the instance list and the tables from.
         http: Health, metrics and status.
         inner: Inner protocol.
         upstreams: Upstreams' side.
         tables: How the tables are followed.
         store: The weight store's limits.
+        shares: How the weight store's rate is lent.
         membership: How long facts about instances hold.
+        quarantine: How long verdicts on crashing requests hold.
         periods: How often things are looked at.
         limits: Bounds of waits and queues.
         observability: Logs and traces.
@@ -125,6 +140,7 @@
     instance: Annotated[str, msgspec.Meta(min_length=1)]
     zone: Annotated[str, msgspec.Meta(min_length=1)]
     platform: platform_settings.PlatformSettings
+    seed_peers: tuple[str, ...] = ()
     http: HttpSettings = dataclasses.field(default_factory=HttpSettings)
     inner: protocol_settings.InnerSettings = dataclasses.field(
         default_factory=protocol_settings.InnerSettings
@@ -136,9 +152,15 @@
         default_factory=tables_settings.FollowerSettings
     )
     store: StoreSettings = dataclasses.field(default_factory=StoreSettings)
+    shares: core_shares.ShareSettings = dataclasses.field(
+        default_factory=core_shares.ShareSettings
+    )
     membership: core_membership.MembershipSettings = dataclasses.field(
         default_factory=core_membership.MembershipSettings
     )
+    quarantine: core_quarantine.QuarantineSettings = dataclasses.field(
+        default_factory=core_quarantine.QuarantineSettings
+    )
     periods: PeriodSettings = dataclasses.field(default_factory=PeriodSettings)
     limits: LimitSettings = dataclasses.field(default_factory=LimitSettings)
     observability: observability_settings.ObservabilitySettings = (
--- /dev/null
+++ b/src/tamaracktide/scheduler/telling.py
@@ -0,0 +1,40 @@
+"""Tells a connected gateway digests and loads."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import anyio
+
+from tamaracktide.peering import outgoing
+from tamaracktide.protocol import heartbeats
+from tamaracktide.protocol import messages
+from tamaracktide.scheduler import gateways
+from tamaracktide.scheduler import settings as scheduler_settings
+
+LOADS_REFRESH_S = 5.0
+
+
+async def send_digests(
+    gateway: gateways.Gateway,
+    make_digest: Callable[[], messages.Digest],
+    periods: scheduler_settings.PeriodSettings,
+) -> None:
+    """Sends digests when they change and now and then, until cancelled."""
+    told = outgoing.Outgoing(periods.digest_refresh_s)
+    while True:
+        digest = told.next(make_digest(), anyio.current_time())
+        if digest is not None:
+            gateway.send(digest)
+        await anyio.sleep(periods.digest_s)
+
+
+def make_loads_reader(
+    list_loads: Callable[[], Iterable[messages.CellLoad]],
+) -> heartbeats.LoadsReader:
+    """Returns what adds the cells' loads to one gateway's heartbeats."""
+    told = outgoing.OutgoingLoads(LOADS_REFRESH_S)
+
+    def read_loads() -> tuple[messages.CellLoad, ...]:
+        return told.next(list_loads(), anyio.current_time())
+
+    return read_loads
--- a/src/tamaracktide/tables/collector.py
+++ b/src/tamaracktide/tables/collector.py
@@ -1,19 +1,23 @@
-"""Deletes shards that no head has named for a long time.
+"""Deletes shards that no head has named for a long time, and old records.
 
 Two passes keep a shard safe that an editor is about to name: the first marks
 it with its version, a later one deletes it only at that version. An editor
-renews the version of a shard that it finds already there.
+renews the version of a shard that it finds already there. Records of edits
+need no mark: no edit to come writes one for a revision of the past.
 """
 
 from collections.abc import Mapping
+import contextlib
 import dataclasses
 
 from tamaracktide import errors
+from tamaracktide.core import table_edits
 from tamaracktide.core import table_head
 from tamaracktide.tables import store
 
 MARKS_KEY = "tables/unused"
 MAX_MARKS = 4000
+MAX_RECORDS = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +78,34 @@
     return len(due)
 
 
+async def collect_old_records(
+    objects: store.ObjectStore, history_revisions: int
+) -> int:
+    """Deletes the records of edits that the history no longer reaches.
+
+    Args:
+        objects: Client of the object API.
+        history_revisions: Revisions up to the newest that are kept.
+
+    Returns:
+        The number of deleted objects, at most `MAX_RECORDS`.
+
+    Raises:
+        errors.PlatformError: A call failed; the rest is left for next time.
+    """
+    stored = await objects.read(table_head.HEAD_KEY)
+    newest = table_head.decode_head(stored.value).revision
+    first_kept = table_edits.make_revision_prefix(
+        max(1, newest - history_revisions + 1)
+    )
+    listing = await objects.list(table_edits.EDITS_PREFIX)
+    old = sorted(item.key for item in listing.items if item.key < first_kept)
+    for key in old[:MAX_RECORDS]:
+        with contextlib.suppress(errors.ObjectMissingError):
+            await objects.delete(key)
+    return len(old[:MAX_RECORDS])
+
+
 def _renew_marks(
     old: Mapping[str, Mark], unused: Mapping[str, int], now_unix_s: float
 ) -> dict[str, Mark]:
--- a/src/tamaracktide/tables/follower.py
+++ b/src/tamaracktide/tables/follower.py
@@ -25,6 +25,15 @@
 class Follower:
     """Keeps the newest tables that the platform or a peer has shown.
 
+    At a start, and so at a restart of everything at once, large tables come
+    from peers first: reading the head costs the platform two calls, but the
+    shards are hundreds. Each process draws a random part of `start_wait_s`
+    and reads no shard from the platform before, nor while peers go on
+    offering some. So the few that drew a short wait read the platform, and
+    the others read from them. A process that lacks at most `start_shards`
+    reads them without a wait. Later revisions change few shards and are read
+    at once, from whoever answers first.
+
     Attributes:
         confirmed_at: When the platform last answered, on anyio's clock; None
             before the first answer.
@@ -47,10 +56,13 @@
         self._objects = objects
         self._settings = settings
         self._rng = rng
-        self._assembly = table_assembly.Assembly()
+        self._assembly = table_assembly.Assembly(
+            wants_routes=settings.wants == "all"
+        )
         self._listeners: list[Listener] = []
         self._told_revision = 0
         self._wake = anyio.Event()
+        self._offered = anyio.Event()
 
     @property
     def tables(self) -> tables.Tables:
@@ -90,12 +102,21 @@
         Raises:
             errors.ProtocolError: A shard's content has another hash.
         """
+        missing = len(self._assembly.list_missing())
         self._assembly.accept_shards(shards)
+        if len(self._assembly.list_missing()) < missing:
+            self._offered.set()
         self._tell_listeners()
 
     def list_missing_shards(self) -> list[str]:
-        """Returns the hashes that the newest known head still lacks."""
-        return self._assembly.list_missing()
+        """Returns the hashes that the newest known head still lacks.
+
+        Their order is random, so that several peers that are asked for the
+        first one each send different shards.
+        """
+        missing = self._assembly.list_missing()
+        self._rng.shuffle(missing)
+        return missing
 
     def read_head(self) -> bytes:
         """Returns the head in force for a peer, empty before the first."""
@@ -172,6 +193,8 @@
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
+            if not self.is_ready:
+                await self._wait_for_peers()
             while self._assembly.list_missing():
                 try:
                     await reader.read_missing_shards(
@@ -188,6 +211,19 @@
                     await anyio.sleep(wait_s)
             self._tell_listeners()
 
+    async def _wait_for_peers(self) -> None:
+        """Waits while peers may offer, or go on offering, many shards."""
+        settings = self._settings
+        wait_s = settings.start_wait_s * self._rng.random()
+        until = anyio.current_time() + wait_s
+        while len(self._assembly.list_missing()) > settings.start_shards:
+            self._offered = anyio.Event()
+            with anyio.move_on_at(until):
+                await self._offered.wait()
+            if not self._offered.is_set():
+                return
+            until = max(until, anyio.current_time() + settings.start_idle_s)
+
     def _tell_listeners(self) -> None:
         snapshot = self._assembly.tables
         if snapshot.revision == self._told_revision:
--- a/src/tamaracktide/tables/settings.py
+++ b/src/tamaracktide/tables/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from typing import Annotated
+from typing import Literal
 
 import msgspec
 
@@ -21,6 +22,14 @@
         min_backoff_s: First wait after a failed call.
         max_backoff_s: Longest wait after failed calls.
         fetch_concurrency: Shards that are read at once.
+        wants: What is followed: `all`, or `pools` where no routes are needed
+            and none have to be offered to peers.
+        start_wait_s: Longest time after a start in which peers may offer
+            shards before they are read from the platform; each process waits
+            a random part of it.
+        start_idle_s: Time without an offer after which a start no longer
+            waits for the rest from peers.
+        start_shards: A start that lacks no more shards reads them at once.
     """
 
     watch_timeout_s: Seconds = 30.0
@@ -30,6 +39,10 @@
     min_backoff_s: Seconds = 0.2
     max_backoff_s: Seconds = 5.0
     fetch_concurrency: Concurrency = 4
+    wants: Literal["all", "pools"] = "all"
+    start_wait_s: Seconds = 30.0
+    start_idle_s: Seconds = 2.0
+    start_shards: Annotated[int, msgspec.Meta(ge=0)] = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -43,6 +56,7 @@
         concurrency: Objects that are read or written at once.
         collect_every: Unused shards are collected every so many revisions.
         collect_after_s: Time that a shard must have been unused.
+        history_revisions: Records of edits older than this are deleted.
     """
 
     deadline_s: Seconds = 20.0
@@ -51,3 +65,4 @@
     concurrency: Concurrency = 8
     collect_every: Annotated[int, msgspec.Meta(ge=1)] = 64
     collect_after_s: Seconds = 3600.0
+    history_revisions: Annotated[int, msgspec.Meta(ge=64)] = 4096
