--- a/src/tamaracktide/tables/writer.py
+++ b/src/tamaracktide/tables/writer.py
@@ -11,6 +11,7 @@
 from tamaracktide import result_codes
 from tamaracktide.core import table_edits
 from tamaracktide.core import table_head
+from tamaracktide.core import table_shards
 from tamaracktide.core import tables
 from tamaracktide.tables import backoff
 from tamaracktide.tables import settings as tables_settings
@@ -65,16 +66,14 @@
     Raises:
         errors.EditError: TABLE_INVALID, an object would be too large.
     """
-    shards = [shard.values() for shard in after.routes.shards]
-    contents = [table_head.encode_rows(shard) for shard in shards]
-    contents.append(table_head.encode_rows(after.pools.values()))
-    hashes = [table_head.hash_content(content) for content in contents]
     known = set(old_head.hashes) if old_head else set()
-    objects = {
-        table_head.make_shard_key(digest): content
-        for digest, content in zip(hashes, contents, strict=True)
-        if digest not in known
-    }
+    objects: dict[str, bytes] = {}
+    routes = tuple(
+        _plan_shard(shard, known, objects) for shard in after.routes.shards
+    )
+    pools = _plan_content(
+        table_head.encode_rows(after.pools.values()), known, objects
+    )
     encodings = [table_head.encode_object(record) for record in records]
     for part, encoding in enumerate(encodings):
         key = table_edits.make_record_key(after.revision, edit.edit_id, part)
@@ -93,8 +92,8 @@
     head = table_head.Head(
         revision=after.revision,
         write_id=edit.edit_id,
-        routes=tuple(hashes[:-1]),
-        pools=hashes[-1],
+        routes=routes,
+        pools=pools,
         recent=table_head.append_recent(
             old_head.recent if old_head else (), recent
         ),
@@ -102,6 +101,25 @@
     return Plan(head, objects)
 
 
+def _plan_shard(
+    shard: tables.Shard, known: set[str], objects: dict[str, bytes]
+) -> str:
+    """Returns a shard's hash, and adds the shard if it has changed."""
+    if isinstance(shard, table_shards.EncodedShard) and shard.digest in known:
+        return shard.digest
+    content = table_head.encode_rows(table_shards.list_routes(shard))
+    return _plan_content(content, known, objects)
+
+
+def _plan_content(
+    content: bytes, known: set[str], objects: dict[str, bytes]
+) -> str:
+    digest = table_head.hash_content(content)
+    if digest not in known:
+        objects[table_head.make_shard_key(digest)] = content
+    return digest
+
+
 async def write_objects(
     objects: store.ObjectStore,
     plan: Plan,
--- a/src/tamaracktide/upstreams/engine.py
+++ b/src/tamaracktide/upstreams/engine.py
@@ -244,7 +244,9 @@
 
     async def cancel(self, address: str, request_id: str) -> bool:
         """Cancels a request; returns whether it surely runs no longer."""
-        result = await self._caller.send(
+        # Hundreds of callers may leave at once; each call over a pool of
+        # httpcore looks at all of the pool's connections.
+        answer = await self._streams.open(
             calls.Call(
                 method="DELETE",
                 address=address,
@@ -252,7 +254,13 @@
                 timeout_s=self._settings.read_timeout_s,
             )
         )
-        return isinstance(result, calls.Answer) and result.status in (204, 404)
+        if isinstance(answer, calls.Failure):
+            return False
+        try:
+            whole = await answer.read(self._settings.max_answer_bytes)
+        finally:
+            await answer.close()
+        return isinstance(whole, calls.Answer) and whole.status in (204, 404)
 
     async def load_adapter(
         self, order: Order, key: rows.AdapterKey
--- /dev/null
+++ b/tests/bench/test_random_cell.py
@@ -0,0 +1,12 @@
+"""Tests of the long randomised run."""
+
+import pytest
+
+from tamaracktide.bench import random_cell
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_random_events_break_no_invariant(seed: int) -> None:
+    """Thousands of random events are answered without a breach."""
+    summary = random_cell.RandomCell(seed).run(4000)
+    assert min(summary.granted, summary.refused, summary.loads) > 100
--- a/tests/core/test_committer.py
+++ b/tests/core/test_committer.py
@@ -280,6 +280,41 @@
     drain(node, float(number))
 
 
+@pytest.mark.parametrize(
+    ("body", "whole", "kept"),
+    [
+        (b"", True, True),
+        (b"", False, False),
+        (b"x" * 4096, True, True),
+        (b"x" * 4097, True, False),
+    ],
+)
+def test_empty_answer_is_told_apart_from_one_that_was_not_kept(
+    body: bytes, whole: bool, kept: bool
+) -> None:
+    """A repeat learns whether the body is the whole answer."""
+    node = Node(Store())
+    claim = make_claim(0)
+    node.feed(claim, 0.0)
+    drain(node, 0.0)
+    finish = ce.Finish(
+        attempt_id=claim.attempt_id,
+        key_hash=claim.key_hash,
+        state=cr.ClaimState.COMPLETED,
+        status=200,
+        body=body,
+        body_kept=whole,
+    )
+    node.feed(finish, 1.0)
+    drain(node, 1.0)
+    node.feed(dataclasses.replace(claim, attempt_id="again"), 2.0)
+    drain(node, 2.0)
+    repeated = node.replies[-1]
+    assert isinstance(repeated, ce.Repeated)
+    assert repeated.record.body_kept is kept
+    assert repeated.record.body == (body if kept else b"")
+
+
 def test_claims_that_wait_together_share_one_write() -> None:
     """A group of claims costs one conditional write."""
     node = Node(Store())
--- /dev/null
+++ b/tests/core/test_fairness.py
@@ -0,0 +1,81 @@
+"""Tests of the fair queue between customers."""
+
+import math
+
+import pytest
+
+from tamaracktide.core import cell_events
+from tamaracktide.core import cell_state
+from tamaracktide.core import fairness
+from tamaracktide.core import rows
+
+
+def add(
+    queue: fairness.FairQueue, name: str, customer: str, weight: float = 1.0
+) -> None:
+    """Adds a request that costs 100 tokens."""
+    submit = cell_events.Submit(
+        request_id=name,
+        customer=customer,
+        key=rows.AdapterKey(customer, "1"),
+        weight=weight,
+    )
+    queue.add(
+        cell_state.Waiter(
+            submit=submit,
+            submitted_at=0.0,
+            sequence=len(queue.waiters),
+            cost=100.0,
+            expires_at=30.0,
+        )
+    )
+
+
+def serve(queue: fairness.FairQueue, count: int) -> list[str]:
+    """Serves so many requests; returns their customers."""
+    served = []
+    for _ in range(count):
+        account = queue.list_backlogged()[0]
+        (_, group), *_ = account.list_groups()
+        queue.serve(group[0].submit.request_id, account.customer)
+        served.append(account.customer)
+    return served
+
+
+def test_backlog_of_one_customer_does_not_delay_another() -> None:
+    """A newcomer is served next, however long another's queue is."""
+    queue = fairness.FairQueue()
+    for number in range(50):
+        add(queue, f"large{number}", "large")
+    serve(queue, 10)
+    add(queue, "small", "small")
+    assert "small" in serve(queue, 2)
+
+
+def test_service_follows_weights() -> None:
+    """Twice the weight gets twice the requests of equal cost."""
+    queue = fairness.FairQueue()
+    for number in range(60):
+        add(queue, f"a{number}", "a", weight=2.0)
+        add(queue, f"b{number}", "b", weight=1.0)
+    served = serve(queue, 30)
+    assert served.count("a") == pytest.approx(20, abs=1)
+
+
+def test_levels_are_infinite_while_there_is_enough() -> None:
+    """Nobody is beyond a share that no one contests."""
+    queue = fairness.FairQueue()
+    add(queue, "r", "a")
+    assert math.isinf(queue.find_levels(1, 1).places)
+
+
+def test_only_the_customer_that_asks_for_more_is_limited() -> None:
+    """Max-min shares leave those who ask for little alone."""
+    queue = fairness.FairQueue()
+    for number in range(50):
+        add(queue, f"large{number}", "large")
+    add(queue, "small", "small")
+    levels = queue.find_levels(10, 10)
+    assert levels.places == pytest.approx(9.0)
+    assert levels.limits(queue.accounts["large"])
+    assert not levels.limits(queue.accounts["small"])
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -1,10 +1,16 @@
 """Tests of membership: the list, direct evidence and told departures."""
 
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
 from tamaracktide.core import membership
+from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
 
 CELL = rows.CellId("p", "z1")
 SETTINGS = membership.MembershipSettings()
+NAMES = ("s1", "s2", "s3")
 
 
 def make_member(
@@ -109,3 +115,53 @@
     view = make_membership()
     view.handle(membership.PeersTold(("s1",)), 1.0)
     assert "s1" in view.list_owners(CELL, 1.0)
+
+
+FACTS = strategies.one_of(
+    strategies.builds(membership.Heard, strategies.sampled_from(NAMES)),
+    strategies.builds(membership.Silent, strategies.sampled_from(NAMES)),
+    strategies.builds(membership.Left, strategies.sampled_from(NAMES)),
+    strategies.builds(membership.Returned, strategies.sampled_from(NAMES)),
+    strategies.builds(
+        membership.PeersTold, strategies.tuples(strategies.sampled_from(NAMES))
+    ),
+    strategies.builds(
+        membership.ListRead,
+        strategies.sets(strategies.sampled_from(NAMES)).map(
+            lambda names: tuple(make_member(name, "z1") for name in names)
+        ),
+    ),
+)
+
+
+@given(
+    strategies.lists(
+        strategies.tuples(
+            FACTS, strategies.sampled_from((0.0, 0.5, 1.0, 3.0, 5.0, 600.0))
+        ),
+        max_size=20,
+    )
+)
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_remembered_owners_are_those_of_the_present_facts(
+    facts: list[tuple[membership.MembershipEvent, float]],
+) -> None:
+    """What was found before holds only as long as nothing changed."""
+    view = membership.Membership(SETTINGS, NAMES[0], "z1")
+    now = 0.0
+    for fact, wait_s in facts:
+        view.handle(fact, now)
+        for _ in range(2):
+            found = view.list_owners(CELL, now)
+            names = {one.instance for one in view.list_role("scheduler")}
+            usable = [
+                (name, "z1")
+                for name in names | {NAMES[0]}
+                if not view.is_leaving(name)
+                and (
+                    name == NAMES[0]
+                    or view.is_reachable(name, now) is not False
+                )
+            ]
+            assert found == rendezvous.order_owners(CELL.text, usable, "z1")
+            now += wait_s
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -12,6 +12,7 @@
 
 SCHEDULERS = ("s0", "s1", "s2")
 ADAPTERS = ("a", "b")
+MOST_ACTIONS = 100
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,7 +43,9 @@
     """Feeds an event, serves all store actions, returns the others."""
     rest: list[events.OwnershipAction] = []
     queue = owner.handle(event, 0.0)
-    while queue:
+    for _ in range(MOST_ACTIONS):
+        if not queue:
+            return rest
         action = queue.pop(0)
         match action:
             case events.ReadRecord():
@@ -58,7 +61,7 @@
                 pass
             case _:
                 rest.append(action)
-    return rest
+    raise AssertionError(f"{event} never comes to an end")
 
 
 def test_first_owner_takes_epoch_one() -> None:
@@ -159,6 +162,136 @@
     assert events.LoseOwnership("") in drive(owner, store, seen)
 
 
+def take_full_record(count: int) -> tuple[ownership.Ownership, Store]:
+    """Returns an owner of an unfenced engine that inherited many intents."""
+    owner, store = make_owner("s0"), Store()
+    intents = tuple(events.Intent(f"old{n}", 1) for n in range(count))
+    store.record = events.OwnershipRecord(
+        epoch=1, owner="", owner_incarnation="", write_id="w", intents=intents
+    )
+    store.version = 1
+    drive(owner, store, events.Acquire())
+    return owner, store
+
+
+def read_loaded(*names: str) -> events.EngineRead:
+    """Returns a read of an unfenced engine with these names loaded."""
+    return events.EngineRead(
+        incarnation="e", checks_fencing=False, loaded=names
+    )
+
+
+def test_full_list_drops_intents_on_names_that_are_gone() -> None:
+    """What is not loaded is never loaded again, so evictions go on."""
+    owner, store = take_full_record(ownership.MAX_INTENTS)
+    drive(owner, store, read_loaded("old7", "new"))
+    answer = drive(owner, store, events.UnloadWanted("new"))
+    assert answer == [events.AllowUnload("new")]
+    assert store.record is not None
+    assert store.record.intents == (
+        events.Intent("old7", 1),
+        events.Intent("new", 2),
+    )
+    assert owner.withheld == ("new", "old7")
+
+
+def test_full_list_of_loaded_names_refuses_unloads() -> None:
+    """An intent on a name that is loaded is never dropped."""
+    owner, store = take_full_record(ownership.MAX_INTENTS)
+    names = [f"old{n}" for n in range(ownership.MAX_INTENTS)]
+    drive(owner, store, read_loaded(*names, "new"))
+    answer = drive(owner, store, events.UnloadWanted("new"))
+    assert answer == [events.RefuseUnload("new")]
+    assert len(owner.withheld) == ownership.MAX_INTENTS
+
+
+def test_refused_unload_of_an_inherited_name_keeps_its_intent() -> None:
+    """Whatever is asked at the same time, no open intent is dropped."""
+    owner, store = take_full_record(ownership.MAX_INTENTS)
+    names = [f"old{n}" for n in range(ownership.MAX_INTENTS)]
+    drive(owner, store, read_loaded(*names, "new", "next"))
+    pending = owner.handle(events.UnloadWanted("old1"), 0.0)
+    for name in ("new", "old0", "next"):
+        owner.handle(events.UnloadWanted(name), 0.0)
+    (write,) = pending
+    assert isinstance(write, events.WriteRecord)
+    assert store.write(write)
+    drive(owner, store, events.WriteSucceeded(store.version))
+    assert store.record is not None
+    assert {one.lora_name for one in store.record.intents} == set(names)
+
+
+def test_full_list_keeps_intents_that_no_read_has_settled() -> None:
+    """What an earlier owner saw loaded says nothing after a takeover."""
+    owner, store = take_full_record(ownership.MAX_INTENTS)
+    drive(
+        owner, store, events.EngineRead(incarnation="e", checks_fencing=False)
+    )
+    answer = drive(owner, store, events.UnloadWanted("new"))
+    assert answer == [events.RefuseUnload("new")]
+
+
+def test_unsure_own_unload_keeps_its_intent_in_a_full_list() -> None:
+    """An order without an answer may still arrive, whatever is loaded."""
+    owner, store = take_full_record(ownership.MAX_INTENTS - 1)
+    drive(owner, store, read_loaded("a", "b"))
+    assert drive(owner, store, events.UnloadWanted("a"))
+    drive(owner, store, events.UnloadEnded("a", certain=False))
+    drive(owner, store, read_loaded("b"))
+    drive(owner, store, events.UnloadWanted("b"))
+    assert store.record is not None
+    own = (events.Intent("a", 2), events.Intent("b", 2))
+    assert store.record.intents == own
+
+
+def test_withheld_name_can_be_unloaded_and_stays_withheld() -> None:
+    """A new owner needs the slot; the old owner's order may still come."""
+    owner, store = take_full_record(1)
+    drive(owner, store, read_loaded("old0"))
+    answer = drive(owner, store, events.UnloadWanted("old0"))
+    assert answer == [events.AllowUnload("old0")]
+    drive(owner, store, events.UnloadEnded("old0", certain=True))
+    drive(owner, store, events.UnloadWanted("new"))
+    assert owner.withheld == ("new", "old0")
+    restarted = events.EngineRead(incarnation="f", checks_fencing=False)
+    drive(owner, store, restarted)
+    assert not owner.withheld
+
+
+def test_stale_read_neither_ends_ownership_nor_gives_it() -> None:
+    """A store that answers an old version is asked again later."""
+    first, second, store = make_owner("s0"), make_owner("s1"), Store()
+    drive(first, store, events.Acquire())
+    old = events.RecordRead(store.record, store.version)
+    drive(second, store, events.Acquire())
+    drive(second, store, events.OwnerChecked("s0", "i", reachable=False))
+    assert second.epoch == 2
+    drive(second, store, events.UnloadWanted("a"))
+    second.handle(events.Tick(), 0.0)
+    told = second.handle(old, 5.0)
+    assert told == [events.WakeAt(6.0)]
+    assert (second.state, second.epoch) == (ownership.State.OWNING, 2)
+    assert drive(second, store, events.Tick()) == []
+
+
+def test_stale_read_never_settles_a_lost_write() -> None:
+    """The same write is sent again only onto the version it was made for."""
+    owner, store = make_owner("s0"), Store()
+    drive(owner, store, events.Acquire())
+    first = events.RecordRead(store.record, store.version)
+    drive(owner, store, read_loaded("a", "b"))
+    drive(owner, store, events.UnloadWanted("a"))
+    (write,) = owner.handle(events.UnloadWanted("b"), 0.0)
+    assert isinstance(write, events.WriteRecord)
+    owner.handle(events.ReplyLost(), 0.0)
+    owner.handle(events.Tick(), 0.0)
+    told = owner.handle(first, 0.0)
+    assert told[-1] == events.WakeAt(1.0)
+    assert not any(isinstance(one, events.WriteRecord) for one in told)
+    (again,) = owner.handle(events.RecordRead(store.record, store.version), 0.0)
+    assert again == write
+
+
 class Race(stateful.RuleBasedStateMachine):
     """Three schedulers with arbitrary delays race for an unfenced engine.
 
--- a/tests/ctl/test_ctl.py
+++ b/tests/ctl/test_ctl.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import json
 import pathlib
 
@@ -17,6 +18,7 @@
 from tamaracktide.ctl import output
 from tamaracktide.ctl import session as ctl_session
 from tamaracktide.ctl import settings as ctl_settings
+from tamaracktide.platform import instances
 from tamaracktide.platform import settings as client_settings
 from tamaracktide.settings import api_keys
 from tamaracktide.standins.platform import app as platform_app
@@ -176,6 +178,73 @@
             await operating.wait_until_in_force(session, PRINTER, 1, 0.3)
 
 
+@pytest.mark.anyio
+async def test_status_in_an_outage_asks_the_instances_of_the_settings(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """Without the platform, the daemons that the settings name are shown."""
+    known = instances.Instance(
+        id="s1", role="scheduler", zone="z", address="127.0.0.1:1"
+    )
+    unreachable = client_settings.PlatformSettings(address="127.0.0.1:1")
+    made = ctl_settings.CtlSettings(platform=unreachable, instances=(known,))
+    async with ctl_session.open_session(made) as session:
+        await operating.show_status(session, PRINTER)
+        printed = capsys.readouterr()
+        assert "asking the instances of the settings" in printed.err
+        (row,) = json.loads(printed.out)["instances"]
+        assert (row["instance"], row["state"]) == ("s1", "live")
+    silent = dataclasses.replace(made, instances=())
+    async with ctl_session.open_session(silent) as session:
+        with pytest.raises(errors.PlatformUnavailableError):
+            await operating.show_status(session, PRINTER)
+
+
+@pytest.mark.anyio
+async def test_status_lists_cells_and_upstreams_with_their_owners(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """An upstream is its cell's owner's, unless it names another."""
+    upstreams = [
+        {"upstream": "e1", "epoch": 3, "owner": ""},
+        {"upstream": "e2", "epoch": 0, "owner": "s2"},
+    ]
+    status = {
+        "revision": 7,
+        "cells": [{"pool": "p", "zone": "z", "upstreams": upstreams}],
+    }
+
+    async def answer(_request: web.Request) -> web.Reply:
+        return web.make_json_reply(200, status)
+
+    async with server.run_embedded(web.make_app(answer)) as address:
+        known = instances.Instance(
+            id="s1", role="scheduler", zone="z", address=address
+        )
+        unreachable = client_settings.PlatformSettings(address="127.0.0.1:1")
+        made = ctl_settings.CtlSettings(
+            platform=unreachable, instances=(known,)
+        )
+        async with ctl_session.open_session(made) as session:
+            await operating.show_status(session, PRINTER)
+    shown = json.loads(capsys.readouterr().out)
+    assert shown["instances"][0]["revision"] == 7
+    assert shown["cells"][0]["owner"] == "s1"
+    assert [row["owner"] for row in shown["upstreams"]] == ["s1", "s2"]
+
+
+def test_many_details_are_cut_short() -> None:
+    """The rest is counted, and the next step is still the last line."""
+    error = errors.EditError(
+        result_codes.ResultCode.TABLE_INVALID,
+        "; ".join(f"fault {number}" for number in range(30)),
+    )
+    lines = exits.describe_error(error).splitlines()
+    assert lines[-2] == "  and 10 more"
+    assert lines[-1].startswith("next: ")
+    assert len(lines) == 23
+
+
 def test_exit_statuses_are_distinct() -> None:
     """Each kind of failure has a status and a next step of its own."""
     kinds = [
--- a/tests/ctl/test_ctl_arguments.py
+++ b/tests/ctl/test_ctl_arguments.py
@@ -23,6 +23,14 @@
     assert arguments.quote_words(words) == words
 
 
+def test_help_is_read_by_fire_itself() -> None:
+    """A command that takes any flags does not get the help flag."""
+    assert arguments.move_help(["edit", "--help"]) == ["edit", "--", "--help"]
+    assert arguments.move_help(["-h"]) == ["--", "--help"]
+    plain = ["get", "--", "--help"]
+    assert arguments.move_help(plain) == plain
+
+
 def test_values_of_other_types_are_checked() -> None:
     """A wrong value is a usage error that names it."""
     assert arguments.parse_revision("7") == 7
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -381,9 +381,13 @@
         body: object = b"",
         method: str = "POST",
         customer: str = "c1",
+        left: anyio.Event | None = None,
         **headers: str,
     ) -> Answer:
-        """Sends one request to the application and returns the answer."""
+        """Sends one request to the application and returns the answer.
+
+        The caller leaves when `left` is set; a status of 0 means no answer.
+        """
         data = body if isinstance(body, bytes) else msgspec.json.encode(body)
         key = api_keys.make_api_key(customer, SECRET)
         fields = {"authorization": f"Bearer {key}", **headers}
@@ -402,7 +406,8 @@
         async def receive() -> dict[str, Any]:
             nonlocal asked
             if asked:
-                await anyio.sleep_forever()
+                await (left or anyio.Event()).wait()
+                return {"type": "http.disconnect"}
             asked = True
             return {"type": "http.request", "body": data}
 
@@ -411,6 +416,8 @@
 
         with anyio.fail_after(10):
             await self.app(scope, receive, send)
+        if not sent:
+            return Answer(0, {}, b"")
         whole = b"".join(message.get("body", b"") for message in sent[1:])
         return Answer(sent[0]["status"], dict(sent[0]["headers"]), whole)
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -400,3 +400,94 @@
     answer = await world.call("/services/sign/a", b"x", idempotency_key="k")
     assert answer.error["code"] == Codes.OUTCOME_UNKNOWN
     assert not world.services[0].effects
+
+
+async def test_request_that_crashes_every_engine_is_quarantined(
+    world: fakes.World,
+) -> None:
+    """It runs once more, alone; then it is refused without being asked for."""
+    for engine in world.engines:
+        engine.script = [fakes.Step(tokens=0, forget=True)]
+    answer = await world.call("/v1/completions", ASK)
+    assert answer.error["code"] == Codes.UPSTREAM_LOST
+    assert [one.alone for one in world.scheduler.requests] == [False, True]
+    again = await world.call("/v1/completions", ASK)
+    assert again.error["code"] == Codes.QUARANTINED
+    assert len(world.scheduler.requests) == 2
+    releases = await world.scheduler.wait_for_releases(2)
+    fingerprint = world.scheduler.requests[0].fingerprint
+    assert [one.suspect for one in releases] == [fingerprint, fingerprint]
+
+
+async def test_request_beside_a_crash_is_cleared(world: fakes.World) -> None:
+    """One that ends alone runs beside others again."""
+    world.engines[0].script = [fakes.Step(tokens=1, forget=True)]
+    assert (await world.call("/v1/completions", ASK)).status == 200
+    assert (await world.call("/v1/completions", ASK)).status == 200
+    asked = [one.alone for one in world.scheduler.requests]
+    assert asked == [False, True, False]
+
+
+async def test_resent_suspect_runs_alone(world: fakes.World) -> None:
+    """A stream that broke off in a crash runs alone when sent again."""
+    world.engines[0].script = [fakes.Step(tokens=2, forget=True)]
+    await world.call("/v1/completions", STREAM)
+    check_whole_stream(await world.call("/v1/completions", STREAM))
+    assert [one.alone for one in world.scheduler.requests] == [False, True]
+
+
+async def test_caller_who_leaves_is_counted_as_such(
+    world: fakes.World,
+) -> None:
+    """The request is cancelled at its engine and is no success."""
+    world.engines[0].script = [fakes.Step(tokens=2, silent=True)]
+    left = anyio.Event()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(
+            lambda: world.call("/v1/completions", STREAM, left=left)
+        )
+        while not world.engines[0].dispatched:
+            await anyio.sleep(0.005)
+        left.set()
+    body, _ = world.parts.metrics.render([""])
+    assert f'code="{Codes.CALLER_LEFT.value}"'.encode() in body
+    assert b'code="1000"' not in body
+    with anyio.fail_after(5):
+        while not world.engines[0].cancelled:
+            await anyio.sleep(0.005)
+
+
+async def test_grants_of_an_upstream_that_moved_are_told(
+    world: fakes.World,
+) -> None:
+    """A query names upstreams, whose grants count in whatever cell."""
+    world.engines[0].script = [fakes.Step(tokens=2, silent=True)]
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(world.call, "/v1/completions", STREAM)
+        while not world.engines[0].dispatched:
+            await anyio.sleep(0.005)
+        await world.scheduler.connections[0].send(
+            messages.OutstandingQuery(
+                query_id="q", pool="new", zone="z1", epochs={"e0": 3}
+            )
+        )
+        while not world.scheduler.replies:
+            await anyio.sleep(0.005)
+    assert [g.upstream for g in world.scheduler.replies[0].grants] == ["e0"]
+
+
+async def test_answer_too_large_to_keep_is_reported_so(
+    world: fakes.World,
+) -> None:
+    """A repeat is not answered with a part of the answer."""
+    limit = world.parts.settings.claims.max_kept_bytes
+    for path, body in (
+        ("/services/sign/a", b"x" * (limit + 1)),
+        ("/services/sign/a", b""),
+        ("/v1/completions", {**STREAM, "model": "once", "max_tokens": 80}),
+    ):
+        key = f"k{len(world.scheduler.claims)}"
+        await world.call(path, body, idempotency_key=key)
+    await wait_for_reports(world)
+    kept = {one.key: one.body_kept for one in world.scheduler.reports}
+    assert kept == {"k0": False, "k1": True, "k2": False}
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -13,7 +13,7 @@
 
 _KINDS = sorted(messages.NUMBERS.values(), key=lambda kind: kind.__name__)
 
-# Integers are of 64 bits on the wire; not-a-number never equals itself.
+# Integers are of 64 bits on the wire; not-a-number is refused.
 strategies.register_type_strategy(int, strategies.integers(-(2**63), 2**63 - 1))
 strategies.register_type_strategy(float, strategies.floats(allow_nan=False))
 
@@ -49,6 +49,11 @@
         cbor2.dumps([2, {"code": "text"}]),
         cbor2.dumps([2, {}]),
         cbor2.dumps([2, {"code": 1, "x": [[[[[[[[[1]]]]]]]]]}]),
+        cbor2.dumps([9, {"sequence": float("nan")}]),
+        cbor2.dumps([5, {"request_id": "", "code": 1, "x": [float("nan")]}]),
+        cbor2.dumps(
+            [5, {"request_id": "", "code": 1, "retry_after_s": float("nan")}]
+        ),
         cbor2.dumps([2, {"code": 1, "x": cbor2.CBORTag(35, "(a+)+$")}]),
         cbor2.dumps([2, {"code": 1, "x": cbor2.CBORTag(4711, 1)}]),
         b"\x82\x02\xbf\x64code\x01\xff",
--- a/tests/protocol/test_connection.py
+++ b/tests/protocol/test_connection.py
@@ -151,3 +151,59 @@
     assert silence.seconds == 2 * SETTINGS.heartbeat_period_s
     assert not silence.update(2, 500.1)
     assert silence.seconds == 0.0
+
+
+class BusyConnection:
+    """A connection that sends and receives something at each look.
+
+    Attributes:
+        beats: Heartbeats sent.
+        peer: The peer's first message.
+    """
+
+    def __init__(self) -> None:
+        """Starts without messages."""
+        self.beats = 0
+        self.peer = HELLO
+        self._count = 0
+
+    @property
+    def sent(self) -> int:
+        """Count of messages sent."""
+        self._count += 1
+        return self._count
+
+    received = sent
+
+    async def send(self, message: messages.Message) -> None:
+        """Counts a heartbeat."""
+        self.beats += 1
+
+    async def close(
+        self, code: result_codes.ResultCode, detail: str = ""
+    ) -> None:
+        """A connection in use is never closed."""
+        raise AssertionError(detail)
+
+
+async def test_connection_in_use_needs_no_heartbeats_but_for_loads() -> None:
+    """What else is sent shows that the sender lives."""
+    load = messages.CellLoad(
+        pool="p", zone="z", running=0, capacity=1, waiting=0
+    )
+    looks = 0
+
+    def read_loads() -> tuple[messages.CellLoad, ...]:
+        nonlocal looks
+        looks += 1
+        return (load,) if looks == 3 else ()
+
+    short = dataclasses.replace(SETTINGS, heartbeat_period_s=0.001)
+    opened = BusyConnection()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(heartbeats.keep_alive, opened, short, read_loads)
+        with anyio.fail_after(10.0):
+            while looks < 6:
+                await anyio.sleep(0.001)
+        tasks.cancel_scope.cancel()
+    assert opened.beats == 1
--- a/tests/scheduler/scheduler_fixtures.py
+++ b/tests/scheduler/scheduler_fixtures.py
@@ -46,6 +46,7 @@
     digest_s=0.2,
     ownership_retry_s=0.1,
     ownership_confirm_s=0.5,
+    confirm_s=0.1,
 )
 
 
@@ -87,6 +88,10 @@
         entry = msgspec.json.encode({"zone": ZONE, **fields})
         await self._calls.call("PUT", f"/admin/instances/{name}", body=entry)
 
+    async def remove_instance(self, name: str) -> None:
+        """Takes an instance out of the platform's list."""
+        await self._calls.call("DELETE", f"/admin/instances/{name}")
+
     async def set_platform_faults(self, **faults: object) -> None:
         """Switches faults of the platform."""
         body = msgspec.json.encode(faults)
@@ -137,7 +142,9 @@
         )
         await table_editor.commit(edit)
 
-    async def start_scheduler(self, name: str) -> Running:
+    async def start_scheduler(
+        self, name: str, seed_peers: tuple[str, ...] = ()
+    ) -> Running:
         """Starts and lists a scheduler; returns once it answers."""
         inner = dataclasses.replace(INNER, port=find_free_port())
         settings = scheduler_settings.SchedulerSettings(
@@ -147,6 +154,7 @@
             http=scheduler_settings.HttpSettings(port=find_free_port()),
             inner=inner,
             periods=PERIODS,
+            seed_peers=seed_peers,
         )
         running: Running = await self._tasks.start(
             self._run_scheduler, settings
@@ -157,7 +165,7 @@
             address=f"127.0.0.1:{settings.http.port}",
             inner_address=running.inner_address,
         )
-        await self.connect_gateway(running, "starting")
+        await (await self.connect_gateway(running, "starting")).close()
         return running
 
     async def connect_gateway(
@@ -231,8 +239,9 @@
     adapter: str = "a",
     suspects: tuple[str, ...] = (),
     time_left_s: float = 60.0,
+    fingerprint: str = "",
 ) -> messages.GrantRequest:
-    """Returns a request for a place on an engine."""
+    """Returns a request of one token for a place on an engine."""
     return messages.GrantRequest(
         request_id=request_id,
         pool="p",
@@ -241,7 +250,9 @@
         version="1",
         customer="c",
         suspects=suspects,
+        fingerprint=fingerprint,
         time_left_s=time_left_s,
+        max_tokens=1,
     )
 
 
--- /dev/null
+++ b/tests/scheduler/test_engines.py
@@ -0,0 +1,182 @@
+"""Tests of the shell of one engine: which unload orders are sent."""
+
+import anyio
+import pytest
+
+from tamaracktide.core import cell_actions
+from tamaracktide.core import cell_events
+from tamaracktide.core import membership
+from tamaracktide.core import ownership_events
+from tamaracktide.core import rows
+from tamaracktide.platform import settings as platform_settings
+from tamaracktide.protocol import messages
+from tamaracktide.scheduler import engine_parts
+from tamaracktide.scheduler import engines
+from tamaracktide.scheduler import keeper
+from tamaracktide.scheduler import settings as scheduler_settings
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import engine as engine_client
+from tamaracktide.upstreams import settings as upstream_settings
+
+pytestmark = pytest.mark.anyio
+KEY = rows.AdapterKey("a", "1")
+DONE = engine_client.OrderResult(engine_client.OrderOutcome.DONE)
+LOST = calls.Failure(calls.FailureKind.BROKEN, "lost")
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """The product runs on asyncio."""
+    return "asyncio"
+
+
+class Keeper(keeper.Keeper):
+    """Owns at epoch 2 and allows every unload."""
+
+    def __init__(self) -> None:
+        """Is the owner at once."""
+
+    @property
+    def epoch(self) -> int:
+        """The epoch."""
+        return 2
+
+    @property
+    def withheld(self) -> tuple[str, ...]:
+        """No names."""
+        return ()
+
+    def feed(self, event: ownership_events.OwnershipEvent) -> None:
+        """Nothing changes the ownership."""
+
+    async def ask_unload(self, lora_name: str) -> bool:
+        """Always allows."""
+        return True
+
+    async def run(self) -> None:
+        """Has nothing to do."""
+
+
+class Client(engine_client.EngineClient):
+    """An engine with one adapter.
+
+    Attributes:
+        running: Requests that use it at each read; the last one repeats.
+        unloads: Names that were ordered to be unloaded.
+    """
+
+    def __init__(self, caller: calls.Caller, running: list[int | None]) -> None:
+        """Starts with the adapter loaded."""
+        super().__init__(upstream_settings.UpstreamSettings(), caller)
+        self.running = running
+        self.unloads: list[str] = []
+
+    async def read_state(
+        self, address: str
+    ) -> engine_client.EngineState | calls.Failure:
+        """Returns the next state, or a failure for None."""
+        count = self.running[0]
+        if len(self.running) > 1:
+            del self.running[0]
+        if count is None:
+            return LOST
+        loaded = engine_client.LoadedAdapter("a#1", "a", "1", count)
+        return engine_client.EngineState(
+            instance="e1",
+            incarnation="i",
+            slots=1,
+            batch_limit=4,
+            loaded=(loaded,),
+            running=tuple(f"r{number}" for number in range(count)),
+            checks_fencing=False,
+        )
+
+    async def unload_adapter(
+        self, order: engine_client.Order
+    ) -> engine_client.OrderResult:
+        """Notes the order."""
+        self.unloads.append(order.lora_name)
+        return DONE
+
+    async def load_adapter(
+        self, order: engine_client.Order, key: rows.AdapterKey
+    ) -> engine_client.OrderResult:
+        """Loads."""
+        return DONE
+
+
+async def collect_grants(
+    upstream: str, epoch: int
+) -> tuple[messages.OutstandingGrant, ...]:
+    """Returns no grants."""
+    return ()
+
+
+async def try_eviction(
+    running: list[int | None], missing: list[str]
+) -> tuple[list[str], list[cell_events.CellEvent]]:
+    """Takes an engine over and evicts; returns unloads and cell events."""
+    fed: list[cell_events.CellEvent] = []
+    settings = scheduler_settings.SchedulerSettings(
+        instance="s",
+        zone="z1",
+        platform=platform_settings.PlatformSettings(address="127.0.0.1:1"),
+        periods=scheduler_settings.PeriodSettings(engine_state_s=60.0),
+    )
+    async with (
+        calls.Caller(settings.upstreams) as caller,
+        anyio.create_task_group() as tasks,
+    ):
+        client = Client(caller, running)
+        parts = engine_parts.EngineParts(
+            settings=settings,
+            client=client,
+            caller=caller,
+            feed=fed.append,
+            collect=collect_grants,
+            list_missing=lambda upstream, epoch: missing,
+        )
+        member = membership.Member(
+            instance="e1", role="engine", zone="z1", address="127.0.0.1:1"
+        )
+        engine = engines.Engine(member, parts, lambda *_: Keeper())
+        tasks.start_soon(engine.run)
+        with anyio.fail_after(10.0):
+            while engine.phase is not engine_parts.Phase.LIVE:
+                await anyio.sleep(0.001)
+        load = cell_actions.Load(
+            load_id="l",
+            upstream="e1",
+            incarnation="i",
+            lora_name="b#1",
+            key=rows.AdapterKey("b", "1"),
+            evict="a#1",
+        )
+        loaded = await engine.carry_out(load)
+        tasks.cancel_scope.cancel()
+    assert loaded == bool(client.unloads)
+    return client.unloads, fed
+
+
+@pytest.mark.parametrize(
+    ("running", "unloads"),
+    [([0], ["a#1"]), ([1, 0], ["a#1"]), ([1, 1], []), ([1, None], [])],
+)
+async def test_adapter_that_the_engine_runs_is_not_unloaded(
+    running: list[int | None], unloads: list[str]
+) -> None:
+    """The engine is asked again if its last report showed a request."""
+    sent, _ = await try_eviction(running, [])
+    assert sent == unloads
+
+
+async def test_inherited_adapter_is_not_unloaded_before_all_have_answered() -> (
+    None
+):
+    """The cell is told so, and no order gets past the shell either."""
+    sent, fed = await try_eviction([0], ["g1"])
+    assert sent == []
+    read = fed[0]
+    assert isinstance(read, cell_events.UpstreamRead)
+    assert read.running == 1
+    assert cell_events.EvictionsSuspended("e1", True) in fed
--- a/tests/tables/test_table_editor.py
+++ b/tests/tables/test_table_editor.py
@@ -183,6 +183,36 @@
     assert [record.edit_id for record in records] == ["edit-0"]
 
 
+async def test_edit_of_one_row_writes_one_shard_and_its_record() -> None:
+    """The other shards are neither written nor renewed."""
+    objects = fake_store.FakeStore()
+    routes = [table_samples.make_route(f"r{i}") for i in range(1200)]
+    await table_samples.put_rows(objects, "1", table_samples.POOL, *routes)
+    version = objects.version
+    changed = table_samples.make_route("r7", "2")
+    await table_samples.put_rows(objects, "second", changed)
+    assert objects.version == version + 3
+    snapshot = await table_samples.make_editor(objects).read_tables()
+    assert snapshot.routes["r7"] == changed
+
+
+async def test_records_older_than_the_history_are_deleted() -> None:
+    """Newer ones stay, and an old revision is told as unknown."""
+    objects = fake_store.FakeStore()
+    await table_samples.put_rows(objects, "first", table_samples.POOL)
+    for number in range(4):
+        route = table_samples.make_route("a", str(number))
+        await table_samples.put_rows(objects, f"edit-{number}", route)
+    assert await collector.collect_old_records(objects, 2) == 3
+    assert await collector.collect_old_records(objects, 2) == 0
+    operator = table_samples.make_editor(objects)
+    await operator.read_tables()
+    assert operator.head is not None
+    assert await history.read_edit(objects, operator.head, 4)
+    with pytest.raises(errors.EditError, match="no record of revision 3"):
+        await history.read_edit(objects, operator.head, 3)
+
+
 async def test_collector_keeps_shards_that_may_be_named() -> None:
     """Only shards unused at both passes and not renewed are deleted."""
     objects = fake_store.FakeStore()
--- a/tests/tables/test_table_follower.py
+++ b/tests/tables/test_table_follower.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import random
 
 import anyio
@@ -122,3 +123,79 @@
         reader.offer_shards({digest: b"[{}]"})
     with pytest.raises(errors.ProtocolError, match="tables/head"):
         reader.offer_head(b"{}")
+
+
+async def start_with_peer(
+    reader_settings: settings.FollowerSettings,
+) -> tuple[int, follower.Follower]:
+    """Starts a follower whose peer offers each shard as it is missing.
+
+    Returns:
+        The shards that were read from the platform, and the follower.
+    """
+    objects = fake_store.FakeStore()
+    routes = [table_samples.make_route(f"r{i}") for i in range(1200)]
+    await table_samples.put_rows(objects, "1", table_samples.POOL, *routes)
+    async with run_follower(objects) as peer:
+        await wait_for_revision(peer, 1)
+    reads = 0
+
+    async def gate(operation: str, key: str) -> fake_store.Fate:
+        nonlocal reads
+        shard = key.startswith(table_head.SHARDS_PREFIX)
+        reads += operation == "read" and shard
+        return fake_store.Fate.DONE
+
+    objects.gate = gate
+    reader = follower.Follower(objects, reader_settings, random.Random(3))
+    async with anyio.create_task_group() as group:
+        group.start_soon(reader.run)
+        with anyio.fail_after(20):
+            while not reader.is_ready:
+                for digest in reader.list_missing_shards()[:1]:
+                    reader.offer_shards(peer.read_shards([digest]))
+                await anyio.sleep(0)
+        group.cancel_scope.cancel()
+    return reads, reader
+
+
+async def test_start_takes_many_shards_from_peers() -> None:
+    """While peers offer, a start reads no shard from the platform."""
+    patient = dataclasses.replace(
+        SETTINGS, start_wait_s=60.0, start_idle_s=60.0, start_shards=0
+    )
+    reads, reader = await start_with_peer(patient)
+    assert reads == 0
+    assert len(reader.tables.routes) == 1200
+
+
+async def test_start_without_peers_reads_the_platform() -> None:
+    """The wait for offers ends."""
+    objects = fake_store.FakeStore()
+    await table_samples.put_rows(objects, "first", table_samples.POOL)
+    hasty = dataclasses.replace(SETTINGS, start_wait_s=0.01, start_shards=0)
+    reader = follower.Follower(objects, hasty, random.Random(1))
+    async with anyio.create_task_group() as group:
+        group.start_soon(reader.run)
+        await wait_for_revision(reader, 1)
+        group.cancel_scope.cancel()
+
+
+async def test_follower_that_wants_pools_holds_no_routes() -> None:
+    """It reads the pools only, and every revision is in force for it."""
+    objects = fake_store.FakeStore()
+    route = table_samples.make_route("a")
+    await table_samples.put_rows(objects, "first", table_samples.POOL, route)
+    pools_only = dataclasses.replace(SETTINGS, wants="pools")
+    reader = follower.Follower(objects, pools_only, random.Random(1))
+    reader.offer_head(objects.peek(table_head.HEAD_KEY)[1] or b"")
+    assert len(reader.list_missing_shards()) == 1
+    async with anyio.create_task_group() as group:
+        group.start_soon(reader.run)
+        await wait_for_revision(reader, 1)
+        newer = table_samples.make_route("a", "2")
+        await table_samples.put_rows(objects, "second", newer)
+        await wait_for_revision(reader, 2)
+        group.cancel_scope.cancel()
+    assert len(reader.tables.routes) == 0
+    assert dict(reader.tables.pools) == {"engines": table_samples.POOL}
--- a/tests/upstreams/test_upstreams.py
+++ b/tests/upstreams/test_upstreams.py
@@ -315,3 +315,14 @@
     assert isinstance(answer, calls.Answer)
     assert "c1.mac" not in server.requests[0]
     assert "idempotency-key: k" in server.requests[0]
+
+
+async def test_cancel_uses_the_connections_of_streams(
+    server: Server, client: engine.EngineClient
+) -> None:
+    """Many callers who leave at once cost one exchange each."""
+    server.script = [make_answer(204), make_answer(404), make_answer(500)]
+    told = [await client.cancel(server.address, "r1") for _ in range(3)]
+    assert told == [True, True, False]
+    assert server.connections == 1
+    assert not await client.cancel(DEAD_ADDRESS, "r1")
