Send a claim to its shard's one committer; try weighted cells and revert

Cause: the gateway picked the committer by one of 64 names while the committer counts 16 shards, so up to four schedulers wrote each head. Both use claim_records.find_shard now.

Tried and reverted: rendezvous order of cells weighted by their engines, as the zone with one engine is home to a third of the adapters.

--- a/examples/make_example.py
+++ b/examples/make_example.py
@@ -170,22 +170,27 @@
                     "inner_address": f"{host}:{inner}",
                 }
             )
-    for role, count in (
-        ("engine", example.engines),
-        ("service", example.services),
-    ):
-        for number in range(count):
-            zone = number % len(example.zones)
-            first = 50 if role == "engine" else 100
-            listed.append(
-                {
-                    "id": f"{role}-{number}",
-                    "role": role,
-                    "zone": example.zones[zone],
-                    "address": f"10.1.{zone + 1}.{first + number}"
-                    f":{UPSTREAM_PORT}",
-                }
-            )
+    listed.extend(_list_upstreams(example, "engine", example.engines, 50))
+    listed.extend(_list_upstreams(example, "service", example.services, 100))
+    return listed
+
+
+def _list_upstreams(
+    example: Example, role: str, count: int, first_host: int
+) -> list[Json]:
+    """Returns the upstreams of a role, dealt out to the zones in turn."""
+    listed = []
+    for number in range(count):
+        zone = number % len(example.zones)
+        host = f"10.1.{zone + 1}.{first_host + number}"
+        listed.append(
+            {
+                "id": f"{role}-{number}",
+                "role": role,
+                "zone": example.zones[zone],
+                "address": f"{host}:{UPSTREAM_PORT}",
+            }
+        )
     return listed
 
 
--- a/scripts/start_example.py
+++ b/scripts/start_example.py
@@ -8,8 +8,9 @@
 import argparse
 import json
 import pathlib
+import signal
 import sys
-import time
+import threading
 
 import deployment
 import quickstart
@@ -58,7 +59,7 @@
 
 
 def serve(running: deployment.Deployment) -> None:
-    """Tells how to reach the deployment and waits for Ctrl-C."""
+    """Tells how to reach the deployment and waits for SIGINT or SIGTERM."""
     flags = quickstart.make_ctl_flags(running)
     settings = running.directory / "ctl.json"
     content = _read_json(settings)
@@ -68,12 +69,12 @@
     for node in running.nodes.values():
         if node.program == "tamaracktide-gateway":
             print(f"{node.name} ({node.zone}): http://{node.address}")
-    print(f"API keys are made under the secret {deployment.SECRET!r}")
-    try:
-        while True:
-            time.sleep(1.0)
-    except KeyboardInterrupt:
-        print("stopping")
+    print(f"API keys are made under {deployment.SECRET!r}", flush=True)
+    stopped = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stopped.set())
+    stopped.wait()
+    print("stopping", flush=True)
 
 
 def main() -> int:
--- a/src/tamaracktide/bench/slopes/runs.py
+++ b/src/tamaracktide/bench/slopes/runs.py
@@ -121,7 +121,7 @@
 
 
 def read_reports(paths: Sequence[pathlib.Path]) -> Report:
-    """Returns kept reports of different trials as one.
+    """Returns kept reports as one; of a series in several the last counts.
 
     Raises:
         ValueError: No path is given.
@@ -131,11 +131,13 @@
     if not reports:
         raise ValueError("no report is given")
     fits: dict[str, slope_series.Fit] = {}
+    by_name: dict[str, slope_series.Series] = {}
     for one in reports:
         fits.update(one.fits)
+        by_name.update((s.name, s) for s in one.series)
     return Report(
         repeats=min(one.repeats for one in reports),
         reference_us=tuple(r for one in reports for r in one.reference_us),
-        series=tuple(s for one in reports for s in one.series),
+        series=tuple(by_name.values()),
         fits=fits,
     )
--- a/src/tamaracktide/core/committer.py
+++ b/src/tamaracktide/core/committer.py
@@ -399,5 +399,7 @@
             obsolete.extend(replacement.obsolete)
         oldest = now_unix_s - self._settings.retention_s
         kept = tuple(e for e in listed if e.newest_unix_s >= oldest)
-        obsolete.extend(e.segment_id for e in listed if e not in kept)
+        obsolete.extend(
+            e.segment_id for e in listed if e.newest_unix_s < oldest
+        )
         return kept, tuple(obsolete)
--- a/src/tamaracktide/gateway/claims.py
+++ b/src/tamaracktide/gateway/claims.py
@@ -7,10 +7,10 @@
 
 import anyio
 import anyio.abc
-import xxhash
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.core import claim_records
 from tamaracktide.core import rendezvous
 from tamaracktide.gateway import asgi
 from tamaracktide.gateway import schedulers
@@ -21,7 +21,6 @@
 
 Codes = result_codes.ResultCode
 
-SHARD_COUNT = 64
 BODILESS = frozenset((204, 205, 304))
 """Statuses of answers that have no body, so that none can be missing."""
 
@@ -43,12 +42,6 @@
     key: str
 
 
-def find_shard(customer: str, key: str) -> str:
-    """Returns the name of the shard that a key's claim belongs to."""
-    digest = xxhash.xxh64_intdigest(f"{customer}\x00{key}".encode())
-    return f"claims/{digest % SHARD_COUNT}"
-
-
 class Claims:
     """Claims keys before dispatch and reports outcomes in the background."""
 
@@ -168,7 +161,10 @@
             for member in self._schedulers.list_members()
             if member.reachable
         ]
-        order = rendezvous.sort_members(find_shard(customer, key), reachable)
+        shard = claim_records.find_shard(customer, key)
+        order = rendezvous.sort_members(
+            claim_records.name_shard(shard), reachable
+        )
         return order[: self._settings.max_tries]
 
     async def _report(self, report: messages.OutcomeReport) -> None:
--- a/src/tamaracktide/gateway/main.py
+++ b/src/tamaracktide/gateway/main.py
@@ -87,7 +87,7 @@
             log_config=None,
             access_log=False,
             server_header=False,
-            proxy_headers=True,
+            proxy_headers=False,
             timeout_keep_alive=http.keep_alive_s,
         )
     )
--- a/src/tamaracktide/scheduler/admin.py
+++ b/src/tamaracktide/scheduler/admin.py
@@ -37,6 +37,7 @@
         owner: Another scheduler that owns it, or empty.
         loaded: Adapters in its slots.
         withheld: Engine-side names that are not granted.
+        waits_for: Gateways that must tell their grants before evictions.
     """
 
     upstream: str
@@ -45,6 +46,7 @@
     owner: str
     loaded: int
     withheld: int
+    waits_for: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -220,6 +222,7 @@
                 owner=engine.owner,
                 loaded=len(engine.state.loaded) if engine.state else 0,
                 withheld=len(engine.keeper.withheld),
+                waits_for=tuple(engine.list_unconfirmed()),
             )
             for name, engine in sorted(shell.engines.items())
         ),
--- a/src/tamaracktide/scheduler/engines.py
+++ b/src/tamaracktide/scheduler/engines.py
@@ -98,12 +98,16 @@
         self._suspended = suspended
         self.review_evictions()
 
-    def is_unconfirmed(self) -> bool:
-        """Whether gateways may use inherited names in ways not known."""
+    def list_unconfirmed(self) -> list[str]:
+        """Returns gateways that may use inherited names in unknown ways."""
         if self.phase is not Phase.LIVE or not self._inherited.names:
-            return False
+            return []
         upstream = self.member.instance
-        return bool(self._parts.list_missing(upstream, self.keeper.epoch))
+        return self._parts.list_missing(upstream, self.keeper.epoch)
+
+    def is_unconfirmed(self) -> bool:
+        """Whether a gateway may use inherited names in unknown ways."""
+        return bool(self.list_unconfirmed())
 
     def review_evictions(self) -> None:
         """Tells the cell when evictions stop or start to be allowed."""
--- a/src/tamaracktide/scheduler/outbox.py
+++ b/src/tamaracktide/scheduler/outbox.py
@@ -19,13 +19,22 @@
         ](max_queued)
 
     def put(self, message: messages.Message) -> bool:
-        """Queues a message; returns False if the queue is full."""
+        """Queues a message; returns False if the queue is full or closed."""
         try:
             self._send.send_nowait(message)
-        except anyio.WouldBlock:
+        except (
+            anyio.WouldBlock,
+            anyio.ClosedResourceError,
+            anyio.BrokenResourceError,
+        ):
             return False
         return True
 
+    def close(self) -> None:
+        """Drops what waits; nothing is queued any more."""
+        self._send.close()
+        self._receive.close()
+
     async def run(self) -> None:
         """Sends until cancelled.
 
--- a/src/tamaracktide/scheduler/service.py
+++ b/src/tamaracktide/scheduler/service.py
@@ -183,6 +183,7 @@
         finally:
             now = anyio.current_time()
             self.gateways.disconnect(gateway, outbox, now)
+            outbox.close()
 
     def _handle(
         self, gateway: gateways_module.Gateway, message: messages.Message
--- a/src/tamaracktide/tables/writer.py
+++ b/src/tamaracktide/tables/writer.py
@@ -80,15 +80,7 @@
         objects[key] = encoding
     for key, content in objects.items():
         _check_size(content, key)
-    recent = table_head.RecentEdit(
-        revision=after.revision,
-        edit_id=edit.edit_id,
-        author=edit.author,
-        at_unix_s=edit.at_unix_s,
-        summary=edit.summary,
-        rows=sum(len(r.routes) + len(r.pools) for r in records),
-        digest=table_head.hash_content(b"".join(encodings)),
-    )
+    recent = _make_recent(edit, after.revision, records, encodings)
     head = table_head.Head(
         revision=after.revision,
         write_id=edit.edit_id,
@@ -101,6 +93,23 @@
     return Plan(head, objects)
 
 
+def _make_recent(
+    edit: table_edits.Edit,
+    revision: int,
+    records: Sequence[table_edits.EditRecord],
+    encodings: Sequence[bytes],
+) -> table_head.RecentEdit:
+    return table_head.RecentEdit(
+        revision=revision,
+        edit_id=edit.edit_id,
+        author=edit.author,
+        at_unix_s=edit.at_unix_s,
+        summary=edit.summary,
+        rows=sum(len(r.routes) + len(r.pools) for r in records),
+        digest=table_head.hash_content(b"".join(encodings)),
+    )
+
+
 def _plan_shard(
     shard: tables.Shard, known: set[str], objects: dict[str, bytes]
 ) -> str:
