Start from peers while the platform is out; give overfull engines no load

Recovery: a scheduler or gateway started during a platform outage waited for the instance list for ever (test 'killed while out' failed, StartError).

Overfull engine: a scheduler ended with InvariantError '7 of 4 slots are taken' after a pause of 6 s. Cause: loads under way beside adapters that another owner had loaded meanwhile; the place for a load was sought by evicting one of eight. Ruled out: a wrong slot count by the engine. Such an engine gets no load until its orders have ended; the new test failed with the same error first.

--- a/scripts/topology.py
+++ b/scripts/topology.py
@@ -194,4 +194,7 @@
         if role == "gateway":
             settings["key_secret"] = deployment.SECRET
         nodes.append(dataclasses.replace(node, settings=settings))
+    seeds = [n.inner_address for n in nodes if "scheduler" in n.program]
+    for node in nodes:
+        node.settings["seed_peers"] = seeds
     return nodes
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -276,7 +276,7 @@
         """Returns the slot of least value that a load may take, or None."""
         if len(engine.slots) < engine.slot_limit:
             return Victim(0.0, "")
-        if not engine.evictable:
+        if not engine.evictable or len(engine.slots) > engine.slot_limit:
             return None
         best: Victim | None = None
         for slot in engine.slots.values():
--- a/src/tamaracktide/gateway/main.py
+++ b/src/tamaracktide/gateway/main.py
@@ -14,6 +14,7 @@
 from tamaracktide.gateway import app as gateway_app
 from tamaracktide.gateway import membership
 from tamaracktide.gateway import parts as gateway_parts
+from tamaracktide.gateway import recovery
 from tamaracktide.gateway import settings as gateway_settings
 from tamaracktide.observability import logs
 from tamaracktide.observability import traces
@@ -63,6 +64,14 @@
         )
         tasks.start_soon(follower.run)
         tasks.start_soon(members.run, settings.instances_period_s)
+        tasks.start_soon(
+            recovery.recover_from_peers,
+            settings,
+            gateway_parts.make_hello(settings, incarnation),
+            members,
+            follower,
+            rng,
+        )
         tasks.start_soon(parts.schedulers.run)
         tasks.start_soon(parts.claims.run)
         await _serve_http(parts)
--- a/src/tamaracktide/gateway/parts.py
+++ b/src/tamaracktide/gateway/parts.py
@@ -77,6 +77,19 @@
         return self.quarantine.is_quarantined(fingerprint, now)
 
 
+def make_hello(
+    settings: gateway_settings.GatewaySettings, incarnation: str
+) -> messages.Hello:
+    """Returns the first message to a peer."""
+    return messages.Hello(
+        version=messages.PROTOCOL_VERSION,
+        instance=settings.instance,
+        incarnation=incarnation,
+        role=ROLE,
+        zone=settings.zone,
+    )
+
+
 def make_parts(
     settings: gateway_settings.GatewaySettings,
     tables: sources.TablesSource,
@@ -99,13 +112,7 @@
         rng: Source of jitter.
         tasks: Runs what outlives a request.
     """
-    hello = messages.Hello(
-        version=messages.PROTOCOL_VERSION,
-        instance=settings.instance,
-        incarnation=incarnation,
-        role=ROLE,
-        zone=settings.zone,
-    )
+    hello = make_hello(settings, incarnation)
 
     async def open_connection(address: str) -> connection.Connection:
         return await client.open_connection(address, hello, settings.inner)
--- a/src/tamaracktide/gateway/settings.py
+++ b/src/tamaracktide/gateway/settings.py
@@ -86,6 +86,8 @@
         instances_period_s: Time between two reads of the instance list.
         decision_records: Requests whose decisions are kept.
         stop_timeout_s: Longest time that a shutdown waits for requests.
+        seed_peers: Inner addresses of schedulers that a starting gateway
+            reads the instance list and tables from while the platform is out.
     """
 
     instance: Annotated[str, msgspec.Meta(min_length=1)]
@@ -119,3 +121,4 @@
     instances_period_s: Seconds = 1.0
     decision_records: Size = 2_000
     stop_timeout_s: Seconds = 600.0
+    seed_peers: tuple[str, ...] = ()
--- a/src/tamaracktide/upstreams/settings.py
+++ b/src/tamaracktide/upstreams/settings.py
@@ -28,7 +28,7 @@
     zone: str = ""
     connect_timeout_s: Seconds = 1.0
     progress_timeout_s: Seconds = 5.0
-    order_timeout_s: Seconds = 30.0
+    order_timeout_s: Seconds = 8.0
     read_timeout_s: Seconds = 2.0
     service_timeout_s: Seconds = 10.0
     max_connections: Annotated[int, msgspec.Meta(ge=1)] = 1000
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -1,5 +1,6 @@
 """Tests of a cell's decisions through its one entry point."""
 
+import dataclasses
 import random
 
 from tamaracktide import result_codes
@@ -65,3 +66,20 @@
     assert isinstance(refusal, cell_actions.Refuse)
     assert refusal.code is result_codes.ResultCode.NO_UPSTREAM
     assert refusal.retry_after_s > 0
+
+
+def test_engine_with_more_adapters_than_slots_gets_no_load() -> None:
+    """Loads under way beside another owner's adapters overfill an engine."""
+    made = make_cell()
+    made.handle(cell_events.StoreShareChanged(100.0, 10.0), 0.5)
+    for name in ("oak", "ash"):
+        made.handle(submit(name, rows.AdapterKey(name, "1")), 1.0)
+    others = tuple(
+        cell_events.LoadedAdapter(f"{name}#9", rows.AdapterKey(name, "1"))
+        for name in ("birch", "elm")
+    )
+    read = dataclasses.replace(read_engine("e0"), loaded=others, batch_limit=8)
+    made.handle(read, 1.1)
+    late = submit("r3", rows.AdapterKey("fir", "1"))
+    late = dataclasses.replace(late, customer="d")
+    assert not find(made.handle(late, 1.2), cell_actions.Load)
--- a/tests/failures/test_failures.py
+++ b/tests/failures/test_failures.py
@@ -36,6 +36,10 @@
         faults.PlatformFault((("outage", True),)),
         faults.Kill("scheduler-1"),
     ),
+    "gateway killed while out": (
+        faults.PlatformFault((("outage", True),)),
+        faults.Kill("gateway-1"),
+    ),
     "frozen, then killed": (
         faults.Freeze("scheduler-0"),
         faults.Kill("engine-1"),
