Keep one invariant check; split the scheduler's tests by concern

core/invariants.py defined its own error beside errors.InvariantError; it is cell_invariants.py now and uses the one check.

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -5,11 +5,11 @@
 from tamaracktide import result_codes
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
+from tamaracktide.core import cell_invariants
 from tamaracktide.core import cell_parts
 from tamaracktide.core import cell_settings
 from tamaracktide.core import cell_state
 from tamaracktide.core import granting
-from tamaracktide.core import invariants
 from tamaracktide.core import load_planner
 from tamaracktide.core import loading
 from tamaracktide.core import randomness
@@ -51,7 +51,7 @@
             now: Seconds on the caller's monotonic clock.
 
         Raises:
-            invariants.InvariantError: A decision would break an invariant.
+            errors.InvariantError: A decision would break an invariant.
         """
         self._actions = []
         virtual_time = self._parts.queue.virtual_time
@@ -60,7 +60,7 @@
         self._actions.extend(self._granter.grant_waiting(now))
         self._load(now)
         after = self._parts.queue.virtual_time
-        invariants.check_virtual_time(virtual_time, after)
+        cell_invariants.check_virtual_time(virtual_time, after)
         self._check_longest_wait(now)
         self._plan_wake_up(now)
         return self._actions
@@ -126,7 +126,7 @@
             self._parts.placer.backoff.forget_engine(event.upstream)
         lost = inventory.read_engine(event, now)
         self._granter.forget_grants(lost)
-        invariants.check_engine(inventory.engines[event.upstream])
+        cell_invariants.check_engine(inventory.engines[event.upstream])
 
     def _adopt(self, event: cell_events.GrantAdopted, now: float) -> None:
         grant = self._parts.inventory.adopt_grant(event, now)
@@ -198,7 +198,7 @@
         self, submit: cell_events.Submit, code: _Code, now: float
     ) -> None:
         request_id = submit.request_id
-        invariants.check_refusal(
+        cell_invariants.check_refusal(
             request_id, request_id in self._granter.granted
         )
         retry_after_s = self._parts.admission.find_retry_after_s(
@@ -231,7 +231,7 @@
             expires_at, _, request_id = self._expiries[0]
             waiter = self._find_waiter(request_id)
             if waiter is not None and waiter.expires_at == expires_at:
-                invariants.check_wait(waiter, now)
+                cell_invariants.check_wait(waiter, now)
                 return
             heapq.heappop(self._expiries)
 
--- a/src/tamaracktide/core/invariants.py
+++ b/src/tamaracktide/core/cell_invariants.py
@@ -1,20 +1,13 @@
 """What must always hold in a cell, checked at every decision."""
 
+from tamaracktide import errors
+from tamaracktide import invariants
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_state
 from tamaracktide.core import inventory
 from tamaracktide.core import rows
 
 
-class InvariantError(AssertionError):
-    """A decision would break what must always hold."""
-
-
-def _require(holds: bool, text: str) -> None:
-    if not holds:
-        raise InvariantError(text)
-
-
 def check_grant(
     engine: cell_state.Engine,
     slot: cell_state.Slot,
@@ -30,28 +23,30 @@
         ended: Whether the request was refused or granted before.
     """
     name = f"{submit.request_id} on {engine.name}"
-    _require(slot.key == submit.key, f"{name}: other adapter {slot.key.text}")
-    _require(
+    invariants.check(
+        slot.key == submit.key, f"{name}: other adapter {slot.key.text}"
+    )
+    invariants.check(
         engine.slots.get(slot.lora_name) is slot,
         f"{name}: no slot {slot.lora_name}",
     )
-    _require(
+    invariants.check(
         slot.state is cell_state.SlotState.READY,
         f"{name}: {slot.lora_name} is {slot.state.value}",
     )
-    _require(not engine.leaving, f"{name}: the engine is leaving")
-    _require(engine.name not in submit.avoid, f"{name}: to be avoided")
-    _require(
+    invariants.check(not engine.leaving, f"{name}: the engine is leaving")
+    invariants.check(engine.name not in submit.avoid, f"{name}: to be avoided")
+    invariants.check(
         engine.running < engine.batch_limit,
         f"{name}: the batch of {engine.batch_limit} is full",
     )
     alone = submit.alone and engine.running
-    _require(not alone, f"{name}: {engine.running} others run")
-    _require(
+    invariants.check(not alone, f"{name}: {engine.running} others run")
+    invariants.check(
         engine.exclusive in ("", submit.request_id),
         f"{name}: {engine.exclusive} runs alone",
     )
-    _require(not ended, f"{name}: was answered before")
+    invariants.check(not ended, f"{name}: was answered before")
 
 
 def check_load(
@@ -71,13 +66,13 @@
         most_in_flight: Loads that may be under way in the cell.
     """
     name = f"load of {key.text} on {engine.name}"
-    _require(not engine.leaving, f"{name}: the engine is leaving")
-    _require(
+    invariants.check(not engine.leaving, f"{name}: the engine is leaving")
+    invariants.check(
         under_way < most_in_flight,
         f"{name}: {under_way} under way, at most {most_in_flight}",
     )
     kept = len(engine.slots) - bool(evict)
-    _require(
+    invariants.check(
         kept < engine.slot_limit,
         f"{name}: {kept} of {engine.slot_limit} slots are taken",
     )
@@ -85,19 +80,19 @@
         return
     victim = engine.slots.get(evict)
     if victim is None:
-        raise InvariantError(f"{name}: no slot {evict} to evict")
-    _require(not victim.in_use, f"{name}: {evict} is in use")
-    _require(engine.evictable, f"{name}: evictions are suspended")
+        raise errors.InvariantError(f"{name}: no slot {evict} to evict")
+    invariants.check(not victim.in_use, f"{name}: {evict} is in use")
+    invariants.check(engine.evictable, f"{name}: evictions are suspended")
 
 
 def check_refusal(request_id: str, granted: bool) -> None:
     """Checks that a request that is refused as not run was not granted."""
-    _require(not granted, f"{request_id}: refused after it was granted")
+    invariants.check(not granted, f"{request_id}: refused after it was granted")
 
 
 def check_wait(waiter: cell_state.Waiter, now: float) -> None:
     """Checks that a waiting request is not past its longest wait."""
-    _require(
+    invariants.check(
         now < waiter.expires_at,
         f"{waiter.submit.request_id}: waits {now - waiter.submitted_at:.3f} s",
     )
@@ -106,11 +101,11 @@
 def check_engine(engine: cell_state.Engine) -> None:
     """Checks an engine's counts against its slots."""
     running = inventory.count_running(engine)
-    _require(
+    invariants.check(
         engine.running == running,
         f"{engine.name}: counts {engine.running}, slots say {running}",
     )
-    _require(
+    invariants.check(
         all(slot.pins >= 0 for slot in engine.slots.values()),
         f"{engine.name}: negative pins",
     )
@@ -118,4 +113,4 @@
 
 def check_virtual_time(before: float, after: float) -> None:
     """Checks that virtual time does not go back."""
-    _require(before <= after, f"virtual time from {before} to {after}")
+    invariants.check(before <= after, f"virtual time from {before} to {after}")
--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -4,10 +4,10 @@
 
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
+from tamaracktide.core import cell_invariants
 from tamaracktide.core import cell_parts
 from tamaracktide.core import cell_state
 from tamaracktide.core import fairness
-from tamaracktide.core import invariants
 
 LOWEST_PRIORITY = 100
 """Largest number that a grant's engine priority takes."""
@@ -88,7 +88,7 @@
     ) -> cell_actions.Grant:
         submit = waiter.submit
         ended = submit.request_id in self.granted
-        invariants.check_grant(engine, slot, submit, ended)
+        cell_invariants.check_grant(engine, slot, submit, ended)
         grant = cell_actions.Grant(
             request_id=submit.request_id,
             grant_id=self._parts.make_id("g"),
@@ -178,7 +178,7 @@
             self._parts.estimates.add_answer(grant, event.generated_tokens, now)
         self._forget(grant, cost)
         engine = self._parts.inventory.engines[grant.upstream]
-        invariants.check_engine(engine)
+        cell_invariants.check_engine(engine)
 
     def forget_grants(self, lost: list[cell_state.GrantRecord]) -> None:
         """Ends grants whose engine was lost or restarted."""
--- a/src/tamaracktide/core/load_planner.py
+++ b/src/tamaracktide/core/load_planner.py
@@ -4,10 +4,10 @@
 
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
+from tamaracktide.core import cell_invariants
 from tamaracktide.core import cell_parts
 from tamaracktide.core import cell_state
 from tamaracktide.core import fairness
-from tamaracktide.core import invariants
 from tamaracktide.core import placement
 from tamaracktide.core import rows
 
@@ -125,7 +125,7 @@
 
     def _start(self, plan: placement.LoadPlan, now: float) -> cell_actions.Load:
         parts, engine = self._parts, plan.engine
-        invariants.check_load(
+        cell_invariants.check_load(
             engine,
             plan.key,
             plan.evict,
--- a/tests/core/test_cell_invariants.py
+++ b/tests/core/test_cell_invariants.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tamaracktide import errors
 from tamaracktide import result_codes
 from tamaracktide.bench import random_cell
 from tamaracktide.core import cell
@@ -12,7 +13,6 @@
 from tamaracktide.core import cell_state
 from tamaracktide.core import fairness
 from tamaracktide.core import granting
-from tamaracktide.core import invariants
 from tamaracktide.core import inventory
 from tamaracktide.core import loading
 from tamaracktide.core import placement
@@ -157,5 +157,5 @@
 ) -> None:
     """The cell's own check raises and names what is broken."""
     monkeypatch.setattr(owner, name, mutant)
-    with pytest.raises(invariants.InvariantError, match=text):
+    with pytest.raises(errors.InvariantError, match=text):
         run()
--- /dev/null
+++ b/tests/scheduler/conftest.py
@@ -0,0 +1,21 @@
+"""Fixtures of the scheduler's tests."""
+
+from collections.abc import AsyncIterator
+
+import pytest
+import scheduler_fixtures as fixtures
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """The product runs on asyncio."""
+    return "asyncio"
+
+
+@pytest.fixture
+async def bench(anyio_backend: str) -> AsyncIterator[fixtures.Bench]:
+    """A platform with one engine of two slots and the tables."""
+    async with fixtures.run_bench() as bench:
+        await bench.start_engine("e1")
+        await bench.apply_pool()
+        yield bench
--- a/tests/scheduler/scheduler_fixtures.py
+++ b/tests/scheduler/scheduler_fixtures.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tamaracktide import errors
+from tamaracktide.core import ownership_events
 from tamaracktide.core import rows
 from tamaracktide.core import table_edits
 from tamaracktide.platform import calls as platform_calls
@@ -305,3 +306,55 @@
             if isinstance(reply, messages.GrantReply):
                 return reply
             await anyio.sleep(0.05)
+
+
+def hold(grant: messages.GrantReply) -> messages.OutstandingGrant:
+    """Returns the grant as a gateway announces it."""
+    return messages.OutstandingGrant(
+        request_id=grant.request_id,
+        grant_id=grant.grant_id,
+        upstream=grant.upstream,
+        lora_name=grant.lora_name,
+        customer="c",
+    )
+
+
+async def read_record(
+    bench: "Bench",
+) -> ownership_events.OwnershipRecord:
+    """Returns the engine's ownership record."""
+    stored = await bench.objects.read("ownership/e1")
+    return ownership_events.decode_record(stored.value)
+
+
+async def end(
+    opened: connection.Connection, grant: messages.GrantReply
+) -> None:
+    """Gives a grant back."""
+    await opened.send(
+        messages.GrantRelease(
+            request_id=grant.request_id,
+            grant_id=grant.grant_id,
+            upstream=grant.upstream,
+        )
+    )
+
+
+async def answer_queries(
+    opened: connection.Connection,
+    held: tuple[messages.OutstandingGrant, ...],
+) -> None:
+    """Goes on answering a scheduler's queries with the held grants."""
+    while True:
+        message = await opened.receive()
+        if isinstance(message, messages.Heartbeat):
+            await opened.send(messages.Heartbeat(sequence=0))
+        elif isinstance(message, messages.OutstandingQuery):
+            await opened.send(
+                messages.OutstandingReply(
+                    query_id=message.query_id,
+                    pool=message.pool,
+                    zone=message.zone,
+                    grants=held,
+                )
+            )
