--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -103,18 +103,22 @@
         ones only if none of these can load the adapter.
         """
         submit = waiter.submit
+        places = [
+            (engine, slot)
+            for engine, slot in self._inventory.find_slots(submit.key)
+            if slot.state is cell_state.SlotState.READY
+            and not slot.retiring
+            and engine.name not in submit.avoid
+            and _has_place(engine, slot, beyond_share)
+        ]
+        if not places:
+            return None
         packed = self._find_packed(submit.key, submit.avoid, now)
         best: tuple[cell_state.Engine, cell_state.Slot] | None = None
         best_score = -1.0
-        for engine, slot in self._inventory.find_slots(submit.key):
-            if slot.state is not cell_state.SlotState.READY or slot.retiring:
-                continue
-            if engine.name in submit.avoid:
-                continue
+        for engine, slot in places:
             if packed and engine.name not in packed:
                 continue
-            if not _has_place(engine, slot, beyond_share):
-                continue
             score = self._score_ready(engine, submit.prefix)
             if score > best_score:
                 best, best_score = (engine, slot), score
@@ -183,6 +187,8 @@
         """
         running = 0
         replicas = 0
+        if not self._inventory.count_replicas(group_key.key):
+            return True, False
         packed = self._find_packed(group_key.key, group_key.avoid, now)
         for engine, slot in self._inventory.find_slots(group_key.key):
             if engine.name in group_key.avoid:
