--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -156,6 +156,7 @@
             return None
         chosen = min(able, key=lambda engine: engine.running)
         chosen.exclusive = submit.request_id
+        self._parts.inventory.changes += 1
         return chosen
 
     def drop_alone(self, request_id: str) -> cell_state.Waiter | None:
@@ -166,6 +167,7 @@
         for engine in self._parts.inventory.engines.values():
             if engine.exclusive == request_id:
                 engine.exclusive = ""
+                self._parts.inventory.changes += 1
         return waiter
 
     def end_grant(self, event: cell_events.GrantEnded, now: float) -> None:
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -18,6 +18,7 @@
         grants: Grants that have not ended, by grant id.
         loads: Load orders that have not been answered, by load id.
         slots_by_customer: Slots in use by the customer they count for.
+        changes: Grows whenever places or slots may have changed.
     """
 
     def __init__(self) -> None:
@@ -26,6 +27,7 @@
         self.grants: dict[str, cell_state.GrantRecord] = {}
         self.loads: dict[str, cell_state.LoadRecord] = {}
         self.slots_by_customer: collections.Counter[str] = collections.Counter()
+        self.changes = 0
         self._holders: dict[rows.AdapterKey, dict[str, cell_state.Slot]] = {}
 
     def list_usable(self) -> list[cell_state.Engine]:
@@ -55,6 +57,7 @@
         self, engine: cell_state.Engine, slot: cell_state.Slot
     ) -> None:
         """Lets no new request use a slot; drops it once it is unused."""
+        self.changes += 1
         slot.state = cell_state.SlotState.WITHHELD
         self._unindex(engine, slot)
 
@@ -103,6 +106,7 @@
         Returns:
             The grants that ended because the engine restarted.
         """
+        self.changes += 1
         known = self.engines.get(event.upstream)
         if known is not None and known.incarnation == event.incarnation:
             self._correct_engine(known, event, now)
@@ -168,6 +172,7 @@
 
     def forget_engine(self, upstream: str) -> list[cell_state.GrantRecord]:
         """Drops an engine with its loads and grants; returns the grants."""
+        self.changes += 1
         engine = self.engines.get(upstream)
         if engine is None:
             return []
@@ -188,6 +193,7 @@
         self, event: cell_events.GrantAdopted, now: float
     ) -> cell_state.GrantRecord | None:
         """Turns one foreign request of an engine into a known grant."""
+        self.changes += 1
         engine = self.engines.get(event.upstream)
         if engine is None or event.grant_id in self.grants:
             return None
@@ -216,6 +222,7 @@
 
     def start_grant(self, grant: cell_state.GrantRecord) -> None:
         """Takes a place in the batch and pins the slot."""
+        self.changes += 1
         engine = self.engines[grant.upstream]
         slot = engine.slots[grant.lora_name]
         slot.pins += 1
@@ -228,6 +235,7 @@
         self, event: cell_events.GrantEnded
     ) -> cell_state.GrantRecord | None:
         """Gives the place back and unpins the slot; None if unknown."""
+        self.changes += 1
         grant = self.grants.pop(event.grant_id, None)
         if grant is None:
             return None
@@ -247,6 +255,7 @@
 
     def start_load(self, load: cell_state.LoadRecord) -> None:
         """Occupies a slot with the load, in place of the evicted one."""
+        self.changes += 1
         engine = self.engines[load.upstream]
         if load.evicted:
             self._drop_slot(engine, load.evicted)
@@ -265,6 +274,7 @@
         self, event: cell_events.LoadEnded, now: float
     ) -> cell_state.LoadRecord | None:
         """Makes a loaded slot ready or frees a failed one; None if stale."""
+        self.changes += 1
         load = self.loads.pop(event.load_id, None)
         if load is None:
             return None
@@ -280,12 +290,14 @@
 
     def set_leaving(self, event: cell_events.UpstreamLeaving) -> None:
         """Keeps new work from an engine, or lets it get some again."""
+        self.changes += 1
         engine = self.engines.get(event.upstream)
         if engine is not None:
             engine.leaving = event.leaving
 
     def suspend_evictions(self, event: cell_events.EvictionsSuspended) -> None:
         """Forbids or allows unloading adapters of an engine."""
+        self.changes += 1
         engine = self.engines.get(event.upstream)
         if engine is not None:
             engine.evictions_suspended = event.suspended
@@ -298,6 +310,7 @@
 
     def take_report(self, event: cell_events.LoadReported) -> None:
         """Lowers foreign counts that a later report shows to have ended."""
+        self.changes += 1
         engine = self.engines.get(event.upstream)
         if engine is None or event.reported_at < engine.read_at:
             return
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -74,6 +74,21 @@
     prefetch: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Packed:
+    """The engines to keep full, as of a state of the cell.
+
+    Attributes:
+        state: Changes of the inventory, and places and slots in demand.
+        names: Instance ids of the engines.
+        open: Those that have a place to take.
+    """
+
+    state: tuple[int, int, int]
+    names: frozenset[str]
+    open: tuple[cell_state.Engine, ...]
+
+
 class Placer:
     """Chooses engines and slots by cost, in seconds of expected delay."""
 
@@ -93,6 +108,7 @@
         self._queue = queue
         self._estimates = estimates_
         self._budget = budget
+        self._packed = _Packed((-1, 0, 0), frozenset(), ())
 
     def find_ready(
         self, waiter: cell_state.Waiter, beyond_share: bool, now: float
@@ -131,7 +147,7 @@
 
     def _find_packed(
         self, key: rows.AdapterKey, avoid: tuple[str, ...], now: float
-    ) -> set[str]:
+    ) -> frozenset[str]:
         """Returns the engines to keep full for an adapter; empty for any.
 
         These are the busiest engines that together have places and slots
@@ -140,24 +156,38 @@
         settings = self._settings
         gain_s = settings.batch_weight * IDLE_ENGINE_COST_S
         if gain_s <= settings.stall_weight * self._estimates.load_s:
-            return set()
-        able = [
-            engine
-            for engine in self._inventory.list_usable()
-            if not engine.exclusive
-        ]
-        able.sort(key=lambda engine: engine.name)
-        places, slots = self._queue.demand, self._queue.slot_demand
+            return frozenset()
+        packed = self._list_packed()
+        if any(
+            self._may_pack(engine, key, avoid, now) for engine in packed.open
+        ):
+            return packed.names
+        return frozenset()
+
+    def _list_packed(self) -> "_Packed":
+        """Returns the engines to keep full, the same for every adapter."""
+        queue = self._queue
+        state = (self._inventory.changes, queue.demand, queue.slot_demand)
+        if self._packed.state == state:
+            return self._packed
+        places, slots = queue.demand, queue.slot_demand
         packed = []
-        for engine in able:
+        for engine in sorted(
+            self._inventory.list_usable(), key=lambda engine: engine.name
+        ):
             if places <= 0 and slots <= 0:
                 break
+            if engine.exclusive:
+                continue
             packed.append(engine)
             places -= int(engine.batch_limit * PACKED_PART)
             slots -= engine.slot_limit
-        if any(self._may_pack(engine, key, avoid, now) for engine in packed):
-            return {engine.name for engine in packed}
-        return set()
+        self._packed = _Packed(
+            state,
+            frozenset(engine.name for engine in packed),
+            tuple(e for e in packed if e.free_places > e.pending),
+        )
+        return self._packed
 
     def _may_pack(
         self,
@@ -167,7 +197,7 @@
         now: float,
     ) -> bool:
         """Returns whether an engine serves an adapter or may load it now."""
-        if engine.name in avoid or engine.free_places <= engine.pending:
+        if engine.name in avoid:
             return False
         if self._inventory.find_slot(engine, key) is not None:
             return True
