Refuse at once what no engine of the cell can load for a while

Ruled out: confirmations (no gateway was awaited), the order timeout (8 s). Requests that no engine may load within 2 s are refused now with 2107, which sends the gateway to the next cell. The test failed first.

--- a/src/tamaracktide/bench/policy/cells.py
+++ b/src/tamaracktide/bench/policy/cells.py
@@ -3,6 +3,7 @@
 import functools
 import random
 
+from tamaracktide import result_codes
 from tamaracktide.bench.policy import engines
 from tamaracktide.bench.policy import measures
 from tamaracktide.bench.policy import workload
@@ -102,8 +103,11 @@
         self._world.start(engine, record, grant.lora_name, end)
 
     def _refuse(self, refusal: cell_actions.Refuse) -> None:
+        record = self._waiting.pop(refusal.request_id)
+        if self._policy.pass_on(record, self.id, refusal):
+            return
         self._policy.note_refusal(refusal)
-        self._world.refuse(self._waiting.pop(refusal.request_id))
+        self._world.refuse(record)
 
     def _load(self, load: cell_actions.Load) -> None:
         engine = self._world.engines[load.upstream]
@@ -132,6 +136,7 @@
         self.refusals: dict[str, int] = {}
         self._owners: dict[rows.CellId, _Owner] = {}
         self._uses: dict[rows.CellId, routing.CellUse] = {}
+        self._refused: dict[str, set[rows.CellId]] = {}
         self._rng = random.Random(f"{world_.workload.seed} gateway")
         for zone in range(profile.zones):
             owner = _Owner(self, f"zone{zone}", make_settings(profile, zone))
@@ -149,6 +154,30 @@
         )
         self._owners[order[0]].submit(record, avoid)
 
+    def pass_on(
+        self,
+        record: measures.Record,
+        cell_id: rows.CellId,
+        refusal: cell_actions.Refuse,
+    ) -> bool:
+        """Asks the next cell after a failed load, as a gateway does.
+
+        Returns:
+            Whether a cell that has not refused the request is asked.
+        """
+        if refusal.code is not result_codes.ResultCode.LOAD_FAILED:
+            return False
+        refused = self._refused.setdefault(refusal.request_id, {cell_id})
+        refused.add(cell_id)
+        left = [one for one in self._owners if one not in refused]
+        if not left:
+            return False
+        order = routing.order_cells(
+            record.request.key, left, self._uses, cell_id.zone
+        )
+        self._owners[order[0]].submit(record, ())
+        return True
+
     def stop_engine(self, engine: engines.Engine) -> None:
         """Tells the owner that an engine was lost."""
         self._find_owner(engine).feed(cell_events.UpstreamLost(engine.name))
--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -148,6 +148,11 @@
             event.key, event.customer, now
         )
         code = self._parts.admission.find_refusal(event, now)
+        unloadable = self._parts.placer.is_unloadable(
+            event.key, event.avoid, now
+        )
+        if code is None and unloadable:
+            code = _Code.LOAD_FAILED
         if code is not None:
             self._refuse(event, code, now)
             return
@@ -246,6 +251,10 @@
         key, count = failed
         if count >= loading.MOST_FAILURES:
             self._refuse_unloadable(key, now)
+        for waiter in list(self._parts.queue.waiters.values()):
+            submit = waiter.submit
+            if self._parts.placer.is_unloadable(submit.key, submit.avoid, now):
+                self._refuse(submit, _Code.LOAD_FAILED, now)
 
     def _refuse_unloadable(self, key: rows.AdapterKey, now: float) -> None:
         """Refuses the requests of an adapter that fails to load."""
--- a/src/tamaracktide/core/loading.py
+++ b/src/tamaracktide/core/loading.py
@@ -122,6 +122,11 @@
         pair = self._pairs.get((key, upstream))
         return pair is not None and now < pair.until
 
+    def find_engine_retry(self, upstream: str) -> float:
+        """Returns when an engine that fails all loads is tried again."""
+        failures = self._engines.get(upstream)
+        return 0.0 if failures is None else failures.until
+
     def forget_engine(self, upstream: str) -> None:
         """Forgets the failures of an engine that has restarted."""
         self._engines.pop(upstream, None)
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -74,6 +74,10 @@
     prefetch: bool = False
 
 
+HOPELESS_AFTER_S = 2.0
+"""Backoff of all engines beyond which a request is not held for a load."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Packed:
     """The engines to keep full, as of a state of the cell.
@@ -306,6 +310,27 @@
             empty + idle
         )
 
+    def is_unloadable(
+        self, key: rows.AdapterKey, avoid: tuple[str, ...], now: float
+    ) -> bool:
+        """Returns whether no engine has an adapter or may load it soon.
+
+        True while every engine that may be used fails its loads and is not
+        tried again for a while; another cell serves the request sooner.
+        """
+        if self._inventory.count_replicas(key):
+            return False
+        soon = now + HOPELESS_AFTER_S
+        engines = [
+            engine
+            for engine in self._inventory.list_usable()
+            if engine.name not in avoid
+        ]
+        return bool(engines) and all(
+            self.backoff.find_engine_retry(engine.name) > soon
+            for engine in engines
+        )
+
     def find_victim(
         self, engine: cell_state.Engine, now: float
     ) -> Victim | None:
--- a/tests/core/test_cell.py
+++ b/tests/core/test_cell.py
@@ -83,3 +83,25 @@
     late = submit("r3", rows.AdapterKey("fir", "1"))
     late = dataclasses.replace(late, customer="d")
     assert not find(made.handle(late, 1.2), cell_actions.Load)
+
+
+def test_cell_whose_engines_all_fail_refuses_at_once() -> None:
+    """Requests are not held for a load that is not tried for a while."""
+    made = make_cell()
+    made.handle(cell_events.StoreShareChanged(100.0, 10.0), 0.5)
+    now = 1.0
+    refused: list[cell_actions.CellAction] = []
+    for number in range(12):
+        key = rows.AdapterKey(f"a{number}", "1")
+        actions = made.handle(submit(f"r{number}", key), now)
+        while loads := find(actions, cell_actions.Load):
+            actions = []
+            for load in loads:
+                assert isinstance(load, cell_actions.Load)
+                ended = cell_events.LoadEnded(load.load_id, False)
+                actions += made.handle(ended, now)
+        refused = find(actions, cell_actions.Refuse)
+        now += 5.0
+    assert refused
+    assert isinstance(refused[-1], cell_actions.Refuse)
+    assert refused[-1].code is result_codes.ResultCode.LOAD_FAILED
