Take test ports from below the range of outgoing connections

Cause: two of 474 tests failed with 'address already in use': a port that was handed out and released before the process started was taken by an outgoing connection of another test. Ruled out: a process left over from an earlier test. Ports now come from 12,000 to 32,000, a part for each test worker.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -4,10 +4,13 @@
 the processes that it started, by their ids.
 """
 
+from collections.abc import Iterator
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,6 +23,9 @@
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
 POLL_PERIOD_S = 0.05
+FIRST_PORT = 12_000
+PART_PORTS = 2_000
+PORT_PARTS = 9
 HOST = "127.0.0.1"
 SECRET = "quickstart-secret"
 TOKEN = "quickstart-token"
@@ -63,10 +69,30 @@
 
 
 def find_port() -> int:
-    """Returns a free TCP port on loopback."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return int(probe.getsockname()[1])
+    """Returns a free TCP port on loopback for a process started later.
+
+    Ports come from below the range of outgoing connections, which could
+    take a port between this call and the process's start. Each test worker
+    has a part of that range of its own.
+    """
+    for port in itertools.islice(_ports, PART_PORTS):
+        with socket.socket() as probe:
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no free port is left")
+
+
+def _list_ports() -> Iterator[int]:
+    """Returns the ports of this process's part, from a random one on."""
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "")
+    part = int(worker.removeprefix("gw")) % PORT_PARTS + 1 if worker else 0
+    first = FIRST_PORT + part * PART_PORTS
+    ports = range(first, first + PART_PORTS)
+    start = random.randrange(PART_PORTS)
+    return itertools.cycle((*ports[start:], *ports[:start]))
 
 
 def call_http(
@@ -95,6 +121,9 @@
     return response.status, response.content
 
 
+_ports = _list_ports()
+
+
 class Deployment:
     """Processes of one run, with their settings and logs in a directory."""
 
--- a/tests/gateway/test_gateway_program.py
+++ b/tests/gateway/test_gateway_program.py
@@ -9,6 +9,7 @@
 import httpcore
 import pytest
 
+import deployment
 from tamaracktide.gateway import main
 from tamaracktide.gateway import settings as gateway_settings
 from tamaracktide.platform import settings as platform_settings
@@ -22,15 +23,6 @@
     return "asyncio"
 
 
-async def find_port() -> int:
-    """Returns a port that nobody listens on."""
-    async with await anyio.create_tcp_listener(
-        local_host="127.0.0.1", local_port=0
-    ) as listener:
-        port: int = listener.extra(anyio.abc.SocketAttribute.local_port)
-        return port
-
-
 async def wait_for_status(port: int, path: str) -> int:
     """Returns the status of a path once the program listens."""
     async with httpcore.AsyncConnectionPool() as pool:
@@ -46,7 +38,7 @@
 @pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
 async def test_program_serves_until_a_signal(number: signal.Signals) -> None:
     """Without a platform it lives, is not ready, and ends when told."""
-    port = await find_port()
+    port = deployment.find_port()
     settings = gateway_settings.GatewaySettings(
         instance="g1",
         zone="z1",
--- a/tests/scheduler/scheduler_fixtures.py
+++ b/tests/scheduler/scheduler_fixtures.py
@@ -4,12 +4,12 @@
 import contextlib
 import dataclasses
 import random
-import socket
 
 import anyio
 import anyio.abc
 import msgspec
 
+import deployment
 from tamaracktide import errors
 from tamaracktide.core import ownership_events
 from tamaracktide.core import rows
@@ -51,13 +51,6 @@
 )
 
 
-def find_free_port() -> int:
-    """Returns a loopback port that nothing listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        port: int = listener.getsockname()[1]
-        return port
-
-
 @dataclasses.dataclass(slots=True)
 class Running:
     """One scheduler of a test.
@@ -147,12 +140,12 @@
         self, name: str, seed_peers: tuple[str, ...] = ()
     ) -> Running:
         """Starts and lists a scheduler; returns once it answers."""
-        inner = dataclasses.replace(INNER, port=find_free_port())
+        inner = dataclasses.replace(INNER, port=deployment.find_port())
         settings = scheduler_settings.SchedulerSettings(
             instance=name,
             zone=ZONE,
             platform=self.settings,
-            http=scheduler_settings.HttpSettings(port=find_free_port()),
+            http=scheduler_settings.HttpSettings(port=deployment.find_port()),
             inner=inner,
             periods=PERIODS,
             seed_peers=seed_peers,
--- a/tests/standins/test_standin_programs.py
+++ b/tests/standins/test_standin_programs.py
@@ -3,7 +3,6 @@
 import json
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -12,6 +11,8 @@
 import httpcore
 import pytest
 
+import deployment
+
 _BROKEN_OFF = (httpcore.NetworkError, httpcore.ProtocolError)
 _START_TIMEOUT_S = 30.0
 _STOP_TIMEOUT_S = 30.0
@@ -22,12 +23,6 @@
 }
 
 
-def find_free_port() -> int:
-    """Returns a loopback port that was free just now."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return int(listener.getsockname()[1])
-
-
 def start(name: str, *arguments: str) -> subprocess.Popen[str]:
     """Starts a stand-in with arguments."""
     code = f"from tamaracktide.standins.{name} import main; main.main()"
@@ -77,7 +72,7 @@
 @pytest.mark.parametrize("name", sorted(_PROBES))
 def test_program_runs_until_sigterm(name: str, tmp_path: pathlib.Path) -> None:
     """A stand-in serves on its address and ends well on SIGTERM."""
-    address = f"127.0.0.1:{find_free_port()}"
+    address = f"127.0.0.1:{deployment.find_port()}"
     path = write_settings(tmp_path, **make_settings(name, address))
     with start(name, "--settings", path) as process:
         try:
@@ -107,8 +102,8 @@
 
 def test_crash_prompt_ends_the_engine(tmp_path: pathlib.Path) -> None:
     """A poisonous prompt ends the process at once with code 70."""
-    host = f"127.0.0.1:{find_free_port()}"
-    store = f"127.0.0.1:{find_free_port()}"
+    host = f"127.0.0.1:{deployment.find_port()}"
+    store = f"127.0.0.1:{deployment.find_port()}"
     store_path = write_settings(tmp_path, address=store)
     engine_path = tmp_path / "engine.json"
     engine = make_settings("engine", host) | {
