--- a/src/tamaracktide/core/attempts.py
+++ b/src/tamaracktide/core/attempts.py
@@ -206,6 +206,11 @@
 )
 
 
+_INNER_CODES = frozenset(
+    (Codes.NOT_OWNER, Codes.STALE_EPOCH, Codes.PEER_UNREACHABLE)
+)
+
+
 class Attempts:
     """State machine of one request's attempts."""
 
@@ -411,6 +416,8 @@
         self, code: result_codes.ResultCode, retry_after_s: float
     ) -> Action:
         self.phase = Phase.ENDED
+        if code in _INNER_CODES:
+            code = Codes.RETRIES_EXHAUSTED
         if self._lost_code is not None and _says_not_run(code):
             code = self._lost_code
         invariants.check(
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -53,12 +53,9 @@
         refusals: Requests refused unrun, by `code`.
         claims: Claims of idempotency keys, by `state`.
         owned_upstreams: Upstreams owned by this scheduler, by `pool`.
-        takeovers: Upstreams taken over, by `pool`.
         quarantined: Quarantined request fingerprints.
         table_revision: Revision of the tables in force.
         table_age_seconds: Seconds since the tables were last confirmed.
-        platform_calls: Platform calls, by `call` and `result`.
-        peer_bytes: Bytes of the inner protocol, by `direction`.
     """
 
     def __init__(self) -> None:
@@ -116,9 +113,6 @@
         self.owned_upstreams = self._gauge(
             "owned_upstreams", "Upstreams owned by this scheduler"
         )
-        self.takeovers = self._counter(
-            "takeovers_total", "Upstreams taken over"
-        )
 
     def _add_control_instruments(self) -> None:
         self.refusals = self._counter(
@@ -136,12 +130,6 @@
         self.table_age_seconds = self._gauge(
             "table_age_seconds", "Seconds since the tables were confirmed"
         )
-        self.platform_calls = self._counter(
-            "platform_calls_total", "Platform calls"
-        )
-        self.peer_bytes = self._counter(
-            "peer_bytes_total", "Bytes of the inner protocol"
-        )
 
     def _counter(self, name: str, doc: str) -> collectors.Counter:
         return collectors.Counter(PREFIX + name, doc, registry=self._registry)
--- a/src/tamaracktide/scheduler/admin.py
+++ b/src/tamaracktide/scheduler/admin.py
@@ -1,5 +1,6 @@
 """Health, metrics and status of a scheduler over HTTP."""
 
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import MutableMapping
@@ -187,6 +188,11 @@
         quarantined = self._peers.quarantine.count_quarantined(now)
         self._metrics.quarantined.set({}, quarantined)
         self._metrics.table_revision.set({}, self._follower.tables.revision)
+        confirmed_at = self._follower.confirmed_at
+        if confirmed_at is not None:
+            self._metrics.table_age_seconds.set({}, now - confirmed_at)
+        for pool, count in self._count_owned().items():
+            self._metrics.owned_upstreams.set({"pool": pool}, count)
         accept = tuple(
             value.decode("latin-1")
             for name, value in scope["headers"]
@@ -195,6 +201,13 @@
         body, content_type = self._metrics.render(accept)
         return _Answer(200, body, content_type)
 
+    def _count_owned(self) -> collections.Counter[str]:
+        """Returns the upstreams that this scheduler owns, by pool."""
+        owned: collections.Counter[str] = collections.Counter()
+        for cell in self.make_status().cells:
+            owned[cell.pool] += sum(one.epoch > 0 for one in cell.upstreams)
+        return owned
+
     def _is_allowed(self, scope: Scope) -> bool:
         token = self._settings.http.admin_token
         if not token:
--- a/src/tamaracktide/scheduler/requests.py
+++ b/src/tamaracktide/scheduler/requests.py
@@ -147,7 +147,7 @@
         message = request.message
         request.span.set_attribute("code", code.value)
         self.close(message.request_id)
-        self._metrics.refusals.inc({"code": code.name})
+        self._metrics.refusals.inc({"code": str(code.value)})
         logs.bind(
             request_id=message.request_id,
             customer=message.customer,
--- a/tests/core/test_attempts.py
+++ b/tests/core/test_attempts.py
@@ -116,6 +116,15 @@
     assert 7.0 <= action.retry_after_s <= 10.5
 
 
+def test_codes_between_processes_do_not_reach_callers() -> None:
+    """Giving up on an owner that changes names a refusal for callers."""
+    tries = make_attempts()
+    refused = attempts.AskRefused(Codes.STALE_EPOCH, 1.0)
+    action = feed(tries, *[refused] * SETTINGS.max_attempts)
+    assert isinstance(action, attempts.GiveUp)
+    assert action.code is Codes.RETRIES_EXHAUSTED
+
+
 def test_attempts_are_bounded() -> None:
     """After the last attempt the refusal is final."""
     tries = make_attempts()
