--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -6,6 +6,12 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import rows
 
+RESERVED_PLACES_PART = 0.0625
+"""Part of a batch that a customer beyond its share leaves free."""
+
+RESERVED_SLOTS_PART = 0.25
+"""Part of the slots that a customer beyond its share leaves unused."""
+
 MOST_PREFIXES = 256
 """Prompt prefixes that are remembered for an engine."""
 
@@ -107,6 +113,16 @@
             slot.in_use for slot in self.slots.values()
         )
 
+    @property
+    def reserved_places(self) -> int:
+        """Places that customers beyond their share leave free."""
+        return int(self.batch_limit * RESERVED_PLACES_PART)
+
+    @property
+    def reserved_slots(self) -> int:
+        """Slots that customers beyond their share leave unused."""
+        return int(self.slot_limit * RESERVED_SLOTS_PART)
+
     @property
     def free_places(self) -> int:
         """Requests that it could run besides those it runs now."""
--- a/src/tamaracktide/core/load_planner.py
+++ b/src/tamaracktide/core/load_planner.py
@@ -9,6 +9,7 @@
 from tamaracktide.core import cell_state
 from tamaracktide.core import fairness
 from tamaracktide.core import placement
+from tamaracktide.core import retirement
 from tamaracktide.core import rows
 
 PREFETCH_PERIOD_S = 0.25
@@ -34,7 +35,7 @@
         self.recheck_at = math.inf
         self._parts = parts
         self._prefetch_at = 0.0
-        self._retiring: list[cell_state.Slot] = []
+        self._retirement = retirement.Retirement(parts.inventory, parts.queue)
 
     def load_for_waiting(self, now: float) -> list[cell_actions.Load]:
         """Orders loads for waiting requests in the order of fairness."""
@@ -62,7 +63,9 @@
             waited_s = now - group[0].submitted_at
             if not replica and (not beyond or waited_s > STARVED_AFTER_S):
                 starved.append(group_key)
-        self._retire_slots(starved, levels, now)
+        self._retirement.update(
+            starved, levels, parts.placer.list_loadable, now
+        )
         return loads
 
     def _recheck(self, at: float) -> None:
@@ -175,33 +178,3 @@
             return None
         count = backoff.add_failure(load.key, load.upstream, now)
         return load.key, count
-
-    def _retire_slots(
-        self,
-        starved: list[fairness.GroupKey],
-        levels: fairness.Levels,
-        now: float,
-    ) -> None:
-        """Frees slots for adapters that found none; undoes it afterwards."""
-        placer = self._parts.placer
-        surplus = placer.find_surplus(levels) if levels.scarce else []
-        self._retire(surplus)
-        if not starved and not surplus:
-            self._reinstate()
-            return
-        for group_key in starved[len(self._retiring) :]:
-            slot = placer.find_retiring(group_key, levels, now)
-            if slot is None:
-                return
-            self._retire([slot])
-
-    def _retire(self, slots: list[cell_state.Slot]) -> None:
-        for slot in slots:
-            slot.retiring = True
-            self._retiring.append(slot)
-
-    def _reinstate(self) -> None:
-        """Lets retiring slots that are still in use be granted again."""
-        for slot in self._retiring:
-            slot.retiring = False
-        self._retiring.clear()
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -12,12 +12,6 @@
 from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
 
-RESERVED_PLACES_PART = 0.0625
-"""Part of a batch that a customer beyond its share leaves free."""
-
-RESERVED_SLOTS_PART = 0.25
-"""Part of the slots that a customer beyond its share leaves unused."""
-
 EVICTION_HORIZON_S = 100.0
 """Time over which the requests for an evicted adapter count against it."""
 
@@ -254,7 +248,7 @@
         best: LoadPlan | None = None
         best_cost = float("inf")
         packed = self._find_packed(key, group_key.avoid, now)
-        for engine in self._list_loadable(key, group_key.avoid, now):
+        for engine in self.list_loadable(key, group_key.avoid, now):
             if packed and engine.name not in packed:
                 continue
             wait_s = self._predict_place_s(engine, beyond_share, replica)
@@ -273,7 +267,7 @@
                 best = LoadPlan(engine, key, customer, victim.lora_name)
         return best
 
-    def _list_loadable(
+    def list_loadable(
         self, key: rows.AdapterKey, avoid: tuple[str, ...], now: float
     ) -> list[cell_state.Engine]:
         """Returns engines that may load an adapter, preferred ones first."""
@@ -292,7 +286,7 @@
         self, engine: cell_state.Engine, beyond_share: bool, replica: bool
     ) -> float | None:
         """Returns the wait for a place after a load, None if too long."""
-        reserved = count_reserved_places(engine) if beyond_share else 0
+        reserved = engine.reserved_places if beyond_share else 0
         free = engine.free_places - engine.pending - reserved
         if free > 0:
             return 0.0
@@ -375,7 +369,7 @@
         victim: Victim,
         now: float,
     ) -> bool:
-        if engine.idle_slots <= count_reserved_slots(engine):
+        if engine.idle_slots <= engine.reserved_slots:
             return False
         if not victim.lora_name:
             return True
@@ -402,7 +396,7 @@
         rate = likely.rate * self.find_slot_factor(likely.customer)
         best: LoadPlan | None = None
         best_rate = rate / PREFETCH_FACTOR
-        for engine in self._list_loadable(likely.key, (), now):
+        for engine in self.list_loadable(likely.key, (), now):
             victim = self.find_victim(engine, now)
             if victim is not None and victim.rate < best_rate:
                 best_rate = victim.rate
@@ -411,81 +405,12 @@
                 )
         return best
 
-    def find_retiring(
-        self, group_key: fairness.GroupKey, levels: fairness.Levels, now: float
-    ) -> cell_state.Slot | None:
-        """Returns a slot to free for an adapter that finds none, or None.
-
-        Slots of customers beyond their share go first, then those with the
-        fewest requests; none that is needed by a customer within its share.
-        """
-        best: cell_state.Slot | None = None
-        best_rank = (True, 0)
-        for engine in self._list_loadable(group_key.key, group_key.avoid, now):
-            if not engine.evictable or _is_retiring(engine):
-                continue
-            for slot in engine.slots.values():
-                within = not self._exceeds(slot.customer, levels)
-                if not _may_retire(slot) or (
-                    within and self._queue.count_waiting(slot.key)
-                ):
-                    continue
-                rank = (within, slot.pins)
-                if best is None or rank < best_rank:
-                    best, best_rank = slot, rank
-        return best
-
-    def find_surplus(self, levels: fairness.Levels) -> list[cell_state.Slot]:
-        """Returns slots by which customers beyond their share crowd engines.
-
-        Where fewer slots are unused than are reserved, such customers
-        together keep one slot and give the others back.
-        """
-        surplus = []
-        for engine in self._inventory.list_usable():
-            if engine.idle_slots >= count_reserved_slots(engine):
-                continue
-            if not engine.evictable or _is_retiring(engine):
-                continue
-            beyond = [
-                slot
-                for slot in engine.slots.values()
-                if _may_retire(slot)
-                and slot.pins
-                and self._exceeds(slot.customer, levels)
-            ]
-            if len(beyond) > 1:
-                surplus.append(min(beyond, key=lambda slot: slot.pins))
-        return surplus
-
-    def _exceeds(self, customer: str, levels: fairness.Levels) -> bool:
-        account = self._queue.accounts.get(customer)
-        return account is not None and levels.limits(account)
-
-
-def count_reserved_places(engine: cell_state.Engine) -> int:
-    """Returns the places that customers beyond their share leave free."""
-    return int(engine.batch_limit * RESERVED_PLACES_PART)
-
-
-def count_reserved_slots(engine: cell_state.Engine) -> int:
-    """Returns the slots that customers beyond their share leave unused."""
-    return int(engine.slot_limit * RESERVED_SLOTS_PART)
-
 
 def _has_place(
     engine: cell_state.Engine, slot: cell_state.Slot, beyond_share: bool
 ) -> bool:
     if not beyond_share:
         return engine.free_places > 0
-    if engine.free_places <= count_reserved_places(engine) + engine.pending:
+    if engine.free_places <= engine.reserved_places + engine.pending:
         return False
-    return slot.in_use or engine.idle_slots > count_reserved_slots(engine)
-
-
-def _is_retiring(engine: cell_state.Engine) -> bool:
-    return any(slot.retiring for slot in engine.slots.values())
-
-
-def _may_retire(slot: cell_state.Slot) -> bool:
-    return slot.state is cell_state.SlotState.READY and not slot.foreign
+    return slot.in_use or engine.idle_slots > engine.reserved_slots
