Tell other schedulers which requests are suspects of a crash

Its trace: the first loss was seen by one scheduler, the caller's repeat reached another one, which ran it beside others again, since only quarantines were told to peers. Suspects are told as well now, by those who saw the loss only, so that a fact cannot be kept alive by turns. Ruled out: the gateways' digests, which told the quarantine at once.

--- a/src/tamaracktide/core/quarantine.py
+++ b/src/tamaracktide/core/quarantine.py
@@ -39,10 +39,18 @@
 
 @dataclasses.dataclass(slots=True)
 class _Suspect:
-    """What speaks against a request."""
+    """What speaks against a request.
+
+    Attributes:
+        losses: Upstreams lost while it ran.
+        lost_at: When the last one was lost, or a peer told so.
+        is_told: Whether only a peer's word speaks against it, which is not
+            passed on, so that peers can't keep it alive by turns.
+    """
 
     losses: int
     lost_at: float
+    is_told: bool = False
 
 
 class Quarantine:
@@ -95,6 +103,30 @@
             if fingerprint and fingerprint not in self._quarantined:
                 self._quarantine(fingerprint, now)
 
+    def learn_suspects(self, fingerprints: Iterable[str], now: float) -> None:
+        """Takes in which requests a peer saw run when an upstream was lost."""
+        self._forget_old(now)
+        for fingerprint in fingerprints:
+            known = fingerprint in self._suspects
+            if (
+                fingerprint
+                and not known
+                and fingerprint not in (self._quarantined)
+            ):
+                self._suspects[fingerprint] = _Suspect(1, now, is_told=True)
+        _keep_newest(self._suspects, self._settings.max_suspects)
+
+    def list_suspects(self, now: float) -> tuple[str, ...]:
+        """Returns the suspects to tell peers, sorted: own and recent ones."""
+        self._forget_old(now)
+        limit = now - self._settings.told_s
+        own = sorted(
+            fingerprint
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.lost_at > limit and not suspect.is_told
+        )
+        return tuple(own[: self._settings.max_quarantined])
+
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
         """Whether a request must be refused."""
         self._forget_old(now)
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -318,6 +318,8 @@
         head: Hash of the tables' head at that revision.
         leaving: Instance ids that the sender knows to be leaving.
         quarantined: Fingerprints of quarantined requests.
+        suspects: Fingerprints of requests that the sender itself saw run
+            when their upstream was lost.
         epochs: Highest ownership epoch seen per upstream, those changed.
         instances_version: Version of its instance list, -1 for none.
     """
@@ -326,6 +328,7 @@
     head: str = ""
     leaving: tuple[str, ...] = ()
     quarantined: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
     epochs: dict[str, int] = dataclasses.field(default_factory=dict)
     instances_version: int = -1
 
--- a/src/tamaracktide/scheduler/peers.py
+++ b/src/tamaracktide/scheduler/peers.py
@@ -194,6 +194,7 @@
             revision=self._follower.tables.revision,
             leaving=self.membership.list_leaving(now),
             quarantined=self.quarantine.list_told(now),
+            suspects=self.quarantine.list_suspects(now),
             instances_version=self.directory.listing.version,
             epochs=self.own_epochs,
         )
@@ -328,7 +329,9 @@
     ) -> None:
         self._note_leaving(opened.peer.instance, digest.leaving)
         self.epochs.observe_all(digest.epochs)
-        self.quarantine.learn(digest.quarantined, anyio.current_time())
+        now = anyio.current_time()
+        self.quarantine.learn(digest.quarantined, now)
+        self.quarantine.learn_suspects(digest.suspects, now)
         if digest.instances_version > self.directory.listing.version:
             await opened.send(self.directory.make_fetch())
         if digest.revision > self._follower.tables.revision:
--- a/tests/core/test_quarantine.py
+++ b/tests/core/test_quarantine.py
@@ -110,3 +110,24 @@
         assert caught == (number in culprits)
         if number in culprits:
             assert losses[number] == 2
+
+
+def test_told_suspect_runs_alone_but_is_not_passed_on() -> None:
+    """A peer's suspect is run alone, and its next loss is the second."""
+    observer = quarantine.Quarantine(quarantine.QuarantineSettings())
+    peer = quarantine.Quarantine(quarantine.QuarantineSettings())
+    observer.note_lost("f", alone=False, now=1.0)
+    peer.learn_suspects(observer.list_suspects(1.0), 1.5)
+    assert peer.must_run_alone("f", 1.5)
+    assert peer.list_suspects(1.5) == ()
+    peer.note_lost("f", alone=True, now=2.0)
+    assert peer.is_quarantined("f", 2.0)
+
+
+def test_told_suspects_do_not_replace_a_quarantine() -> None:
+    """What is quarantined is never a suspect as well."""
+    known = quarantine.Quarantine(quarantine.QuarantineSettings())
+    known.learn(["f"], 1.0)
+    known.learn_suspects(["f"], 2.0)
+    assert known.is_quarantined("f", 2.0)
+    assert not known.must_run_alone("f", 2.0)
