Name the answer limit once; drop a dead method; ask lazily

The committer had its own literal of claim_records.ANSWER_LIMIT_BYTES; Membership.list_zones was called by nobody; a cell asked whether an adapter can be loaded also for requests that it had refused already.

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -148,10 +148,9 @@
             event.key, event.customer, now
         )
         code = self._parts.admission.find_refusal(event, now)
-        unloadable = self._parts.placer.is_unloadable(
+        if code is None and self._parts.placer.is_unloadable(
             event.key, event.avoid, now
-        )
-        if code is None and unloadable:
+        ):
             code = _Code.LOAD_FAILED
         if code is not None:
             self._refuse(event, code, now)
--- a/src/tamaracktide/core/committer.py
+++ b/src/tamaracktide/core/committer.py
@@ -47,7 +47,7 @@
     pending_limit_s: float = 600.0
     retry_s: float = 0.5
     segment_cache: int = 4
-    answer_bytes: int = 4096
+    answer_bytes: int = cr.ANSWER_LIMIT_BYTES
     max_finishes: int = 128
     archive: claim_archive.ArchiveSettings = dataclasses.field(
         default_factory=claim_archive.ArchiveSettings
--- a/src/tamaracktide/core/membership.py
+++ b/src/tamaracktide/core/membership.py
@@ -169,10 +169,6 @@
         """Returns the listed instances of a role, leaving ones too."""
         return [one for one in self._members.values() if one.role == role]
 
-    def list_zones(self, role: str) -> list[str]:
-        """Returns the availability zones of a role's instances, sorted."""
-        return sorted({one.zone for one in self.list_role(role)})
-
     def list_cells(self, pool: rows.Pool) -> list[rows.CellId]:
         """Returns the cells of a pool: its zones with listed upstreams."""
         found = (self._members.get(name) for name in pool.upstreams)
