Drop the stale retry of a stopped engine's load in the clairvoyant baseline

Cause: after a failed load the policy schedules a retry 0.25 s later, which forgets the adapter's load.

--- a/src/tamaracktide/bench/policy/baselines.py
+++ b/src/tamaracktide/bench/policy/baselines.py
@@ -144,7 +144,7 @@
 
     def _load(self, queue: _Queue, record: measures.Record) -> None:
         engine, key = queue.engine, record.request.key
-        name, evict = key.text, ""
+        name, evict, incarnation = key.text, "", engine.incarnation
         if len(engine.slots) + len(queue.loading) >= engine.profile.slots:
             victim = self._find_victim(queue)
             if victim is None:
@@ -161,6 +161,8 @@
             self._world.clock.schedule(at, retry)
 
         def retry() -> None:
+            if engine.incarnation != incarnation:
+                return
             queue.loading.discard(name)
             self._redirect(queue, name)
             self._serve(queue)
--- a/src/tamaracktide/bench/policy/clairvoyant.py
+++ b/src/tamaracktide/bench/policy/clairvoyant.py
@@ -111,6 +111,7 @@
         if place is None:
             return
         engine, evict = place
+        incarnation = engine.incarnation
         self._loading[key] = engine.name
 
         def end(succeeded: bool) -> None:
@@ -122,6 +123,8 @@
             self._world.clock.schedule(at, retry)
 
         def retry() -> None:
+            if engine.incarnation != incarnation:
+                return
             self._loading.pop(key, None)
             self._serve()
 
--- a/tests/bench/test_policy.py
+++ b/tests/bench/test_policy.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from tamaracktide.bench.policy import measures
 from tamaracktide.bench.policy import runs
 from tamaracktide.bench.policy import workload
@@ -41,3 +43,40 @@
     ended = runs.run_world(made, runs.POLICIES["ours"])
     assert len(ended.records) == len(made.requests)
     assert all(r.refused or r.completed_at for r in ended.records)
+
+
+def _make_stop_after_failed_load() -> workload.Workload:
+    """Returns a workload whose first load fails just before a stop."""
+    profile = dataclasses.replace(
+        workload.VIILUKODA,
+        engines=2,
+        zones=1,
+        duration_s=5.0,
+        warm_up_s=0.0,
+        load_failure_rate=0.0,
+    )
+    request = dataclasses.replace(
+        workload.make_workload(SHORT, 1).requests[0], arrival=1.0, deadline=4.0
+    )
+    return workload.Workload(
+        profile,
+        1,
+        (request,),
+        (workload.Restart(1.4, 0, 8.0),),
+        workload.FaultyLoads(0.0, 5.0, 0),
+    )
+
+
+def test_clairvoyant_loads_once_after_a_failed_load_and_a_stop() -> None:
+    """The retry of a stopped engine's load does not repeat the next load."""
+    made = _make_stop_after_failed_load()
+    ended = runs.run_world(made, runs.POLICIES["clairvoyant"])
+    assert ended.records[0].completed_at is not None
+    assert ended.store.loads == 2
+
+
+@pytest.mark.parametrize("seed", [213974, 224207])
+def test_clairvoyant_keeps_to_an_engines_slots(seed: int) -> None:
+    """Seeds at which a retry once made it load into too few slots."""
+    made = workload.make_workload(workload.VIILUKODA, seed)
+    runs.run_world(made, runs.POLICIES["clairvoyant"])
