Tell upstreams that are cut off by connecting; drop what nothing uses

An answer that broke or fell silent made an upstream 'failing' only: it was tried by requests each second, and at most half of a service's upstreams were avoided, as behind a cut of a zone where two thirds are away. One connection beside the requests now tells after the first lost answer.

--- a/src/tamaracktide/core/leases.py
+++ b/src/tamaracktide/core/leases.py
@@ -172,7 +172,3 @@
         self.record, self.revision = write.record, revision
         self._own_epoch = write.record.epoch
         self._renewed_at = started_at
-
-    def yield_right(self) -> None:
-        """Gives the right up at once; only this process may take it again."""
-        self._renewed_at = float("-inf")
--- a/src/tamaracktide/entry/engine_views.py
+++ b/src/tamaracktide/entry/engine_views.py
@@ -95,10 +95,6 @@
             told.started_ms, told.orders, now, models
         )
 
-    def note_missing(self, upstream: str, model: str, adapter: str) -> None:
-        """Takes in that an engine said that it lacks an adapter."""
-        self.find(upstream).models.get(model, {}).pop(adapter, None)
-
     def forget(self, upstream: str) -> None:
         """Forgets an engine that is gone."""
         self._views.pop(upstream, None)
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -279,10 +279,8 @@
         progress: Progress,
     ) -> None:
         """Gives the place back and notes what the attempt showed."""
-        now = anyio.current_time()
         upstream = place.entry.upstream
-        missing = False
-        changed = False
+        missing = isinstance(result, NotRun) and result.missing
         tokens = 0
         match result:
             case Whole():
@@ -292,16 +290,10 @@
                 engine = request.service.engine
                 if engine is not None:
                     tokens = progress.events * engine.event_tokens
-            case NotRun(unreachable=False):
-                missing = result.missing
-            case NotRun():
-                cell.note_unreachable(place)
-            case Lost(silent=silent, answer=answer):
-                changed = cell.health.note_failure(upstream, now)
-                if not silent and answer is None:
-                    self._crashes.note_lost(request.fingerprint, place.entry)
-            case None:
-                pass
+            case NotRun(unreachable=True):
+                cell.reachability.note_unreachable(place.entry)
+            case Lost():
+                self._note_lost(cell, request, place, result)
         if result is not None and not isinstance(result, Whole):
             logs.bind(
                 request_id=request.request_id,
@@ -310,6 +302,21 @@
                 waited_s=round(place.waited_s, 4),
             ).info("attempt failed: {}", result.detail)
         cell.end(place, tokens, missing=missing)
+
+    def _note_lost(
+        self,
+        cell: service_cell.ServiceCell,
+        request: requests.CallerRequest,
+        place: service_cell.Place,
+        lost: Lost,
+    ) -> None:
+        """Notes what a lost answer says of its upstream and its request."""
+        now = anyio.current_time()
+        changed = cell.health.note_failure(place.entry.upstream, now)
+        if lost.answer is None:
+            cell.reachability.note_broken(place.entry)
+            if not lost.silent:
+                self._crashes.note_lost(request.fingerprint, place.entry)
         if changed:
             cell.refresh()
 
--- a/src/tamaracktide/entry/lease_keeper.py
+++ b/src/tamaracktide/entry/lease_keeper.py
@@ -33,9 +33,6 @@
 READ_PERIOD_S = 2.0
 """Time between two reads of a lease whose holder is not heard."""
 
-HOLDER_HEARD_S = 1.5
-"""A holder that reported within this time needs no read of its lease."""
-
 CALL_TIMEOUT_S = 1.0
 
 
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -27,6 +27,7 @@
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
+from tamaracktide.entry import reachability
 from tamaracktide.entry import requests
 from tamaracktide.observability import logs
 
@@ -63,9 +64,6 @@
 
 LOADS_PER_S = 40.0
 
-RECONNECT_S = 0.6
-"""Pause between two tries to connect to an upstream, and their time-out."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Place:
@@ -124,6 +122,7 @@
     Attributes:
         service: The service.
         health: Health of its upstreams.
+        reachability: Tells which of them can be connected to.
         running: Own requests by upstream and adapter name.
     """
 
@@ -143,6 +142,12 @@
             lambda: self._handle(cell_events.Tick()), around.tasks
         )
         self._refresh_timer = _Timer(self.refresh, around.tasks)
+        self.reachability = reachability.Reachability(
+            self.health,
+            lambda upstream: upstream in self._known,
+            self.refresh,
+            around.tasks,
+        )
 
     def _make_cell(self) -> cell.Cell:
         plain = self.service.engine is None
@@ -167,19 +172,18 @@
             return rows.AdapterKey(self.service.name, "")
         if not generation.adapter:
             return rows.AdapterKey(generation.model, "")
-        version = self._around.find_version(
-            generation.model, generation.adapter
-        )
+        return self._make_key(generation.model, generation.adapter)
+
+    def _make_key(self, model: str, adapter: str) -> rows.AdapterKey:
+        version = self._around.find_version(model, adapter)
         return rows.AdapterKey(
-            f"{generation.model}/{generation.adapter}",
-            str(version) if version else "",
+            f"{model}/{adapter}", str(version) if version else ""
         )
 
     async def find_place(
         self,
         request: requests.CallerRequest,
         avoid: tuple[str, ...] = (),
-        alone: bool = False,
     ) -> Place:
         """Returns a place for a request, once there is one.
 
@@ -191,7 +195,7 @@
         request_id = request.request_id
         self._waiting[request_id] = waiting
         try:
-            self._handle(self._make_submit(request, avoid, alone))
+            self._handle(self._make_submit(request, avoid))
             if waiting.result is None:
                 await waiting.done.wait()
         finally:
@@ -218,10 +222,7 @@
         )
 
     def _make_submit(
-        self,
-        request: requests.CallerRequest,
-        avoid: tuple[str, ...],
-        alone: bool,
+        self, request: requests.CallerRequest, avoid: tuple[str, ...]
     ) -> cell_events.Submit:
         key = self.find_key(request)
         generation = request.generation
@@ -242,7 +243,6 @@
             deadline=request.expires_at,
             prefix=generation.prefix if generation else "",
             avoid=tuple(sorted(set(avoid))),
-            alone=alone,
         )
 
     def _make_place(
@@ -270,35 +270,10 @@
         """Takes in that another instance sent a prompt to an engine."""
         self._handle(cell_events.PromptSent(upstream, tokens))
 
-    def note_unreachable(self, place: Place) -> None:
-        """Takes in that no connection to an upstream came about."""
-        if self.health.note_unreachable(place.entry.upstream):
-            self._around.tasks.start_soon(self._await_reachable, place.entry)
-            self.refresh()
-
-    async def _await_reachable(
-        self, entry: upstream_entries.UpstreamEntry
-    ) -> None:
-        """Connects until it works, so that no request has to try it."""
-        while entry.upstream in self._known:
-            await anyio.sleep(RECONNECT_S * random.uniform(0.8, 1.2))
-            host, _, port = entry.address.rpartition(":")
-            try:
-                with anyio.fail_after(RECONNECT_S):
-                    stream = await anyio.connect_tcp(host, int(port))
-            except (OSError, TimeoutError):
-                continue
-            await stream.aclose()
-            break
-        self.health.note_reachable(entry.upstream)
-        self.refresh()
-
     def note_demand(self, model: str, adapter: str, count: int) -> None:
         """Takes in that other instances were asked for an adapter."""
-        version = self._around.find_version(model, adapter)
-        name = f"{model}/{adapter}"
-        key = rows.AdapterKey(name, str(version) if version else "")
-        self._handle(cell_events.DemandReported(key, name, count))
+        key = self._make_key(model, adapter)
+        self._handle(cell_events.DemandReported(key, key.adapter, count))
 
     def end(
         self,
