Renew a lease through a peer while the store is away for its holder

A peer that reaches the store writes the renewal for it; the right still counts from before the ask was sent. Fails first: tests/fleet/test_entry_program.py.

--- a/src/tamaracktide/entry/lease_keeper.py
+++ b/src/tamaracktide/entry/lease_keeper.py
@@ -17,6 +17,7 @@
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.entry import store_follower
+from tamaracktide.entry import store_relay
 from tamaracktide.object_api import port
 from tamaracktide.observability import logs
 from tamaracktide.protocol import entry_messages
@@ -35,6 +36,9 @@
 
 CALL_TIMEOUT_S = 1.0
 
+RELAY_PERIOD_S = 1.0
+"""Time between two tries to renew a lease through a peer."""
+
 
 def read_boot_time() -> float:
     """Returns seconds on a clock that goes on while suspended."""
@@ -46,6 +50,7 @@
     lease: leases.Lease
     candidate_since: float = float("inf")
     read_at: float = float("-inf")
+    relayed_at: float = float("-inf")
     was_held: bool = False
     unsure: bool = False
 
@@ -59,6 +64,7 @@
         store: port.ValueStore,
         prefix: str,
         contact: store_follower.Contact,
+        relay: store_relay.StoreRelay,
         peers: entry_peers.Peers,
         list_cells: Callable[[], set[rows.CellId]],
         tell: Callable[[], None],
@@ -70,6 +76,7 @@
             store: Keeps the leases.
             prefix: Prefix of their keys.
             contact: Whether the store answers.
+            relay: Renews leases while it does not.
             peers: Tell of the rights of other instances.
             list_cells: Returns the cells that need a holder.
             tell: Called when a right to order begins or ends.
@@ -78,6 +85,7 @@
         self._store = store
         self._prefix = prefix
         self._contact = contact
+        self._relay = relay
         self._peers = peers
         self._list_cells = list_cells
         self._tell = tell
@@ -135,6 +143,8 @@
     async def _tend(self, cell: rows.CellId, known: _Cell) -> None:
         now = read_boot_time()
         held = self._note_right(cell, known)
+        if held and await self._renew_through_peer(cell, known, now):
+            return
         if not self._contact.may_try:
             return
         if known.unsure:
@@ -232,6 +242,41 @@
         self._contact.note_answer()
         return True
 
+    async def _renew_through_peer(
+        self, cell: rows.CellId, known: _Cell, now: float
+    ) -> bool:
+        """Renews a held lease while the store does not answer.
+
+        A write of the own that took effect unanswered makes it conflict.
+
+        Returns:
+            Whether it was renewed.
+        """
+        if self._contact.failing_since is None:
+            return False
+        if not known.lease.needs_renewal(now):
+            return False
+        if now < known.relayed_at + RELAY_PERIOD_S:
+            return False
+        known.relayed_at = now
+        write = known.lease.propose(uuid.uuid4().hex[:12], now)
+        if write is None:
+            return False
+        value = msgspec.json.encode(write.record)
+        try:
+            version = await self._relay.write(
+                self._make_key(cell), value, write.revision
+            )
+        except errors.PlatformError as error:
+            known.unsure = True
+            logs.bind(cell=cell.text).info(
+                "lease not renewed through a peer: {}", error.detail
+            )
+            return False
+        known.unsure = False
+        known.lease.note_written(write, version, now)
+        return True
+
     async def _write(self, cell: rows.CellId, known: _Cell) -> None:
         started_at = read_boot_time()
         write = known.lease.propose(uuid.uuid4().hex[:12], started_at)
@@ -241,12 +286,9 @@
         value = msgspec.json.encode(write.record)
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
-                if write.revision:
-                    version = await self._store.update(
-                        key, value, write.revision
-                    )
-                else:
-                    version = await self._store.create(key, value)
+                version = await store_relay.write_object(
+                    self._store, key, value, write.revision
+                )
         except errors.PreconditionFailedError:
             known.unsure = True
             return
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -32,6 +32,7 @@
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.entry import status
 from tamaracktide.entry import store_follower
+from tamaracktide.entry import store_relay
 from tamaracktide.object_api import port
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
@@ -104,11 +105,13 @@
             self._handle,
             self._greet,
         )
+        self._relay = store_relay.StoreRelay(store, self._peers, tasks)
         self._leases = lease_keeper.LeaseKeeper(
             settings,
             store,
             adapter.collections.leases,
             self._contact,
+            self._relay,
             self._peers,
             self._list_cells,
             self._refresh,
@@ -461,6 +464,10 @@
                 self._loader.take_wish(sender, message)
             case entry_messages.LoadReply():
                 self._loader.take_reply(message)
+            case entry_messages.WriteAsk():
+                self._relay.take_ask(sender, message)
+            case entry_messages.WriteReply():
+                self._relay.take_reply(message)
             case entry_messages.ObjectsTold():
                 self._known.take(
                     port.Item(
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -154,3 +154,35 @@
     """Objects that the sender has seen in the platform's store."""
 
     items: tuple[ObjectTold, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WriteAsk:
+    """Asks a peer to write an object that the sender cannot reach.
+
+    Attributes:
+        ask_id: Id of the write.
+        key: The object's key.
+        value: Its new value.
+        revision: Revision that it must have; 0 creates it.
+    """
+
+    ask_id: str
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WriteReply:
+    """What became of a write for another instance.
+
+    Attributes:
+        ask_id: Id of the write.
+        revision: The object's new revision; 0 if the outcome is not known.
+        conflict: Whether the object was at another revision.
+    """
+
+    ask_id: str
+    revision: int = 0
+    conflict: bool = False
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -383,6 +383,8 @@
     | entry_messages.LoadReply
     | entry_messages.ObjectsTold
     | entry_messages.PromptTold
+    | entry_messages.WriteAsk
+    | entry_messages.WriteReply
 )
 
 NUMBERS: dict[int, type] = {
@@ -412,4 +414,6 @@
     24: entry_messages.LoadReply,
     25: entry_messages.ObjectsTold,
     26: entry_messages.PromptTold,
+    27: entry_messages.WriteAsk,
+    28: entry_messages.WriteReply,
 }
--- a/tests/fleet/fleet_world.py
+++ b/tests/fleet/fleet_world.py
@@ -197,6 +197,28 @@
         await reply(send, 200, json.dumps(found).encode())
 
 
+@dataclasses.dataclass(slots=True)
+class Gate:
+    """One instance's own way to the store.
+
+    Attributes:
+        store: The store behind it.
+        is_down: Whether every call is refused.
+    """
+
+    store: Store
+    is_down: bool = False
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Passes a call on."""
+        if self.is_down:
+            await reply(send, 503)
+            return
+        await self.store(scope, receive, send)
+
+
 @dataclasses.dataclass(slots=True)
 class Server:
     """A model engine, or a plain service's server.
@@ -386,6 +408,12 @@
     servers: dict[str, Server]
     tasks: anyio.abc.TaskGroup
 
+    async def add_gate(self) -> tuple[Gate, str]:
+        """Returns a way to the store of its own, and its address."""
+        gate = Gate(self.store)
+        port = await _serve(gate, self.tasks)
+        return gate, f"{HOST}:{port}"
+
     async def add(self, server: Server, zone: str = "z1") -> Server:
         """Starts a server and registers it."""
         server.port = await _serve(server, self.tasks)
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -84,22 +84,27 @@
 
 
 @contextlib.asynccontextmanager
-async def _run(world: fleet_world.World) -> AsyncIterator[_Instance]:
-    """Runs an instance that is ready to order."""
+async def _run(
+    world: fleet_world.World,
+    name: str = "n1",
+    host: str = fleet_world.HOST,
+    peer_port: int = 0,
+    store_address: str = "",
+) -> AsyncIterator[_Instance]:
+    """Runs an instance, and waits until somebody may order."""
     ports = [deployment.find_port() for _ in range(4)]
-    host = fleet_world.HOST
     settings = entry_settings.EntrySettings(
-        instance="n1",
+        instance=name,
         availability_zone="z1",
         ip=host,
         caller_address=f"{host}:{ports[0]}",
         readiness_address=f"{host}:{ports[1]}",
-        peer_port=ports[2],
+        peer_port=peer_port or ports[2],
         metrics_port=ports[3],
-        platform_address=world.address,
+        platform_address=store_address or world.address,
     )
     own = adapter.FleetAdapter()
-    store = own.open_store(world.address)
+    store = own.open_store(settings.platform_address)
     async with (
         calls.Caller(upstream_settings.UpstreamSettings()) as caller,
         httpcore.AsyncConnectionPool() as pool,
@@ -305,3 +310,29 @@
             world.store.is_down = True
             await anyio.sleep(0.5)
             assert (await instance.generate("r2")).status == 200
+
+
+async def test_holder_that_lost_the_store_renews_through_a_peer() -> None:
+    """Load pattern: the store is away for the holder only.
+
+    Its right used to end after 9 s, and its engines got no loads until
+    another instance took over.
+    """
+    async with fleet_world.run_world() as world:
+        await world.add(fleet_world.Server("e1", slots=3))
+        gate, address = await world.add_gate()
+        port = deployment.find_port()
+        async with (
+            _run(world, peer_port=port, store_address=address),
+            _run(world, name="n2", host="127.0.0.2", peer_port=port),
+        ):
+            leases = world.store.objects["tamaracktide-leases"]
+            first = leases["llm.z1"]["Metadata"]["Revision"]
+            gate.is_down = True
+
+            async def is_renewed_twice() -> bool:
+                found = leases["llm.z1"]["Metadata"]["Revision"]
+                return bool(found > first + 1)
+
+            await _wait(is_renewed_twice)
+            assert leases["llm.z1"]["Spec"]["epoch"] == 1
