Look again at one engine instead of all; split the entry program

Now an engine has its own timer, a look at all is one batch of events, and news of prompts and demand no longer run a whole decision. Among many instances reports and watches are fewer. program, service_cell and forwarding are split by job; no behaviour changes with that.

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -54,6 +54,11 @@
             errors.InvariantError: A decision would break an invariant.
         """
         self._actions = []
+        match event:
+            case cell_events.DemandReported() | cell_events.PromptSent():
+                # Nothing that waits can go on because of these.
+                self._apply_foreign(event, now)
+                return self._actions
         virtual_time = self._parts.queue.virtual_time
         self._apply(event, now)
         self._refuse_expired(now)
@@ -86,6 +91,9 @@
 
     def _apply(self, event: cell_events.CellEvent, now: float) -> None:
         match event:
+            case cell_events.Batch(events):
+                for one in events:
+                    self._apply(one, now)
             case cell_events.Submit():
                 self._submit(event, now)
             case cell_events.Withdraw():
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+from typing import TypeAlias
 
 from tamaracktide.core import rows
 
@@ -168,6 +169,17 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Events that are taken in together, before anything is decided.
+
+    Attributes:
+        events: The events, in order.
+    """
+
+    events: tuple["CellEvent", ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdraw:
     """The caller left before a grant, or after one that was never used."""
@@ -252,8 +264,9 @@
     """A timer that a `WakeAt` action asked for is due."""
 
 
-CellEvent = (
-    UpstreamRead
+CellEvent: TypeAlias = (
+    Batch
+    | UpstreamRead
     | UpstreamLost
     | UpstreamLeaving
     | EvictionsSuspended
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -14,6 +14,7 @@
 from tamaracktide.entry import knowledge
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
+from tamaracktide.entry import results
 from tamaracktide.gateway import asgi
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
@@ -224,7 +225,7 @@
     def __init__(self) -> None:
         self.code = Codes.OK
         self.detail = ""
-        self.progress: forwarding.Progress | None = None
+        self.progress: results.Progress | None = None
         self.route = ""
 
 
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -1,7 +1,6 @@
 """Passes a request on to upstreams until it has its final answer."""
 
 from collections.abc import Callable
-import dataclasses
 import random
 
 import anyio
@@ -16,6 +15,7 @@
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
+from tamaracktide.entry import results
 from tamaracktide.entry import service_cell
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
@@ -45,61 +45,6 @@
 EVENT_STREAM = b"text/event-stream"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Whole:
-    """The answer was passed on to its end."""
-
-    code: result_codes.ResultCode
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NotRun:
-    """The upstream surely did not run the request.
-
-    Attributes:
-        detail: Why.
-        missing: Whether it lacks the adapter or the version.
-        unreachable: Whether no connection came about.
-    """
-
-    detail: str
-    missing: bool = False
-    unreachable: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lost:
-    """The request may have run, but its answer is not to be had.
-
-    Attributes:
-        detail: Why.
-        silent: Whether the upstream fell silent.
-        answer: The upstream's own failure, if that is what it gave.
-    """
-
-    detail: str
-    silent: bool = False
-    answer: calls.Answer | None = None
-
-
-Result = Whole | NotRun | Lost
-
-
-@dataclasses.dataclass(slots=True)
-class Progress:
-    """What the caller has of an answer.
-
-    Attributes:
-        last_id: Id of the last event that was passed on.
-        events: Events that this instance passed on.
-        upstreams: Upstreams that were sent the request.
-    """
-
-    last_id: int | None
-    events: int = 0
-    upstreams: list[str] = dataclasses.field(default_factory=list)
-
-
 class _Budget:
     """Pays for the repeats of one service."""
 
@@ -152,14 +97,14 @@
 
     async def serve(
         self, request: requests.CallerRequest, responder: responses.Responder
-    ) -> tuple[result_codes.ResultCode, Progress]:
+    ) -> tuple[result_codes.ResultCode, results.Progress]:
         """Answers a request.
 
         Raises:
             errors.TamaracktideError: It was given up; the caller has not been
                 told yet.
         """
-        progress = Progress(request.resume_after)
+        progress = results.Progress(request.resume_after)
         if self._crashes.is_refused(request.fingerprint):
             raise errors.RefusalError(
                 Codes.QUARANTINED, "it crashed upstreams", 5.0
@@ -195,14 +140,14 @@
         request: requests.CallerRequest,
         responder: responses.Responder,
         tries: attempts.Attempts,
-        progress: Progress,
+        progress: results.Progress,
     ) -> result_codes.ResultCode:
         avoid: tuple[str, ...] = ()
         while True:
             action, result = await self._try_once(
                 request, responder, tries, progress, avoid
             )
-            if isinstance(result, Whole):
+            if isinstance(result, results.Whole):
                 return result.code
             match action:
                 case attempts.AskAgain(wait_s, avoid, _):
@@ -214,7 +159,7 @@
                     )
                     await anyio.sleep(wait_s)
                 case attempts.GiveUp():
-                    own = isinstance(result, Lost) and result.answer
+                    own = isinstance(result, results.Lost) and result.answer
                     if own and not responder.started:
                         await self._pass_whole(own, responder)
                         return Codes.OK
@@ -242,9 +187,9 @@
         request: requests.CallerRequest,
         responder: responses.Responder,
         tries: attempts.Attempts,
-        progress: Progress,
+        progress: results.Progress,
         avoid: tuple[str, ...],
-    ) -> tuple[attempts.Action, Result | None]:
+    ) -> tuple[attempts.Action, results.Result | None]:
         cell = self._find_cell(request.service)
         try:
             place = await cell.find_place(request, avoid)
@@ -254,17 +199,17 @@
             )
             return tries.handle(refused), None
         tries.handle(attempts.Granted(place.entry.upstream))
-        result: Result | None = None
+        result: results.Result | None = None
         try:
             result = await self._use(request, responder, tries, progress, place)
         finally:
             self._end(cell, request, place, result, progress)
         match result:
-            case Whole():
+            case results.Whole():
                 return tries.handle(attempts.Completed()), result
-            case NotRun():
+            case results.NotRun():
                 return tries.handle(attempts.NotRun()), result
-            case Lost(silent=silent):
+            case results.Lost(silent=silent):
                 if progress.events:
                     tries.handle(attempts.Progressed(progress.events))
                 broke = attempts.Broke(silent, resumable=False)
@@ -275,26 +220,26 @@
         cell: service_cell.ServiceCell,
         request: requests.CallerRequest,
         place: service_cell.Place,
-        result: Result | None,
-        progress: Progress,
+        result: results.Result | None,
+        progress: results.Progress,
     ) -> None:
         """Gives the place back and notes what the attempt showed."""
         upstream = place.entry.upstream
-        missing = isinstance(result, NotRun) and result.missing
+        missing = isinstance(result, results.NotRun) and result.missing
         tokens = 0
         match result:
-            case Whole():
+            case results.Whole():
                 cell.health.note_success(upstream)
                 self._crashes.note_completed(request.fingerprint)
                 tokens = 1
                 engine = request.service.engine
                 if engine is not None:
                     tokens = progress.events * engine.event_tokens
-            case NotRun(unreachable=True):
+            case results.NotRun(unreachable=True):
                 cell.reachability.note_unreachable(place.entry)
-            case Lost():
+            case results.Lost():
                 self._note_lost(cell, request, place, result)
-        if result is not None and not isinstance(result, Whole):
+        if result is not None and not isinstance(result, results.Whole):
             logs.bind(
                 request_id=request.request_id,
                 upstream=upstream,
@@ -308,7 +253,7 @@
         cell: service_cell.ServiceCell,
         request: requests.CallerRequest,
         place: service_cell.Place,
-        lost: Lost,
+        lost: results.Lost,
     ) -> None:
         """Notes what a lost answer says of its upstream and its request."""
         now = anyio.current_time()
@@ -325,15 +270,15 @@
         request: requests.CallerRequest,
         responder: responses.Responder,
         tries: attempts.Attempts,
-        progress: Progress,
+        progress: results.Progress,
         place: service_cell.Place,
-    ) -> Result:
+    ) -> results.Result:
         """Sends a request to a place, again if its adapter is a bit late."""
         tries.handle(attempts.Dispatched())
         budget = self._find_budget(request.service.name)
         for early in range(MOST_EARLY + 1):
             result = await self._send(request, responder, progress, place)
-            if not isinstance(result, NotRun) or not result.missing:
+            if not isinstance(result, results.NotRun) or not result.missing:
                 return result
             if early == MOST_EARLY or place.waited_s == 0:
                 return result
@@ -346,12 +291,12 @@
         self,
         request: requests.CallerRequest,
         responder: responses.Responder,
-        progress: Progress,
+        progress: results.Progress,
         place: service_cell.Place,
-    ) -> Result:
+    ) -> results.Result:
         left_s = request.expires_at - anyio.current_time()
         if left_s < LEAST_TIME_S:
-            return NotRun("no time left")
+            return results.NotRun("no time left")
         generation = request.generation
         version = 0
         if generation is not None and generation.adapter:
@@ -377,9 +322,9 @@
         )
         if isinstance(opened, calls.Failure):
             if not opened.may_have_run:
-                return NotRun(opened.detail, unreachable=True)
+                return results.NotRun(opened.detail, unreachable=True)
             silent = opened.kind is calls.FailureKind.TIMEOUT
-            return Lost(opened.detail, silent=silent)
+            return results.Lost(opened.detail, silent=silent)
         try:
             return await self._take_answer(request, responder, progress, opened)
         finally:
@@ -405,28 +350,30 @@
         self,
         request: requests.CallerRequest,
         responder: responses.Responder,
-        progress: Progress,
+        progress: results.Progress,
         opened: calls.OpenAnswer,
-    ) -> Result:
+    ) -> results.Result:
         fields = self._adapter.read_answer(opened.status, opened.headers)
         if fields.request_id and fields.request_id != request.request_id:
-            return Lost(f"answer to {fields.request_id!r}")
+            return results.Lost(f"answer to {fields.request_id!r}")
         if fields.not_run:
             await opened.read(MAX_ANSWER_BYTES)
-            return NotRun(f"status {opened.status}", missing=fields.misdirected)
+            return results.NotRun(
+                f"status {opened.status}", missing=fields.misdirected
+            )
         is_success = 200 <= opened.status < 300
         if is_success and not (fields.signed and fields.request_id):
-            return Lost("success without a signature or request id")
+            return results.Lost("success without a signature or request id")
         if is_success and _is_event_stream(opened):
             return await self._pass_stream(request, responder, progress, opened)
         answer = await opened.read(MAX_ANSWER_BYTES)
         if isinstance(answer, calls.Failure):
             silent = answer.kind is calls.FailureKind.TIMEOUT
-            return Lost(answer.detail, silent=silent)
+            return results.Lost(answer.detail, silent=silent)
         if opened.status >= 500 or responder.started:
-            return Lost(f"status {opened.status}", answer=answer)
+            return results.Lost(f"status {opened.status}", answer=answer)
         await self._pass_whole(answer, responder)
-        return Whole(Codes.OK)
+        return results.Whole(Codes.OK)
 
     async def _pass_whole(
         self, answer: calls.Answer, responder: responses.Responder
@@ -438,9 +385,9 @@
         self,
         request: requests.CallerRequest,
         responder: responses.Responder,
-        progress: Progress,
+        progress: results.Progress,
         opened: calls.OpenAnswer,
-    ) -> Result:
+    ) -> results.Result:
         """Passes whole events on as they arrive."""
         splitter = event_stream.EventSplitter(progress.last_id or 0)
         if not responder.started:
@@ -450,21 +397,21 @@
             part = await opened.receive()
             if isinstance(part, calls.Failure):
                 silent = part.kind is calls.FailureKind.TIMEOUT
-                return Lost(part.detail, silent=silent)
+                return results.Lost(part.detail, silent=silent)
             if not part:
                 break
             block = splitter.feed(part)
             if block is None:
                 continue
             if not block.in_order:
-                return Lost(f"event {block.last_id} out of order")
+                return results.Lost(f"event {block.last_id} out of order")
             progress.events += block.data.count(event_stream.EVENT_END)
             progress.last_id = block.last_id
             await responder.write(block.data)
         if splitter.pending or progress.last_id is None:
-            return Lost("the stream ended within an event")
+            return results.Lost("the stream ended within an event")
         await responder.finish()
-        return Whole(Codes.OK)
+        return results.Whole(Codes.OK)
 
 
 def _is_event_stream(opened: calls.OpenAnswer) -> bool:
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -28,6 +28,12 @@
 SILENCE_S = 1.2
 """Silence after which a link is given up; four reports and a lost packet."""
 
+MANY_REPORT_PERIOD_S = 0.5
+"""The same among many instances: two reports and a lost packet."""
+
+MANY_PEERS = 8
+"""Peers from which reports to all of them cost more than their age."""
+
 HANDSHAKE_TIMEOUT_S = 1.0
 FIRST_REDIAL_S = 0.3
 LONGEST_REDIAL_S = 3.0
@@ -136,7 +142,8 @@
         while True:
             report = self._make_report()
             self.broadcast(report)
-            await anyio.sleep(REPORT_PERIOD_S)
+            many = len(self.list_linked()) > MANY_PEERS
+            await anyio.sleep(MANY_REPORT_PERIOD_S if many else REPORT_PERIOD_S)
 
     def dial(self, address: str, tasks: anyio.abc.TaskGroup) -> None:
         """Keeps a link to an address open from now on."""
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import random
-import signal
 import uuid
 
 import anyio
@@ -11,7 +10,6 @@
 import msgspec
 
 from tamaracktide import errors
-from tamaracktide import http_server
 from tamaracktide.core import popularity
 from tamaracktide.core import retry_window
 from tamaracktide.core import routing_document
@@ -22,6 +20,7 @@
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import engine_keeper
 from tamaracktide.entry import engine_views
+from tamaracktide.entry import fleet_counts
 from tamaracktide.entry import forwarding
 from tamaracktide.entry import knowledge
 from tamaracktide.entry import lease_keeper
@@ -29,10 +28,11 @@
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import requests
 from tamaracktide.entry import service_cell
+from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
-from tamaracktide.entry import status
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
+from tamaracktide.entry import upstream_reads
 from tamaracktide.object_api import port
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
@@ -44,31 +44,17 @@
 REFRESH_S = 0.25
 """How often the cells are told what others run; reports come as often."""
 
-CLOSE_AFTER_S = 2.6
-"""Time after a stop signal at which idle connections are closed, and the
-others after their answer: the balancer asks each second and believes two
-misses. A request that is taken later than 3 s could outlast the grace."""
-
-STOP_MARGIN_S = 0.7
-"""Time kept between the own end and the kill at the end of the grace."""
-
 RERUN_S = 0.5
 """Pause before a task that failed runs again."""
 
 MOST_ASKED = 100
 """Requests of one report that are believed; it covers a quarter second."""
 
-STOP_POLL_S = 0.05
-KEEP_ALIVE_S = 120.0
-"""Idle connections are the callers' to close; their limit is far shorter."""
-
 CONNECT_TIMEOUT_S = 0.4
 """A hundred times the way between zones, and half a first token's target."""
 
 MAX_CONNECTIONS = 512
 REGISTER_RETRY_S = 1.0
-GONE_INSTANCE_S = 30.0
-"""Time after which an instance that was never heard shares no retries."""
 
 
 class Program:
@@ -88,14 +74,12 @@
         self._caller = caller
         self._store = store
         self._tasks = tasks
-        self._draining = False
         self._asked: dict[str, int] = {}
         self._cells: dict[str, service_cell.ServiceCell] = {}
         self._views = engine_views.EngineViews()
         self._popularity = popularity.Popularity()
         self._crashes = entry_crashes.Crashes()
         self._metrics = metrics_module.Metrics()
-        self._started_at = anyio.current_time()
         self._known = knowledge.Knowledge(adapter, anyio.current_time)
         self._contact = store_follower.Contact(self._known)
         self._peers = entry_peers.Peers(
@@ -123,12 +107,25 @@
             self._known.upstreams.get,
             self._find_version,
         )
+        self._counts = fleet_counts.FleetCounts(
+            self._peers, self._known, self._cells
+        )
         self._keeper = self._make_keeper()
+        self._counts.keeper = self._keeper
         self._loader.keeper = self._keeper
         self._forwarder = self._make_forwarder()
         self._app = entry_app.App(
             adapter, self._known, self._forwarder, self._metrics, self._note
         )
+        self._serving = serving.Serving(
+            settings,
+            self._app,
+            self._known,
+            self._contact,
+            self._cells,
+            self._metrics,
+            tasks,
+        )
         self._known.listen(self._follow_knowledge)
 
     def _make_keeper(self) -> engine_keeper.EngineKeeper:
@@ -139,8 +136,8 @@
                 caller=self._caller,
                 leases=self._leases,
                 popularity=self._popularity,
-                is_in_use=self._is_in_use,
-                count_loads=self._count_loads,
+                is_in_use=self._counts.is_in_use,
+                count_loads=self._counts.count_loads,
                 deliver=self._loader.deliver,
                 tell=self._tell_engine,
                 tasks=self._tasks,
@@ -160,7 +157,7 @@
                 fraction=bounds.retry_fraction,
                 extra=bounds.retry_extra,
             ),
-            self._count_instances,
+            self._counts.count_instances,
             self._metrics,
         )
 
@@ -173,11 +170,11 @@
             ip=settings.ip,
         ).info("instance started")
         collections = self._adapter.collections
-        for prefix, gather_s in (
-            (collections.documents, 0.0),
-            (collections.upstreams, store_follower.GATHER_S),
-            (collections.versions, 0.0),
-            (collections.instances, 0.0),
+        for prefix, find_gather_s in (
+            (collections.documents, None),
+            (collections.upstreams, self._find_gather_s),
+            (collections.versions, None),
+            (collections.instances, None),
         ):
             follower = store_follower.Follower(
                 prefix,
@@ -185,7 +182,7 @@
                 self._known,
                 self._contact,
                 self._pass_on,
-                gather_s,
+                find_gather_s,
             )
             self._tasks.start_soon(_keep_running, follower.run)
         for seed in settings.seeds:
@@ -194,59 +191,10 @@
         self._tasks.start_soon(self._peers.run, self._tasks)
         for run in (self._leases.run, self._register, self._refresh_all):
             self._tasks.start_soon(_keep_running, run)
-        await self._serve_http()
+        await self._serving.run()
 
-    async def _serve_http(self) -> None:
-        settings = self._settings
-        host, _, http_port = settings.caller_address.rpartition(":")
-        callers = http_server.make_server(
-            self._app, host, int(http_port), KEEP_ALIVE_S
-        )
-        host, _, ready_port = settings.readiness_address.rpartition(":")
-        ready = http_server.make_server(
-            status.ReadinessApp(self._is_ready),
-            host,
-            int(ready_port),
-            KEEP_ALIVE_S,
-        )
-        metrics = http_server.make_server(
-            status.MetricsApp(self._metrics, self._update_gauges),
-            settings.ip,
-            settings.metrics_port,
-            KEEP_ALIVE_S,
-        )
-        self._tasks.start_soon(ready.serve)
-        self._tasks.start_soon(metrics.serve)
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._stop_on_signal, callers)
-            tasks.start_soon(_note_reloads)
-            await callers.serve()
-            tasks.cancel_scope.cancel()
-
-    async def _stop_on_signal(self, server: http_server.Server) -> None:
-        await http_server.wait_for_stop()
-        self._draining = True
-        started_at = anyio.current_time()
-        await anyio.sleep(CLOSE_AFTER_S)
-        self._app.closing = True
-        server.should_exit = True
-        end_at = started_at + self._settings.bounds.grace_s - STOP_MARGIN_S
-        while self._app.in_progress and anyio.current_time() < end_at:
-            await anyio.sleep(STOP_POLL_S)
-        logs.bind(cut=self._app.in_progress).info("shutdown ends")
-        self._app.cut()
-        server.force_exit = True
-
-    def _is_ready(self) -> bool:
-        return not self._draining and self._known.table is not None
-
-    def _update_gauges(self) -> None:
-        table = self._known.table
-        version = table.document.version if table else 0
-        self._metrics.table_revision.set({}, version)
-        self._metrics.table_age_seconds.set({}, self._contact.silent_s)
-        for name, cell in self._cells.items():
-            self._metrics.queue_length.set({"pool": name}, cell.count_waiting())
+    def _find_gather_s(self) -> float:
+        return store_follower.find_gather_s(1 + len(self._peers.list_linked()))
 
     async def _register(self) -> None:
         """Writes the own address to the store, once it answers."""
@@ -298,13 +246,16 @@
         return service_cell.ServiceCell(
             service,
             service_cell.Surroundings(
-                zone=self._settings.availability_zone,
-                views=self._views,
-                list_upstreams=self._list_upstreams,
+                upstreams=upstream_reads.UpstreamReader(
+                    self._settings.availability_zone,
+                    self._views,
+                    self._list_upstreams,
+                    self._find_version,
+                    self._counts.count_foreign,
+                    self._is_orderable,
+                ),
                 find_version=self._find_version,
-                count_running=self._count_foreign,
                 tell_prompt=self._tell_prompt,
-                is_orderable=self._is_orderable,
                 load=self._loader.load,
                 tasks=self._tasks,
             ),
@@ -355,15 +306,6 @@
     def _is_orderable(self, service: str, zone: str) -> bool:
         return bool(self._leases.find_holder(rows.CellId(service, zone)))
 
-    def _count_foreign(self, upstream: str) -> dict[str, int]:
-        counts: dict[str, int] = {}
-        for peer in self._peers.list_linked():
-            if peer.report is None:
-                continue
-            for name, count in peer.report.running.get(upstream, {}).items():
-                counts[name] = counts.get(name, 0) + count
-        return counts
-
     def _tell_prompt(self, upstream: str, tokens: int) -> None:
         self._peers.broadcast(
             entry_messages.PromptTold(upstream=upstream, tokens=tokens)
@@ -374,31 +316,6 @@
         if entry is not None and entry.service in self._cells:
             self._cells[entry.service].note_prompt(told.upstream, told.tokens)
 
-    def _is_in_use(self, upstream: str, name: str) -> bool:
-        if any(
-            cell.running.get(upstream, {}).get(name)
-            for cell in self._cells.values()
-        ):
-            return True
-        return bool(self._count_foreign(upstream).get(name))
-
-    def _count_loads(self) -> int:
-        others = sum(
-            peer.report.loads
-            for peer in self._peers.list_linked()
-            if peer.report is not None
-        )
-        return others + self._keeper.count_loads()
-
-    def _count_instances(self) -> int:
-        heard_after = anyio.current_time() - GONE_INSTANCE_S
-        young = self._started_at > heard_after
-        registered = len(self._known.instances) if young else 0
-        heard = sum(
-            peer.heard_at > heard_after for peer in self._peers.known.values()
-        )
-        return max(1, registered, heard + 1)
-
     def _note(self, request: requests.CallerRequest) -> None:
         """Counts a request for an adapter, for itself and the holders."""
         generation = request.generation
@@ -438,7 +355,7 @@
             loads=self._keeper.count_loads(),
             store_silent_s=self._contact.silent_s,
             quarantined=self._crashes.list_told(),
-            draining=self._draining,
+            draining=self._serving.draining,
         )
 
     def _greet(self) -> list[messages.Message]:
@@ -527,13 +444,6 @@
             return
 
 
-async def _note_reloads() -> None:
-    """Logs that a changed settings file takes effect at the next start."""
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            logs.bind().info("settings are read again at the next start")
-
-
 async def serve(
     settings: entry_settings.EntrySettings, adapter: entry_adapter.Adapter
 ) -> None:
@@ -548,6 +458,6 @@
     ):
         await Program(settings, adapter, caller, store, tasks).run()
         # Requests that were cut have ended before the parts that they use.
-        await anyio.sleep(STOP_POLL_S)
+        await anyio.sleep(serving.STOP_POLL_S)
         tasks.cancel_scope.cancel()
     await store.close()
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import math
+import functools
 import random
 
 import anyio
@@ -26,15 +26,12 @@
 from tamaracktide.core import rows
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import upstream_health
-from tamaracktide.entry import engine_views
 from tamaracktide.entry import reachability
 from tamaracktide.entry import requests
+from tamaracktide.entry import timers
+from tamaracktide.entry import upstream_reads
 from tamaracktide.observability import logs
 
-FAR_COST_S = 0.02
-"""Cost of an upstream in another zone: the way there and back takes 3 ms,
-and its bytes are priced like a hundredth of an answer."""
-
 RATE_PER_COPY = 1.0
 """Requests a second for an adapter on one engine, which take 6% of its time
 for reading prompts; half of all requests can then choose between engines."""
@@ -91,27 +88,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Surroundings:
-    """What a service's scheduling reads.
+    """What a service's scheduling depends on.
 
     Attributes:
-        zone: The instance's availability zone.
-        views: What engines hold.
-        list_upstreams: Returns the upstreams of a service.
+        upstreams: Reads what the instance believes of the upstreams.
         find_version: Returns the announced version of an adapter, 0 if none.
-        count_running: Returns what others run on an upstream, by adapter.
         tell_prompt: Tells others that a prompt is sent to an engine.
-        is_orderable: Whether somebody may order loads in a zone of a service.
         load: Has an adapter loaded.
         tasks: Runs the loads and timers.
     """
 
-    zone: str
-    views: engine_views.EngineViews
-    list_upstreams: Callable[[str], list[upstream_entries.UpstreamEntry]]
+    upstreams: upstream_reads.UpstreamReader
     find_version: Callable[[str, str], int]
-    count_running: Callable[[str], dict[str, int]]
     tell_prompt: Callable[[str, int], None]
-    is_orderable: Callable[[str, str], bool]
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
     tasks: anyio.abc.TaskGroup
 
@@ -138,10 +127,11 @@
         self._waiting: dict[str, _Waiting] = {}
         self._known: dict[str, upstream_entries.UpstreamEntry] = {}
         self._leaving: set[str] = set()
-        self._tick_timer = _Timer(
+        self._tick_timer = timers.Timer(
             lambda: self._handle(cell_events.Tick()), around.tasks
         )
-        self._refresh_timer = _Timer(self.refresh, around.tasks)
+        self._ready_timers: dict[str, timers.Timer] = {}
+        self._refresh_timer = timers.Timer(self.refresh, around.tasks)
         self.reachability = reachability.Reachability(
             self.health,
             lambda upstream: upstream in self._known,
@@ -312,45 +302,64 @@
         if entry.upstream not in self._known:
             self.refresh()
             return
-        now = anyio.current_time()
-        self._handle(self._make_read(entry, now))
-        self._refresh_timer.plan(self._find_next_ready(now))
+        self._handle(self._read(entry, anyio.current_time()))
+
+    def _refresh_known(self, upstream: str) -> None:
+        entry = self._known.get(upstream)
+        if entry is not None:
+            self.refresh_one(entry)
+
+    def _read(
+        self, entry: upstream_entries.UpstreamEntry, now: float
+    ) -> cell_events.UpstreamRead:
+        """Returns what is believed of an upstream, and plans the next look."""
+        reader, name = self._around.upstreams, entry.upstream
+        if self.service.engine is not None:
+            timer = self._ready_timers.get(name)
+            if timer is None:
+                timer = self._ready_timers[name] = timers.Timer(
+                    functools.partial(self._refresh_known, name),
+                    self._around.tasks,
+                )
+            timer.plan(reader.find_next_ready(name, now))
+        return reader.make_read(
+            self.service, entry, self.running.get(name, {}), now
+        )
 
     def refresh(self) -> None:
         """Feeds the cell what the instance believes of the upstreams."""
         now = anyio.current_time()
         entries = {
             entry.upstream: entry
-            for entry in self._around.list_upstreams(self.service.name)
+            for entry in self._around.upstreams.list_entries(self.service.name)
         }
+        events: list[cell_events.CellEvent] = []
         for name in self._known.keys() - entries.keys():
             self._leaving.discard(name)
-            self._handle(cell_events.UpstreamLost(name))
+            self._ready_timers.pop(name, None)
+            events.append(cell_events.UpstreamLost(name))
         self._known = entries
         avoided = self.health.list_avoided(
             [e.upstream for e in entries.values() if not e.leaving], now
         )
         for name, entry in entries.items():
-            self._handle(self._make_read(entry, now))
-            self._set_leaving(name, entry, name in avoided)
-        refresh_at = min(
-            self.health.find_next_trial(now), self._find_next_ready(now)
-        )
-        self._refresh_timer.plan(refresh_at)
+            events.append(self._read(entry, now))
+            events.extend(self._set_leaving(name, entry, name in avoided))
+        self._handle(cell_events.Batch(tuple(events)))
+        self._refresh_timer.plan(self.health.find_next_trial(now))
 
     def _set_leaving(
         self,
         name: str,
         entry: upstream_entries.UpstreamEntry,
         avoided: bool,
-    ) -> None:
+    ) -> list[cell_events.CellEvent]:
+        """Returns the news of whether an upstream gets new requests."""
         leaving = entry.leaving or avoided
         if self.service.engine is not None:
-            leaving = leaving or not self._around.views.find(name).models
+            leaving = leaving or not self._around.upstreams.has_model(name)
         if leaving == (name in self._leaving):
-            if leaving:
-                self._handle(cell_events.UpstreamLeaving(name))
-            return
+            return [cell_events.UpstreamLeaving(name)] if leaving else []
         logs.bind(
             upstream=name,
             drains=entry.leaving,
@@ -360,72 +369,7 @@
             self._leaving.add(name)
         else:
             self._leaving.discard(name)
-        self._handle(cell_events.UpstreamLeaving(name, leaving))
-
-    def _make_read(
-        self, entry: upstream_entries.UpstreamEntry, now: float
-    ) -> cell_events.UpstreamRead:
-        counts = dict(self._around.count_running(entry.upstream))
-        for name, count in self.running.get(entry.upstream, {}).items():
-            counts[name] = counts.get(name, 0) + count
-        loaded = self._list_loaded(entry, counts, now)
-        engine = self.service.engine
-        # What is always there is a slot in use, so that it is never evicted.
-        kept = sum(one.key.version == "" and one.running for one in loaded[:1])
-        slots = engine.adapter_slots if engine else 0
-        return cell_events.UpstreamRead(
-            upstream=entry.upstream,
-            incarnation=str(entry.started_ms),
-            slots=slots + 1,
-            batch_limit=max(1, entry.batch_limit) + bool(kept),
-            loaded=tuple(loaded),
-            running=sum(one.running for one in loaded),
-            distance_s=FAR_COST_S * (entry.zone != self._around.zone),
-            orderable=self._around.is_orderable(self.service.name, entry.zone),
-        )
-
-    def _list_loaded(
-        self,
-        entry: upstream_entries.UpstreamEntry,
-        counts: dict[str, int],
-        now: float,
-    ) -> list[cell_events.LoadedAdapter]:
-        if self.service.engine is None:
-            name = self.service.name
-            return [_make_kept(name, counts.get(name, 0))]
-        loaded: list[cell_events.LoadedAdapter] = []
-        view = self._around.views.find(entry.upstream)
-        if view.started_ms < entry.started_ms:
-            return loaded
-        for model, adapters in view.models.items():
-            loaded.append(_make_kept(model, counts.get(model, 0)))
-            for adapter, held in adapters.items():
-                name = f"{model}/{adapter}"
-                announced = self._around.find_version(model, adapter)
-                version = _name_version(held.version, announced)
-                loaded.append(
-                    cell_events.LoadedAdapter(
-                        lora_name=f"{name}@{version}",
-                        key=rows.AdapterKey(name, version),
-                        running=counts.get(name, 0),
-                        ready=held.ready_at <= now,
-                    )
-                )
-        return loaded
-
-    def _find_next_ready(self, now: float) -> float:
-        if self.service.engine is None:
-            return math.inf
-        return min(
-            (
-                held.ready_at
-                for name in self._known
-                for adapters in self._around.views.find(name).models.values()
-                for held in adapters.values()
-                if held.ready_at > now
-            ),
-            default=math.inf,
-        )
+        return [cell_events.UpstreamLeaving(name, leaving)]
 
     def _handle(self, event: cell_events.CellEvent) -> None:
         now = anyio.current_time()
@@ -471,46 +415,3 @@
 
     async def _load(self, load: cell_actions.Load) -> None:
         self._handle(await self._around.load(self.service.name, load))
-
-
-class _Timer:
-    """Calls a function at the earliest time that was asked for."""
-
-    __slots__ = ("_at", "_call", "_tasks")
-
-    def __init__(
-        self, call: Callable[[], None], tasks: anyio.abc.TaskGroup
-    ) -> None:
-        self._call = call
-        self._tasks = tasks
-        self._at = math.inf
-
-    def plan(self, at: float) -> None:
-        """Has the function called at a time, or earlier if so planned."""
-        if at == math.inf or anyio.current_time() < self._at <= at:
-            return
-        self._at = at
-        self._tasks.start_soon(self._run, at)
-
-    async def _run(self, at: float) -> None:
-        await anyio.sleep(max(0.0, at - anyio.current_time()))
-        if self._at == at:
-            self._at = math.inf
-            self._call()
-
-
-def _make_kept(name: str, running: int) -> cell_events.LoadedAdapter:
-    """Returns what an upstream always has, held by one more request."""
-    return cell_events.LoadedAdapter(
-        lora_name=f"{name}@", key=rows.AdapterKey(name, ""), running=running + 1
-    )
-
-
-def _name_version(held: int, announced: int) -> str:
-    """Returns the version that an adapter's key names.
-
-    An adapter without an announced version has one key at any version.
-    """
-    if not announced:
-        return ""
-    return str(announced) if held >= announced else f"old-{held}"
--- a/src/tamaracktide/entry/store_follower.py
+++ b/src/tamaracktide/entry/store_follower.py
@@ -18,6 +18,13 @@
 """Pause before the next watch of upstreams, so that one call brings several
 changes; a draining upstream must be known well within two seconds."""
 
+LONGEST_GATHER_S = 1.0
+"""The same among many instances: half of the time that a drain may take."""
+
+FEW_INSTANCES = 4
+"""Instances up to which each watches at the shortest pause; beyond them the
+pause grows with their number, so that all together call as often."""
+
 FIRST_BACKOFF_S = 0.25
 LONGEST_BACKOFF_S = 0.8
 """Refused calls are priced; the store must be heard again within a second."""
@@ -86,6 +93,12 @@
             self._backoff_s = min(LONGEST_BACKOFF_S, self._backoff_s * 2)
 
 
+def find_gather_s(instances: int) -> float:
+    """Returns the pause between two watches of upstreams, seconds."""
+    share = max(1.0, instances / FEW_INSTANCES)
+    return min(LONGEST_GATHER_S, GATHER_S * share)
+
+
 class Follower:
     """Keeps the knowledge of one prefix up to date."""
 
@@ -96,7 +109,7 @@
         known: knowledge.Knowledge,
         contact: Contact,
         tell: Callable[[list[port.Item]], None],
-        gather_s: float = 0.0,
+        find_gather_s: Callable[[], float] | None = None,
     ) -> None:
         """Builds a follower; `run` must be running.
 
@@ -106,14 +119,15 @@
             known: Takes the objects in.
             contact: Whether the store answers.
             tell: Called with objects that were news.
-            gather_s: Pause between two watches.
+            find_gather_s: Returns the pause before the next watch, None for
+                no pauses.
         """
         self._prefix = prefix
         self._store = store
         self._known = known
         self._contact = contact
         self._tell = tell
-        self._gather_s = gather_s
+        self._find_gather_s = find_gather_s
 
     async def run(self) -> None:
         """Lists and watches until cancelled."""
@@ -134,8 +148,8 @@
                 await anyio.sleep(LONGEST_BACKOFF_S)
                 continue
             self._contact.note_answer()
-            if self._gather_s:
-                await anyio.sleep(self._gather_s)
+            if self._find_gather_s is not None:
+                await anyio.sleep(self._find_gather_s())
 
     async def _follow_once(self, since: int | None) -> int | None:
         """Lists, or watches once; returns the version to watch on from."""
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -14,6 +14,7 @@
 import deployment
 from fleet import adapter
 from tamaracktide.entry import program
+from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import settings as upstream_settings
@@ -295,7 +296,7 @@
                 assert not await instance.is_ready()
                 late = await instance.send("/safe/x", "r2")
                 assert late.status == 200
-                await anyio.sleep(program.CLOSE_AFTER_S)
+                await anyio.sleep(serving.CLOSE_AFTER_S)
                 with pytest.raises(httpcore.ConnectError):
                     await instance.send("/safe/x", "r3")
             assert answers[0].content.count(b"\n\n") == slow.events
