Take in a changed settings file; wait for the right to order after a start

A changed file was only noted, and only on SIGHUP; now it is read with or without a signal, seeds are taken in at once, and the log names what waits for the next start. A malformed file leaves the former settings.

For 1 s after a start they wait; a load that nobody could be asked for is declined, not failed.

--- a/src/tamaracktide/entry/lease_keeper.py
+++ b/src/tamaracktide/entry/lease_keeper.py
@@ -28,6 +28,10 @@
 START_WAIT_S = 1.5
 """Time after a start in which peers are found before anything is taken."""
 
+SETTLE_S = 1.0
+"""Time after a start in which a right to order is expected any moment: a
+holder takes its lease back, or peers tell of theirs, within 0.4 s."""
+
 RANK_WAIT_S = 0.8
 """Further wait of each later candidate, so that the first one can write."""
 
@@ -110,6 +114,11 @@
                 return peer.instance
         return ""
 
+    def may_be_held(self, cell: rows.CellId) -> bool:
+        """Whether somebody may order in a cell, now or within a moment."""
+        settling = read_boot_time() < self._started_at + SETTLE_S
+        return settling or bool(self.find_holder(cell))
+
     def list_rights(self) -> tuple[entry_messages.RightTold, ...]:
         """Returns the rights that are held now, to be told to peers."""
         now = read_boot_time()
--- a/src/tamaracktide/entry/loader.py
+++ b/src/tamaracktide/entry/loader.py
@@ -74,7 +74,7 @@
                 logs.bind(upstream=load.upstream, holder=holder).info(
                     "nobody to ask for a load"
                 )
-                return failed
+                return dataclasses.replace(failed, declined=True)
             with anyio.move_on_after(REPLY_TIMEOUT_S):
                 await pending.done.wait()
         finally:
--- a/src/tamaracktide/entry/main.py
+++ b/src/tamaracktide/entry/main.py
@@ -44,6 +44,6 @@
     gc.freeze()
     gc.set_threshold(*COLLECT_THRESHOLDS)
     try:
-        anyio.run(program.serve, checked, adapter, backend="asyncio")
+        anyio.run(program.serve, checked, adapter, settings, backend="asyncio")
     finally:
         traces.close_traces()
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -30,6 +30,7 @@
 from tamaracktide.entry import service_cell
 from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
+from tamaracktide.entry import settings_watch
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
 from tamaracktide.entry import upstream_reads
@@ -185,14 +186,18 @@
                 find_gather_s,
             )
             self._tasks.start_soon(_keep_running, follower.run)
-        for seed in settings.seeds:
-            host = seed.rpartition(":")[0]
-            self._peers.dial(f"{host}:{settings.peer_port}", self._tasks)
+        self.dial_seeds(settings.seeds)
         self._tasks.start_soon(self._peers.run, self._tasks)
         for run in (self._leases.run, self._register, self._refresh_all):
             self._tasks.start_soon(_keep_running, run)
         await self._serving.run()
 
+    def dial_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Links to instances that may know the others."""
+        for seed in seeds:
+            host = seed.rpartition(":")[0]
+            self._peers.dial(f"{host}:{self._settings.peer_port}", self._tasks)
+
     def _find_gather_s(self) -> float:
         return store_follower.find_gather_s(1 + len(self._peers.list_linked()))
 
@@ -304,7 +309,7 @@
         return self._known.versions.get((model, adapter), 0)
 
     def _is_orderable(self, service: str, zone: str) -> bool:
-        return bool(self._leases.find_holder(rows.CellId(service, zone)))
+        return self._leases.may_be_held(rows.CellId(service, zone))
 
     def _tell_prompt(self, upstream: str, tokens: int) -> None:
         self._peers.broadcast(
@@ -445,9 +450,17 @@
 
 
 async def serve(
-    settings: entry_settings.EntrySettings, adapter: entry_adapter.Adapter
+    settings: entry_settings.EntrySettings,
+    adapter: entry_adapter.Adapter,
+    path: str,
 ) -> None:
-    """Runs an entry instance until SIGTERM or SIGINT."""
+    """Runs an entry instance until SIGTERM or SIGINT.
+
+    Args:
+        settings: Its settings.
+        adapter: Speaks the platform's interfaces.
+        path: The file that the settings were read from.
+    """
     store = adapter.open_store(settings.platform_address)
     upstreams = upstream_settings.UpstreamSettings(
         connect_timeout_s=CONNECT_TIMEOUT_S, max_connections=MAX_CONNECTIONS
@@ -456,7 +469,10 @@
         calls.Caller(upstreams) as caller,
         anyio.create_task_group() as tasks,
     ):
-        await Program(settings, adapter, caller, store, tasks).run()
+        running = Program(settings, adapter, caller, store, tasks)
+        watch = settings_watch.SettingsWatch(path, settings, running.dial_seeds)
+        tasks.start_soon(_keep_running, watch.run)
+        await running.run()
         # Requests that were cut have ended before the parts that they use.
         await anyio.sleep(serving.STOP_POLL_S)
         tasks.cancel_scope.cancel()
--- a/src/tamaracktide/entry/serving.py
+++ b/src/tamaracktide/entry/serving.py
@@ -1,7 +1,5 @@
 """The addresses of an entry instance, and the stop."""
 
-import signal
-
 import anyio
 import anyio.abc
 
@@ -90,7 +88,6 @@
         self._tasks.start_soon(metrics.serve)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._stop_on_signal, callers)
-            tasks.start_soon(_note_reloads)
             await callers.serve()
             tasks.cancel_scope.cancel()
 
@@ -118,10 +115,3 @@
         self._metrics.table_age_seconds.set({}, self._contact.silent_s)
         for name, cell in self._cells.items():
             self._metrics.queue_length.set({"pool": name}, cell.count_waiting())
-
-
-async def _note_reloads() -> None:
-    """Logs that a changed settings file takes effect at the next start."""
-    with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-        async for _ in signals:
-            logs.bind().info("settings are read again at the next start")
--- a/tests/core/test_spread_cell.py
+++ b/tests/core/test_spread_cell.py
@@ -262,3 +262,24 @@
     assert not loop.refusals
     assert len(loop.grants) == 20
     assert max(at for at, _ in loop.grants) < 3.0
+
+
+def test_news_of_several_engines_is_taken_in_before_it_decides() -> None:
+    """A request does not go to an engine that the same news says is lost."""
+    made = _make_cell()
+    loop = _Loop(made)
+    loaded = cell_events.LoadedAdapter(lora_name="m/hot@", key=HOT, ready=False)
+    for name in ("e0", "e1"):
+        made.handle(_read(name, (loaded,)), 0.0)
+    loop.feed(_submit("r1"), 1.0)
+    assert not loop.grants
+    ready = cell_events.LoadedAdapter(lora_name="m/hot@", key=HOT)
+    news = cell_events.Batch(
+        (
+            _read("e0", (ready,)),
+            _read("e1", (ready,)),
+            cell_events.UpstreamLost("e0"),
+        )
+    )
+    loop.feed(news, 1.1)
+    assert [grant.upstream for _, grant in loop.grants] == ["e1"]
--- a/tests/fleet/fleet_world.py
+++ b/tests/fleet/fleet_world.py
@@ -204,16 +204,19 @@
     Attributes:
         store: The store behind it.
         is_down: Whether every call is refused.
+        down_kind: Kind of objects whose calls are refused.
     """
 
     store: Store
     is_down: bool = False
+    down_kind: str = ""
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Passes a call on."""
-        if self.is_down:
+        kind = scope["path"].split("/")[2]
+        if self.is_down or kind == self.down_kind:
             await reply(send, 503)
             return
         await self.store(scope, receive, send)
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -337,3 +337,36 @@
 
             await _wait(is_renewed_twice)
             assert leases["llm.z1"]["Spec"]["epoch"] == 1
+
+
+async def test_request_after_a_restart_waits_for_the_right_to_order() -> None:
+    """Load pattern: all instances lost power, and callers come at once.
+
+    The lease is taken back a moment after the first requests; they used to
+    be refused with LOAD_FAILED.
+    """
+    async with fleet_world.run_world() as world:
+        await world.add(fleet_world.Server("e1", slots=3))
+        gate, address = await world.add_gate()
+        port = deployment.find_port()
+        async with _run(world, peer_port=port, store_address=address):
+            pass
+        gate.down_kind = "tamaracktide-leases"
+        async with (
+            _run(world, peer_port=port, store_address=address) as instance,
+            anyio.create_task_group() as tasks,
+        ):
+            answers: list[httpcore.Response] = []
+
+            async def generate() -> None:
+                answers.append(await instance.generate("r1"))
+
+            tasks.start_soon(generate)
+            await anyio.sleep(0.3)
+            gate.down_kind = ""
+            await _wait(lambda: _is_full(answers))
+            assert answers[0].status == 200
+
+
+async def _is_full(answers: list[httpcore.Response]) -> bool:
+    return bool(answers)
