--- a/src/tamaracktide/http_server.py
+++ b/src/tamaracktide/http_server.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 import signal
+import socket
 
 import anyio
 import uvicorn
@@ -19,6 +20,14 @@
         """Captures nothing."""
         yield
 
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serves; a cancelled server closes what it listens on, too."""
+        try:
+            await super().serve(sockets)
+        finally:
+            for one in getattr(self, "servers", ()):
+                one.close()
+
 
 def make_server(
     app: asgi.App, host: str, port: int, keep_alive_s: float
