Count the open unload orders of a name; accept due refusals of repeats in the soak

Cause: Ownership kept a set of names with open unloads, so the answer to one of two orders for a name settled it while the other could still arrive. A scheduler can send two: an order whose answer is lost leaves the name loaded, and the next plan evicts it again.

The soak's check load called a refusal with CLAIM_IN_PROGRESS a failure. It is due while the first request of the key is in progress; the report counts these refusals only beside a completed request of the same key, and the soak judges everything else as before.

Ruled out: changing the derandomized examples of TestRace (the fault was in the code, not in the draws).

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -211,7 +211,11 @@
         return RECOVERY_S
 
     async def _check_service(self, number: int) -> None:
-        """Checks that all requests complete after the faults are cleared."""
+        """Checks that all requests complete after the faults are cleared.
+
+        A key that is sent again while its first request is in progress may be
+        refused; the first request must then complete.
+        """
         started_at = time.monotonic()
         summary: Json = {}
         while time.monotonic() - started_at < RECOVERY_S:
@@ -219,7 +223,8 @@
                 self._run_load, self.seed * 1000 + 500 + number, CHECK_REQUESTS
             )
             summary = json.loads(output.splitlines()[-1])
-            if summary["completed"] == summary["sent"]:
+            due_refusals = summary["refused_in_progress"]
+            if summary["completed"] + due_refusals == summary["sent"]:
                 return
         self.failures.append(
             f"round {number}: requests fail after recovery: {summary}"
--- a/src/tamaracktide/core/ownership.py
+++ b/src/tamaracktide/core/ownership.py
@@ -8,6 +8,7 @@
 every name for which the record holds an intent.
 """
 
+import collections
 import dataclasses
 import enum
 
@@ -66,7 +67,7 @@
         self._unreachable_owner = ("", "")
         self._requested_unloads: dict[str, bool] = {}
         self._resolved: set[str] = set()
-        self._open_unloads: set[str] = set()
+        self._open_unloads: collections.Counter[str] = collections.Counter()
         self._inherited: frozenset[str] = frozenset()
         self._incarnation = ""
         self._loaded: frozenset[str] | None = None
@@ -80,7 +81,8 @@
         """Engine-side names that an outstanding order may still unload."""
         intents = self._record.intents if self._record else ()
         named = {intent.lora_name for intent in intents}
-        return tuple(sorted((named - self._resolved) | self._open_unloads))
+        open_names = set(self._open_unloads)
+        return tuple(sorted((named - self._resolved) | open_names))
 
     def handle(
         self, event: events.OwnershipEvent, now: float
@@ -353,12 +355,20 @@
             self.state is State.OWNING and (self._checks_fencing or written),
             f"unload of {lora_name} allowed without ownership or intent",
         )
-        self._open_unloads.add(lora_name)
+        self._open_unloads[lora_name] += 1
         self._actions.append(events.AllowUnload(lora_name))
 
     def _end_unload(self, event: events.UnloadEnded) -> None:
-        if event.certain and event.lora_name in self._open_unloads:
-            self._open_unloads.discard(event.lora_name)
+        """Counts down the open orders for a name.
+
+        The name is resolved only when every order for it has ended: a repeated
+        order may still arrive after the first one was answered.
+        """
+        if not event.certain or event.lora_name not in self._open_unloads:
+            return
+        self._open_unloads[event.lora_name] -= 1
+        if self._open_unloads[event.lora_name] == 0:
+            del self._open_unloads[event.lora_name]
             self._resolve(event.lora_name)
 
     def _resolve(self, lora_name: str) -> None:
--- a/src/tamaracktide/load/report.py
+++ b/src/tamaracktide/load/report.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import dataclasses
 
+from tamaracktide import result_codes
 from tamaracktide.load import checks
 from tamaracktide.load import sender
 
@@ -45,6 +46,9 @@
         refusals_untrue: Keys that have an effect although every response said
             `not run`, and requests that an engine ran although a response
             said `not run`.
+        refused_in_progress: Refusals with `CLAIM_IN_PROGRESS` of a key whose
+            other request completed; such a refusal is due while the first
+            request is in progress.
         engines_unread: Engines whose record could not be read.
         codes: Count of each result code.
         first_token_p50_s: Median time to first token of streams.
@@ -67,6 +71,7 @@
     effects_doubled: int
     effects_missing: int
     refusals_untrue: int
+    refused_in_progress: int
     engines_unread: int
     codes: dict[str, int]
     first_token_p50_s: float
@@ -136,6 +141,7 @@
             for key, verdicts in keyed.items()
         )
         + _count_refused_runs(results, runs.names),
+        refused_in_progress=_count_refused_in_progress(results),
         engines_unread=runs.unread,
         codes=dict(sorted(codes.items())),
         first_token_p50_s=_compute_quantile(first_token_times_s, 0.5),
@@ -186,6 +192,21 @@
     return sum(name in executed_ids for name in refused)
 
 
+def _count_refused_in_progress(results: Sequence[sender.Result]) -> int:
+    completed_keys = {
+        result.call.key
+        for result in results
+        if result.verdict is checks.Verdict.COMPLETED
+    }
+    return sum(
+        result.verdict is checks.Verdict.REFUSED
+        and result.code == result_codes.ResultCode.CLAIM_IN_PROGRESS
+        and bool(result.call.key)
+        and result.call.key in completed_keys
+        for result in results
+    )
+
+
 def _group_service_keys(
     results: Sequence[sender.Result],
 ) -> dict[str, set[checks.Verdict]]:
--- a/tests/core/test_ownership.py
+++ b/tests/core/test_ownership.py
@@ -267,6 +267,34 @@
     assert not owner.withheld
 
 
+def test_name_with_two_open_orders_stays_withheld_until_both_ended() -> None:
+    """A repeated order may arrive after the answer to the first one."""
+    owner, store = make_owner("s1"), Store()
+    drive(owner, store, events.Acquire())
+    for _ in range(2):
+        drive(owner, store, events.UnloadRequested("a0"))
+    drive(owner, store, events.UnloadEnded("a0", certain=True))
+    drive(owner, store, events.UnloadRequested("b0"))
+    assert owner.withheld == ("a0", "b0")
+    next_owner = make_owner("s0")
+    drive(next_owner, store, events.Acquire())
+    check = events.OwnerChecked("s1", "i", reachable=False)
+    assert drive(next_owner, store, check) == [
+        events.OwnershipAcquired(2, ("a0", "b0"))
+    ]
+
+
+def test_name_is_resolved_when_both_orders_ended() -> None:
+    """After the answers to both orders, none can arrive any more."""
+    owner, store = make_owner("s1"), Store()
+    drive(owner, store, events.Acquire())
+    for _ in range(2):
+        drive(owner, store, events.UnloadRequested("a0"))
+    for _ in range(2):
+        drive(owner, store, events.UnloadEnded("a0", certain=True))
+    assert owner.withheld == ()
+
+
 def test_stale_read_neither_ends_nor_starts_ownership() -> None:
     """After a stale read, the record is read again later."""
     first, second, store = make_owner("s0"), make_owner("s1"), Store()
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from tamaracktide import result_codes
 from tamaracktide.core import rows
 from tamaracktide.load import checks
 from tamaracktide.load import main
@@ -154,6 +155,31 @@
     assert not summary.clean
 
 
+def test_refusal_of_a_repeat_in_progress_is_due_only_beside_a_completion() -> (
+    None
+):
+    """Other refusals of a key, and those without a completion, are not due."""
+
+    def make_refusal(key: str, code: result_codes.ResultCode) -> sender.Result:
+        refused = make_service_result(key, checks.Verdict.REFUSED)
+        return dataclasses.replace(refused, code=code.value)
+
+    summary = report.make_report(
+        [
+            make_service_result("due", checks.Verdict.COMPLETED),
+            make_refusal("due", result_codes.ResultCode.CLAIM_IN_PROGRESS),
+            make_service_result("full", checks.Verdict.COMPLETED),
+            make_refusal("full", result_codes.ResultCode.QUEUE_FULL),
+            make_refusal("alone", result_codes.ResultCode.CLAIM_IN_PROGRESS),
+        ],
+        None,
+        1.0,
+        7,
+    )
+    assert summary.refused == 3
+    assert summary.refused_in_progress == 1
+
+
 REFUSAL = b'{"error":{"code":2101,"execution":"not run","retry_after_s":0.01}}'
 
 
