--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -124,6 +124,8 @@
                 inventory.set_leaving(event)
             case cell_events.EvictionsSuspended():
                 inventory.suspend_evictions(event)
+            case cell_events.RemoteCountsChanged():
+                inventory.apply_remote_counts(event)
             case cell_events.LoadReported():
                 inventory.apply_load_report(event)
             case cell_events.PrefixReported():
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -207,6 +207,28 @@
     adapter_missing: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoteCount:
+    """Requests of other instances for an adapter on an engine.
+
+    Attributes:
+        upstream: Instance id of the engine.
+        adapter: Name of the adapter, as in the keys of its slots.
+        running: Number of requests.
+    """
+
+    upstream: str
+    adapter: str
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoteCountsChanged:
+    """Other instances started or ended requests on the engines."""
+
+    counts: tuple[RemoteCount, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadEnded:
     """A load order ended.
@@ -279,6 +301,7 @@
     | PromptSent
     | Withdraw
     | GrantEnded
+    | RemoteCountsChanged
     | LoadEnded
     | LoadReported
     | PrefixReported
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -326,6 +326,23 @@
         if engine is not None:
             engine.record_prefix(event.prefix, event.cached)
 
+    def apply_remote_counts(
+        self, event: cell_events.RemoteCountsChanged
+    ) -> None:
+        """Applies the requests of other instances to the adapters' slots.
+
+        An adapter that is in no slot has no request that the engine can run.
+        """
+        self.changes += 1
+        for count in event.counts:
+            engine = self.engines.get(count.upstream)
+            if engine is None:
+                continue
+            for slot in engine.slots.values():
+                if slot.key.adapter == count.adapter:
+                    engine.running += count.running - slot.remote
+                    slot.remote = count.running
+
     def apply_load_report(self, event: cell_events.LoadReported) -> None:
         """Applies a load report, which bounds the remote request counts.
 
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -460,9 +460,8 @@
         rate_per_replica = self._settings.rate_per_replica
         if rate_per_replica <= 0:
             return None
-        for likely in self.popularity.list_likely(now, _MAX_REPLICATED):
-            if likely.rate < rate_per_replica:
-                return None
+        frequent = self.popularity.list_frequent(now, rate_per_replica)
+        for likely in frequent[:_MAX_REPLICATED]:
             replicas = self._inventory.count_replicas(likely.key)
             if not replicas or replicas >= math.ceil(
                 likely.rate / rate_per_replica
--- a/src/tamaracktide/core/popularity.py
+++ b/src/tamaracktide/core/popularity.py
@@ -87,6 +87,23 @@
         count = self._counts.get(key)
         return 0.0 if count is None else self._predict(count, now)
 
+    def list_frequent(self, now: float, min_rate: float) -> list[Prediction]:
+        """Returns the adapters of at least a rate in descending order.
+
+        Most adapters are rarely requested; their undecayed counts show that
+        without a prediction.
+        """
+        self._prune(now)
+        frequent = [
+            Prediction(self._predict(count, now), key, count.customer)
+            for key, count in self._counts.items()
+            if self._predict_undecayed(count) >= min_rate
+        ]
+        return sorted(
+            (likely for likely in frequent if likely.rate >= min_rate),
+            key=lambda likely: (-likely.rate, likely.key.text),
+        )
+
     def list_likely(self, now: float, limit: int) -> list[Prediction]:
         """Returns the adapters with the highest rates in descending order."""
         self._prune(now)
@@ -121,3 +138,8 @@
         recency = count.recency * math.exp(-elapsed_s / tau_s)
         recent = self._recency_weight * recency / tau_s
         return frequency / FREQUENCY_TAU_S + recent
+
+    def _predict_undecayed(self, count: _Count) -> float:
+        """Returns an upper bound of the predicted rate."""
+        recent = self._recency_weight * count.recency / self._recency_tau_s
+        return count.frequency / FREQUENCY_TAU_S + recent
--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -35,9 +35,11 @@
 
     Attributes:
         ip: Its address on the deployment's network.
+        zone: Its availability zone.
     """
 
     ip: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+$")]
+    zone: str = ""
 
 
 class ClusterState:
@@ -47,7 +49,8 @@
         table: Routes in force, None before the first document.
         versions: Newest version by model and adapter.
         upstreams: Upstreams by instance id, including draining ones.
-        instances: Addresses of the deployment's instances, by instance id.
+        instances: Records of the deployment's instances, by instance id.
+        listed: Prefixes of which a complete listing has been applied.
         store_recovered_at: When the store last became reachable after an
             outage.
     """
@@ -59,7 +62,8 @@
         self.table: routing_document.RouteTable | None = None
         self.versions: dict[tuple[str, str], int] = {}
         self.upstreams: dict[str, upstream_entries.UpstreamEntry] = {}
-        self.instances: dict[str, str] = {}
+        self.instances: dict[str, InstanceRecord] = {}
+        self.listed: set[str] = set()
         self.store_recovered_at = float("-inf")
         self._adapter = adapter
         self._now = now
@@ -67,6 +71,7 @@
         self._drop_at: dict[str, float] = {}
         self._listeners: list[Listener] = []
         self._changed = False
+        self._changed_upstreams: set[str] = set()
 
     def listen(self, listener: Listener) -> None:
         """Registers a function that is called after each change."""
@@ -88,6 +93,7 @@
         self, prefix: str, listing: object_store.Items
     ) -> list[object_store.Item]:
         """Applies a complete listing; objects missing from it are removed."""
+        self.listed.add(prefix)
         present = {item.key for item in listing.items}
         removed = [
             object_store.Item(key, listing.version, None)
@@ -99,8 +105,25 @@
         ]
         return self.apply([*listing.items, *removed])
 
+    def take_changed_upstreams(self) -> set[str]:
+        """Returns the upstreams that changed since the last call."""
+        changed, self._changed_upstreams = self._changed_upstreams, set()
+        return changed
+
+    def record_recovery(self, recovered_at: float) -> None:
+        """Records when the store became reachable again after an outage."""
+        self.store_recovered_at = max(self.store_recovered_at, recovered_at)
+
+    def find_recovered_s(self) -> float:
+        """Returns the time since the store recovered, -1 for never."""
+        if self.store_recovered_at == float("-inf"):
+            return -1.0
+        return self._now() - self.store_recovered_at
+
     def drop_lapsed(self) -> None:
         """Drops upstreams whose entry was not restored after an outage."""
+        if not self._drop_at:
+            return
         now = self._now()
         for key in [k for k, at in self._drop_at.items() if now >= at]:
             del self._drop_at[key]
@@ -149,7 +172,7 @@
                 result_codes.ResultCode.MALFORMED_MESSAGE,
                 f"instance {name!r}: {error}",
             ) from error
-        self.instances[name] = record.ip
+        self.instances[name] = record
 
     def _apply_document(self, value: bytes) -> None:
         document = self._adapter.decode_document(value)
@@ -172,6 +195,7 @@
             return
         self._drop_at.pop(key, None)
         self.upstreams[name] = entry
+        self._changed_upstreams.add(name)
         if known is None or known.leaving != entry.leaving:
             logs.bind(
                 upstream=name,
@@ -194,6 +218,7 @@
         name = key[len(self._adapter.collections.upstreams) :]
         if self.upstreams.pop(name, None) is not None:
             self._changed = True
+            self._changed_upstreams.add(name)
             logs.bind(upstream=name).info("upstream removed: {}", reason)
 
     def _apply_version(self, value: bytes) -> None:
--- a/src/tamaracktide/entry/engine_controller.py
+++ b/src/tamaracktide/entry/engine_controller.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 import anyio
 import anyio.abc
@@ -12,6 +13,7 @@
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import upstream_entries
+from tamaracktide.entry import engine_views
 from tamaracktide.entry import lease_manager
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.observability import logs
@@ -38,9 +40,12 @@
 """Age of the state in an engine's report, and so the wait before a poll: a
 report that is requested sooner after an order shows the state before it."""
 
-IDLE_POLL_PERIOD_S = 0.5
+IDLE_POLL_PERIOD_S = 2.0
 """Time between two checks of an engine without work."""
 
+MODEL_POLL_PERIOD_S = 0.5
+"""Time between two checks of an engine without a model."""
+
 SATURATED_PAUSE_S = 0.02
 """Pause while an engine or the weight store is at its limit of concurrent
 fetches."""
@@ -126,6 +131,8 @@
             if engine is None:
                 self._add_engine(entry, service.engine)
                 continue
+            if engine.entry.models and not entry.models:
+                engine.wake_event.set()
             engine.entry = entry
             if entry.started_ms > engine.orders.started_ms:
                 engine.orders.restart(entry.started_ms)
@@ -163,14 +170,10 @@
             if self._is_held(engine.entry)
         )
 
-    def list_announced(self) -> list[entry_messages.EngineNotice]:
-        """Returns the known engine states in cells with a held lease."""
-        now = anyio.current_time()
-        return [
-            _make_notice(engine.orders, now)
-            for engine in self._engines.values()
-            if engine.orders.is_state_known and self._is_held(engine.entry)
-        ]
+    def wake(self) -> None:
+        """Wakes the tasks of all engines after a change of a lease."""
+        for engine in self._engines.values():
+            engine.wake_event.set()
 
     def _add_engine(
         self,
@@ -223,10 +226,14 @@
                 )
                 # Another instance may send orders in the meantime.
                 engine.orders.is_state_known = False
-                await self._sleep(engine, IDLE_POLL_PERIOD_S)
+                await self._sleep(engine, math.inf)
                 continue
             if not await self._step(engine):
-                await self._sleep(engine, IDLE_POLL_PERIOD_S)
+                has_model = bool(engine.entry.models)
+                await self._sleep(
+                    engine,
+                    IDLE_POLL_PERIOD_S if has_model else MODEL_POLL_PERIOD_S,
+                )
 
     async def _step(self, engine: _Engine) -> bool:
         """Processes the next due item; returns whether more may be due."""
@@ -451,15 +458,13 @@
         upstream=orders.upstream,
         started_ms=orders.started_ms,
         orders=orders.orders,
-        models=tuple(orders.adapters),
-        adapters=tuple(
-            entry_messages.AdapterState(
-                model=model,
-                adapter=adapter,
-                version=adapter_state.version,
-                ready_in_s=max(0.0, adapter_state.ready_at - now),
-            )
+        models={
+            model: {
+                adapter: engine_views.make_state(
+                    state.version, state.ready_at, now
+                )
+                for adapter, state in adapters.items()
+            }
             for model, adapters in orders.adapters.items()
-            for adapter, adapter_state in adapters.items()
-        ),
+        },
     )
--- a/src/tamaracktide/entry/engine_views.py
+++ b/src/tamaracktide/entry/engine_views.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from tamaracktide.core import upstream_entries
 from tamaracktide.protocol import entry_messages
@@ -88,18 +89,61 @@
         view = self.find(notice.upstream)
         if (notice.started_ms, notice.orders) < (view.started_ms, view.orders):
             return
-        models: dict[str, dict[str, AdapterView]] = {
-            model: {} for model in notice.models
+        models = {
+            model: {
+                adapter: AdapterView(
+                    state.version,
+                    now + state.ready_in_ms / 1000
+                    if state.ready_in_ms
+                    else 0.0,
+                )
+                for adapter, state in adapters.items()
+            }
+            for model, adapters in notice.models.items()
         }
-        for state in notice.adapters:
-            models.setdefault(state.model, {})[state.adapter] = AdapterView(
-                state.version,
-                now + state.ready_in_s if state.ready_in_s else 0.0,
-            )
         self._views[notice.upstream] = EngineView(
             notice.started_ms, notice.orders, now, models
         )
 
+    def make_notice(
+        self, upstream: str, now: float
+    ) -> entry_messages.EngineNotice | None:
+        """Returns a notice that passes on the state of an engine.
+
+        Returns:
+            The notice, None if no lease holder has announced the state.
+        """
+        view = self._views.get(upstream)
+        if view is None or view.reported_at == float("-inf"):
+            return None
+        return entry_messages.EngineNotice(
+            upstream=upstream,
+            started_ms=view.started_ms,
+            orders=view.orders,
+            models={
+                model: {
+                    adapter: make_state(
+                        adapter_view.version, adapter_view.ready_at, now
+                    )
+                    for adapter, adapter_view in adapters.items()
+                }
+                for model, adapters in view.models.items()
+            },
+        )
+
+    def list_notices(self, now: float) -> list[entry_messages.EngineNotice]:
+        """Returns the notices of all engines whose state was announced."""
+        notices = (self.make_notice(upstream, now) for upstream in self._views)
+        return [notice for notice in notices if notice is not None]
+
     def forget(self, upstream: str) -> None:
         """Drops the view of an engine that was removed."""
         self._views.pop(upstream, None)
+
+
+def make_state(
+    version: int, ready_at: float, now: float
+) -> entry_messages.AdapterState:
+    """Returns the state of an adapter for a notice."""
+    ready_in_s = max(0.0, ready_at - now)
+    return entry_messages.AdapterState(version, math.ceil(ready_in_s * 1000))
--- a/src/tamaracktide/entry/lease_manager.py
+++ b/src/tamaracktide/entry/lease_manager.py
@@ -72,6 +72,7 @@
         relay: store_relay.StoreRelay,
         peers: entry_peers.Peers,
         list_cells: Callable[[], set[rows.CellId]],
+        find_reported_holder: Callable[[rows.CellId], str],
         on_change: Callable[[], None],
     ) -> None:
         """Builds the lease manager; `run` must be running.
@@ -84,6 +85,8 @@
             relay: Renews leases through a peer while the store is unreachable.
             peers: Links to the instances that report their leases.
             list_cells: Returns the cells that need a holder.
+            find_reported_holder: Returns the holder that the relay of this
+                member reported, empty if unknown.
             on_change: Called when a lease term begins or ends.
         """
         self._settings = settings
@@ -93,6 +96,7 @@
         self._relay = relay
         self._peers = peers
         self._list_cells = list_cells
+        self._find_reported_holder = find_reported_holder
         self._on_change = on_change
         self._cells: dict[rows.CellId, _Cell] = {}
         self._started_at = read_boot_time()
@@ -110,17 +114,25 @@
         """Returns the lease holder of a cell, empty if unknown."""
         if self.is_held(cell):
             return self._settings.instance
-        for peer in self._peers.list_linked():
+        for peer in self._peers.list_relays():
             if peer.report is not None and _find_lease_notice(
                 peer.report, cell
             ):
                 return peer.instance
-        return ""
+        return self._find_reported_holder(cell)
+
+    @property
+    def holds_any(self) -> bool:
+        """Whether this instance holds a lease."""
+        now = read_boot_time()
+        return any(state.lease.is_held(now) for state in self._cells.values())
 
     def may_be_held(self, cell: rows.CellId) -> bool:
         """Whether a cell has a lease holder or is expected to get one soon."""
         settling = read_boot_time() < self._started_at + SETTLE_S
-        return settling or bool(self.find_holder(cell))
+        # A member without a relay does not know the holders.
+        detached = not self._peers.is_relay and not self._peers.relay
+        return settling or detached or bool(self.find_holder(cell))
 
     def list_lease_terms(self) -> tuple[entry_messages.LeaseNotice, ...]:
         """Returns the lease terms held now, for the report to peers."""
@@ -155,6 +167,8 @@
     async def _maintain(self, cell: rows.CellId, state: _Cell) -> None:
         now = read_boot_time()
         held = self._update_held(cell, state)
+        if not held and not self._peers.is_relay:
+            return
         if held and await self._renew_through_peer(cell, state, now):
             return
         if not self._store_health.allows_calls:
@@ -196,7 +210,7 @@
     def _apply_peer_reports(
         self, cell: rows.CellId, state: _Cell, now: float
     ) -> None:
-        for peer in self._peers.list_linked():
+        for peer in self._peers.list_relays():
             notice = peer.report and _find_lease_notice(peer.report, cell)
             if notice:
                 state.lease.record_notice(
@@ -219,10 +233,10 @@
         return now >= state.candidate_since + rank * CANDIDATE_DELAY_S
 
     def _find_rank(self, cell: rows.CellId) -> int:
-        """Returns this instance's rank; the cell's own zone ranks first."""
+        """Returns this relay's rank; the cell's own zone ranks first."""
         settings = self._settings
         members = [(settings.instance, settings.availability_zone)]
-        for peer in self._peers.list_linked():
+        for peer in self._peers.list_relays():
             if peer.report is not None and not peer.report.draining:
                 members.append((peer.instance, peer.zone))
         order = rendezvous.order_owners(cell.text, members, cell.zone)
--- a/src/tamaracktide/entry/loader.py
+++ b/src/tamaracktide/entry/loader.py
@@ -19,6 +19,18 @@
 REPLY_TIMEOUT_S = 1.0
 """Covers two orders of at most 0.4 s each and the network round trip."""
 
+REMOTE_EXPIRY_S = 10.0
+"""Time after which a load request of another instance is forgotten if it has no
+reply; the other instance has given it up by then."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sender:
+    """The instance that sent a load request, and when it arrived."""
+
+    instance: str
+    requested_at: float
+
 
 @dataclasses.dataclass(slots=True)
 class _Pending:
@@ -49,7 +61,7 @@
         self._find_entry = find_entry
         self._find_version = find_version
         self._pending: dict[str, _Pending] = {}
-        self._remote: dict[str, str] = {}
+        self._remote: dict[str, _Sender] = {}
 
     async def load(
         self, service: str, load: cell_actions.Load
@@ -95,28 +107,55 @@
     def handle_load_request(
         self, sender: str, request: entry_messages.LoadRequest
     ) -> None:
-        """Handles a load request of another instance."""
-        self._remote[request.load_id] = sender
-        self._submit(request)
+        """Handles a load request of another instance.
+
+        A relay forwards the requests of its members to the lease holder.
+        """
+        self._drop_unanswered()
+        self._remote[request.load_id] = _Sender(sender, anyio.current_time())
+        peer = self._peers.known.get(sender)
+        if peer is None or not peer.is_member:
+            self._submit(request)
+            return
+        entry = self._find_entry(request.upstream)
+        holder = ""
+        if entry is not None:
+            cell = rows.CellId(entry.service, entry.zone)
+            holder = self._leases.find_holder(cell)
+        if not self._send(holder, request):
+            self.deliver(
+                engine_orders.Rejected(
+                    request.load_id, "no reachable lease holder", True
+                )
+            )
 
     def apply_reply(self, reply: entry_messages.LoadReply) -> None:
-        """Applies a lease holder's reply."""
+        """Applies a lease holder's reply, or forwards it to a member."""
+        sender = self._remote.pop(reply.load_id, None)
+        if sender is not None:
+            self._peers.send(sender.instance, reply)
+            return
         self._complete(reply)
 
     def deliver(self, result: engine_orders.LoadResult) -> None:
         """Forwards a load result to the instance that requested the load."""
         reply = _make_reply(result, anyio.current_time())
-        sender = self._remote.pop(reply.load_id, "")
-        if sender:
-            self._peers.send(sender, reply)
-        else:
-            self._complete(reply)
+        self.apply_reply(reply)
 
     def _send(self, holder: str, request: entry_messages.LoadRequest) -> bool:
         if holder == self._instance:
             self._submit(request)
             return True
-        return bool(holder) and self._peers.send(holder, request)
+        return bool(holder) and self._peers.send_toward(holder, request)
+
+    def _drop_unanswered(self) -> None:
+        """Drops the oldest requests of other instances without a reply."""
+        until = anyio.current_time() - REMOTE_EXPIRY_S
+        while self._remote:
+            load_id, sender = next(iter(self._remote.items()))
+            if sender.requested_at > until:
+                return
+            del self._remote[load_id]
 
     def _submit(self, request: entry_messages.LoadRequest) -> None:
         if self.controller is None:
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -14,9 +14,9 @@
 from tamaracktide.core import retry_window
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
+from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import app as entry_app
-from tamaracktide.entry import cluster_counts
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import engine_controller
@@ -26,6 +26,7 @@
 from tamaracktide.entry import loader as entry_loader
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import platform_adapter as entry_adapter
+from tamaracktide.entry import report_exchange
 from tamaracktide.entry import requests
 from tamaracktide.entry import service_cell
 from tamaracktide.entry import serving
@@ -37,21 +38,40 @@
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.protocol import codec
 from tamaracktide.protocol import entry_messages
 from tamaracktide.protocol import messages
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import settings as upstream_settings
 
-REFRESH_PERIOD_S = 0.25
-"""Interval at which cells apply the load of peers; reports arrive as often,
-or half as often in a large cluster."""
+REFRESH_PERIOD_S = 2.0
+"""Interval at which cells read the state of all their upstreams. Changes are
+applied at once; this bounds the age of whatever depends on the time alone."""
+
+LAPSE_CHECK_PERIOD_S = 0.25
+"""Interval at which upstreams whose entry was not restored are dropped."""
 
 TASK_RESTART_DELAY_S = 0.5
 """Delay before a failed task is restarted."""
 
-MAX_REPORTED_REQUESTS = 100
-"""Limit on the requests for an adapter that are counted from one report; a
-report covers 0.25 s, or 0.5 s in a large cluster."""
+DETACHED_S = 0.5
+"""Time without a relay after which a member follows the store itself. Together
+with the timeout of a link it leaves half of the time in which a drain must be
+observed."""
+
+STORE_SILENT_S = 1.0
+"""Time without a response of the store to any relay after which members try
+to reach it."""
+
+SUBSTITUTE_CHANCE = 0.02
+"""Chance that a member tries it in one report period."""
+
+SUBSTITUTE_S = 30.0
+"""Time for which such a member follows the store."""
+
+REGISTRATION_WAIT_S = 0.5
+"""Time for which the list of instances waits for this one's registration, so
+that it contains this instance."""
 
 CONNECT_TIMEOUT_S = 0.4
 """A hundred times the latency between zones, and half the target for a first
@@ -78,7 +98,6 @@
         self._upstream_client = upstream_client
         self._store = store
         self._tasks = tasks
-        self._unreported_requests: dict[str, int] = {}
         self._cells: dict[str, service_cell.ServiceCell] = {}
         self._views = engine_views.EngineViews()
         self._popularity = popularity.Popularity()
@@ -88,13 +107,28 @@
             adapter, anyio.current_time
         )
         self._store_health = store_follower.StoreHealth(self._cluster_state)
+        self._store_use = store_follower.StoreUse()
+        self._registered = anyio.Event()
+        self._started_at = anyio.current_time()
+        self._detached_at = anyio.current_time()
+        self._applied: tuple[
+            routing_document.RouteTable | None, dict[tuple[str, str], int]
+        ] = (None, {})
+        self._substitute_until = float("-inf")
+        self._exchange = self._make_exchange()
         self._peers = entry_peers.Peers(
             settings,
             uuid.uuid4().hex[:12],
-            self._make_report,
-            self._handle_message,
-            self._list_greeting_messages,
+            entry_peers.Callbacks(
+                handle=self._handle_message,
+                handle_open=self._exchange.handle_open,
+                send_reports=self._send_reports,
+                handle_loss=self._exchange.handle_loss,
+                holds_lease=lambda: self._leases.holds_any,
+            ),
+            tasks,
         )
+        self._exchange.peers = self._peers
         self._relay = store_relay.StoreRelay(store, self._peers, tasks)
         self._leases = lease_manager.LeaseManager(
             settings,
@@ -104,7 +138,8 @@
             self._relay,
             self._peers,
             self._list_cells,
-            self._refresh,
+            lambda cell: self._exchange.holders.get(cell.text, ""),
+            self._apply_lease_change,
         )
         self._loader = entry_loader.Loader(
             settings.instance,
@@ -113,11 +148,7 @@
             self._cluster_state.upstreams.get,
             self._find_version,
         )
-        self._counts = cluster_counts.ClusterCounts(
-            self._peers, self._cluster_state, self._cells
-        )
         self._engine_controller = self._make_engine_controller()
-        self._counts.controller = self._engine_controller
         self._loader.controller = self._engine_controller
         self._forwarder = self._make_forwarder()
         self._app = entry_app.App(
@@ -138,6 +169,21 @@
         )
         self._cluster_state.listen(self._apply_state_change)
 
+    def _make_exchange(self) -> report_exchange.ReportExchange:
+        return report_exchange.ReportExchange(
+            report_exchange.Dependencies(
+                ip=self._settings.ip,
+                instance=self._settings.instance,
+                get_own=self._get_own_state,
+                views=self._views,
+                apply_counts=self._apply_remote_counts,
+                apply_demand=self._apply_demand,
+                apply_engine=self._apply_engine_notice,
+                apply_quarantined=self._crashes.apply_quarantined,
+                apply_holders=self._refresh,
+            )
+        )
+
     def _make_engine_controller(self) -> engine_controller.EngineController:
         return engine_controller.EngineController(
             engine_controller.Dependencies(
@@ -146,8 +192,8 @@
                 upstream_client=self._upstream_client,
                 leases=self._leases,
                 popularity=self._popularity,
-                is_in_use=self._counts.is_in_use,
-                count_loads=self._counts.count_loads,
+                is_in_use=self._is_in_use,
+                count_loads=self._count_loads,
                 deliver=self._loader.deliver,
                 announce=self._announce_engine,
                 tasks=self._tasks,
@@ -167,7 +213,7 @@
                 fraction=bounds.retry_fraction,
                 extra=bounds.retry_extra,
             ),
-            self._counts.count_instances,
+            self._count_instances,
             self._metrics,
         )
 
@@ -180,24 +226,34 @@
             ip=settings.ip,
         ).info("instance started")
         collections = self._adapter.collections
-        for prefix, find_watch_pause_s in (
-            (collections.documents, None),
-            (collections.upstreams, self._find_watch_pause_s),
-            (collections.versions, None),
-            (collections.instances, None),
+        for prefix, wait_until_needed, find_watch_pause_s in (
+            (collections.documents, self._store_use.wait, None),
+            (
+                collections.upstreams,
+                self._store_use.wait,
+                self._find_watch_pause_s,
+            ),
+            (collections.versions, self._store_use.wait, None),
+            (collections.instances, self._wait_to_list_instances, None),
         ):
             follower = store_follower.Follower(
                 prefix,
                 self._store,
                 self._cluster_state,
                 self._store_health,
-                self._send_to_isolated_peers,
+                self._forward_objects,
+                wait_until_needed,
                 find_watch_pause_s,
             )
             self._tasks.start_soon(_run_with_restarts, follower.run)
-        self.dial_seeds(settings.seeds)
-        self._tasks.start_soon(self._peers.run, self._tasks)
-        for run in (self._leases.run, self._register, self._refresh_all):
+        self._tasks.start_soon(self._peers.run)
+        self._tasks.start_soon(self._dial_seeds_if_undiscovered)
+        for run in (
+            self._leases.run,
+            self._register,
+            self._refresh_all,
+            self._drop_lapsed,
+        ):
             self._tasks.start_soon(_run_with_restarts, run)
         await self._servers.run()
 
@@ -205,19 +261,54 @@
         """Connects to seed instances to discover the others."""
         for seed in seeds:
             host = seed.rpartition(":")[0]
-            self._peers.dial(f"{host}:{self._settings.peer_port}", self._tasks)
+            self._peers.dial(f"{host}:{self._settings.peer_port}")
+
+    async def _dial_seeds_if_undiscovered(self) -> None:
+        """Discovers the instances by the seeds while the store is silent."""
+        while not self._peers.is_discovered:
+            await anyio.sleep(entry_peers.REPORT_PERIOD_S)
+        if not self._cluster_state.instances:
+            self.dial_seeds(self._settings.seeds)
+
+    async def _wait_to_list_instances(self) -> None:
+        """Waits until the instances must be listed, as they are at a start."""
+        if self._peers.is_discovered:
+            await self._store_use.wait()
+            return
+        with anyio.move_on_after(REGISTRATION_WAIT_S):
+            await self._registered.wait()
 
     def _find_watch_pause_s(self) -> float:
         return store_follower.find_watch_pause_s(
-            1 + len(self._peers.list_linked())
+            1 + len(self._peers.list_relays())
         )
 
+    def _send_reports(self) -> None:
+        self._store_use.update(self._needs_store(anyio.current_time()))
+        self._exchange.send_reports()
+
+    def _needs_store(self, now: float) -> bool:
+        """Whether this instance must follow the store itself."""
+        if not self._peers.is_discovered:
+            return False
+        if self._peers.is_relay or now < self._substitute_until:
+            return True
+        if not self._peers.relay:
+            return now >= self._detached_at + DETACHED_S
+        self._detached_at = now
+        silent_s = self._exchange.store_silent_s
+        if silent_s > STORE_SILENT_S and random.random() < SUBSTITUTE_CHANCE:
+            self._substitute_until = now + SUBSTITUTE_S
+        return now < self._substitute_until
+
     async def _register(self) -> None:
         """Registers this instance's address once the store is reachable."""
         settings = self._settings
         key = self._adapter.collections.instances + settings.instance
         value = msgspec.json.encode(
-            cluster_state.InstanceRecord(ip=settings.ip)
+            cluster_state.InstanceRecord(
+                ip=settings.ip, zone=settings.availability_zone
+            )
         )
         while True:
             await self._store_health.wait()
@@ -231,6 +322,7 @@
                     REGISTRATION_RETRY_S * random.uniform(0.5, 1.5)
                 )
                 continue
+            self._registered.set()
             return
 
     async def _write_registration(self, key: str, value: bytes) -> None:
@@ -243,22 +335,78 @@
 
     def _apply_state_change(self) -> None:
         """Applies changes of the cluster state to every part."""
-        for entry in self._cluster_state.upstreams.values():
+        state = self._cluster_state
+        changed = state.take_changed_upstreams()
+        entries = [
+            state.upstreams[name] for name in changed if name in state.upstreams
+        ]
+        for entry in entries:
             self._views.apply_entry(entry, anyio.current_time())
-        table = self._cluster_state.table
-        services = dict(table.document.services) if table else {}
-        self._engine_controller.update(self._cluster_state.upstreams, services)
+        for name in changed - state.upstreams.keys():
+            self._views.forget(name)
+        services = dict(state.table.document.services) if state.table else {}
+        self._engine_controller.update(state.upstreams, services)
+        self._crashes.check(state.upstreams)
+        self._apply_instances()
+        applied = (state.table, dict(state.versions))
+        if applied != self._applied or len(entries) < len(changed):
+            self._applied = applied
+            self._update_cells(services)
+            return
+        for entry in entries:
+            self._refresh_upstream(entry)
+
+    def _update_cells(
+        self, services: dict[str, routing_document.Service]
+    ) -> None:
         for name, service in services.items():
             if name in self._cells:
                 self._cells[name].service = service
             else:
                 self._cells[name] = self._make_cell(service)
-        self._crashes.check(self._cluster_state.upstreams)
         self._refresh()
-        for address in self._cluster_state.instances.values():
-            self._peers.dial(
-                f"{address}:{self._settings.peer_port}", self._tasks
-            )
+
+    def _apply_instances(self) -> None:
+        records = self._cluster_state.instances
+        self._peers.set_instances(
+            {name: record.ip for name, record in records.items()},
+            {name: record.zone for name, record in records.items()},
+        )
+
+    def _apply_lease_change(self) -> None:
+        self._engine_controller.wake()
+        self._refresh()
+
+    def _apply_remote_counts(self, counts: running_counts.Counts) -> None:
+        for cell in self._cells.values():
+            cell.apply_remote_counts(counts)
+
+    def _is_in_use(self, upstream: str, name: str) -> bool:
+        """Whether a request of any instance uses an adapter on an upstream."""
+        if any(
+            cell.running.get(upstream, {}).get(name)
+            for cell in self._cells.values()
+        ):
+            return True
+        return name in self._exchange.count_running(upstream)
+
+    def _count_loads(self) -> int:
+        """Returns the number of adapters loading on all engines."""
+        return (
+            self._exchange.count_loads() + self._engine_controller.count_loads()
+        )
+
+    def _count_instances(self) -> int:
+        """Returns the number of instances that share the retry budget.
+
+        Right after the start of this one, registered instances count too.
+        """
+        count = self._exchange.count_instances()
+        started_at = self._started_at
+        expiry_s = report_exchange.INSTANCE_EXPIRY_S
+        if anyio.current_time() < started_at + expiry_s:
+            count = max(count, len(self._cluster_state.instances))
+        return count
 
     def _make_cell(
         self, service: routing_document.Service
@@ -271,7 +419,7 @@
                     self._views,
                     self._list_upstreams,
                     self._find_version,
-                    self._counts.count_remote,
+                    self._exchange.count_running,
                     self._is_orderable,
                 ),
                 find_version=self._find_version,
@@ -284,9 +432,13 @@
     async def _refresh_all(self) -> None:
         while True:
             await anyio.sleep(REFRESH_PERIOD_S)
-            self._cluster_state.drop_lapsed()
             self._refresh()
 
+    async def _drop_lapsed(self) -> None:
+        while True:
+            await anyio.sleep(LAPSE_CHECK_PERIOD_S)
+            self._cluster_state.drop_lapsed()
+
     def _refresh(self) -> None:
         for cell in self._cells.values():
             cell.refresh()
@@ -327,6 +479,9 @@
         return self._leases.may_be_held(rows.CellId(service, zone))
 
     def _announce_prompt(self, upstream: str, tokens: int) -> None:
+        """Announces a prompt to all instances, in a small cluster only."""
+        if not self._peers.plan.is_flat:
+            return
         self._peers.broadcast(
             entry_messages.PromptNotice(upstream=upstream, tokens=tokens)
         )
@@ -344,9 +499,7 @@
         if generation is None or not generation.adapter:
             return
         name = f"{generation.model}/{generation.adapter}"
-        self._unreported_requests[name] = (
-            self._unreported_requests.get(name, 0) + 1
-        )
+        self._exchange.record_request(name)
         self._record_popularity(name, 1)
 
     def _record_popularity(self, name: str, count: int) -> None:
@@ -364,44 +517,39 @@
             if engine is not None and model in engine.models:
                 cell.record_demand(model, adapter, count)
 
-    def _make_report(self) -> entry_messages.InstanceReport:
-        reported, self._unreported_requests = self._unreported_requests, {}
-        running: dict[str, dict[str, int]] = {}
+    def _get_own_state(self) -> report_exchange.OwnState:
+        running: running_counts.Counts = {}
         for cell in self._cells.values():
             for upstream, counts in cell.running.items():
                 if counts:
                     running[upstream] = dict(counts)
-        return entry_messages.InstanceReport(
-            ip=self._settings.ip,
+        store_silent_s = report_exchange.NOT_USED_S
+        if self._store_use.is_needed:
+            store_silent_s = self._store_health.unreachable_s
+        return report_exchange.OwnState(
             running=running,
-            asked=reported,
             rights=self._leases.list_lease_terms(),
             loads=self._engine_controller.count_loads(),
-            store_silent_s=self._store_health.unreachable_s,
+            store_silent_s=store_silent_s,
             quarantined=self._crashes.list_announced(),
             draining=self._servers.draining,
         )
 
-    def _list_greeting_messages(self) -> list[messages.Message]:
-        """Returns the messages that a peer receives when a link opens."""
-        items = tuple(
-            _make_object_update(item)
-            for item in self._cluster_state.list_items()
-        )
-        greeting: list[messages.Message] = [self._make_report()]
-        if items:
-            greeting.append(entry_messages.ObjectsNotice(items=items))
-        greeting.extend(self._engine_controller.list_announced())
-        return greeting
-
-    def _handle_message(self, sender: str, message: messages.Message) -> None:
+    def _handle_message(
+        self,
+        peer: entry_peers.Peer,
+        link: entry_peers.Link,
+        message: messages.Message,
+    ) -> None:
+        sender = peer.instance
         match message:
             case entry_messages.InstanceReport():
-                for name, count in message.asked.items():
-                    self._apply_demand(name, min(count, MAX_REPORTED_REQUESTS))
-                self._crashes.apply_quarantined(message.quarantined)
+                self._exchange.apply_report(peer, link, message)
+                self._send_all_objects(peer, link)
+            case entry_messages.ClusterReport():
+                self._exchange.apply_cluster_report(peer, message)
             case entry_messages.EngineNotice():
-                self._apply_engine_notice(message)
+                self._exchange.apply_engine(message)
             case entry_messages.PromptNotice():
                 self._apply_prompt(message)
             case entry_messages.LoadRequest():
@@ -413,14 +561,7 @@
             case entry_messages.WriteReply():
                 self._relay.apply_reply(message)
             case entry_messages.ObjectsNotice():
-                self._cluster_state.apply(
-                    object_store.Item(
-                        notice.key,
-                        notice.version,
-                        None if notice.deleted else notice.value,
-                    )
-                    for notice in message.items
-                )
+                self._apply_objects(sender, message)
             case _:
                 logs.bind(peer=sender).warning(
                     "unexpected message type ignored: {}",
@@ -428,25 +569,71 @@
                 )
 
     def _announce_engine(self, notice: entry_messages.EngineNotice) -> None:
-        self._peers.broadcast(notice)
+        self._exchange.record_engine(notice)
         self._apply_engine_notice(notice)
 
     def _apply_engine_notice(self, notice: entry_messages.EngineNotice) -> None:
         self._views.apply_notice(notice, anyio.current_time())
         entry = self._cluster_state.upstreams.get(notice.upstream)
-        if entry is not None and entry.service in self._cells:
-            self._cells[entry.service].refresh_upstream(entry)
+        if entry is not None:
+            self._refresh_upstream(entry)
+
+    def _refresh_upstream(self, entry: upstream_entries.UpstreamEntry) -> None:
+        cell = self._cells.get(entry.service)
+        if cell is not None:
+            cell.refresh_upstream(entry)
 
-    def _send_to_isolated_peers(self, items: list[object_store.Item]) -> None:
-        """Forwards store changes to peers that cannot reach the store."""
+    def _apply_objects(
+        self, sender: str, notice: entry_messages.ObjectsNotice
+    ) -> None:
+        """Applies objects of the store that another instance has observed."""
+        if notice.recovered_s >= 0:
+            recovered_at = anyio.current_time() - notice.recovered_s
+            self._cluster_state.record_recovery(recovered_at)
+        changed = self._cluster_state.apply(
+            object_store.Item(
+                item.key, item.version, None if item.deleted else item.value
+            )
+            for item in notice.items
+        )
+        self._forward_objects(changed, sender)
+
+    def _forward_objects(
+        self, items: list[object_store.Item], sender: str = ""
+    ) -> None:
+        """Forwards store changes to members and isolated peers."""
         if not items:
             return
-        notice = entry_messages.ObjectsNotice(
-            items=tuple(_make_object_update(item) for item in items)
-        )
+        encoded = codec.encode_message(self._make_objects_notice(items))
         for peer in self._peers.list_linked():
-            if peer.report is not None and peer.report.store_silent_s > 0:
-                self._peers.send(peer.instance, notice)
+            is_relay = peer.instance == self._peers.relay
+            if peer.instance != sender and (is_relay or _lacks_store(peer)):
+                peer.send(encoded)
+
+    def _send_all_objects(
+        self, peer: entry_peers.Peer, link: entry_peers.Link
+    ) -> None:
+        """Sends every known object once on a link to a peer without a store."""
+        items = self._cluster_state.list_items()
+        if link.has_objects or not items or not _lacks_store(peer):
+            return
+        link.has_objects = link.queue.put(self._make_objects_notice(items))
+
+    def _make_objects_notice(
+        self, items: list[object_store.Item]
+    ) -> entry_messages.ObjectsNotice:
+        return entry_messages.ObjectsNotice(
+            items=tuple(_make_object_update(item) for item in items),
+            recovered_s=self._cluster_state.find_recovered_s(),
+        )
+
+
+def _lacks_store(peer: entry_peers.Peer) -> bool:
+    """Whether a peer gets the store's objects from this instance."""
+    report = peer.report
+    if report is None:
+        return False
+    return not report.is_relay or report.store_silent_s > 0
 
 
 def _make_object_update(item: object_store.Item) -> entry_messages.ObjectUpdate:
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
-import functools
+import math
 import random
 
 import anyio
@@ -24,6 +24,7 @@
 from tamaracktide.core import cell_settings
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
+from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import reachability
@@ -138,7 +139,10 @@
         self._tick_timer = timers.Timer(
             lambda: self._handle(cell_events.Tick()), dependencies.tasks
         )
-        self._ready_timers: dict[str, timers.Timer] = {}
+        self._ready_at: dict[str, float] = {}
+        self._ready_timer = timers.Timer(
+            self._refresh_ready, dependencies.tasks
+        )
         self._refresh_timer = timers.Timer(self.refresh, dependencies.tasks)
         self.reachability = reachability.Reachability(
             self.health,
@@ -191,10 +195,12 @@
         now = anyio.current_time()
         queued_request = _QueuedRequest(anyio.Event(), now)
         request_id = request.request_id
+        self._refresh_ready()
         self._waiting[request_id] = queued_request
         try:
             self._handle(self._make_submit(request, avoid))
             if queued_request.result is None:
+                self._schedule_ready()
                 await queued_request.done.wait()
         finally:
             del self._waiting[request_id]
@@ -308,36 +314,66 @@
 
     def refresh_upstream(self, entry: upstream_entries.UpstreamEntry) -> None:
         """Passes a snapshot of one upstream to the cell."""
-        if entry.upstream not in self._entries:
+        name = entry.upstream
+        excluded = entry.leaving or name in self._leaving
+        if self.service.engine is not None:
+            has_model = self._dependencies.upstreams.has_model(name)
+            excluded = excluded or not has_model
+        if excluded or name not in self._entries:
+            # Whether it gets new requests depends on the other upstreams.
             self.refresh()
             return
+        self._entries[name] = entry
         self._handle(self._make_snapshot(entry, anyio.current_time()))
 
-    def _refresh_by_name(self, upstream: str) -> None:
-        entry = self._entries.get(upstream)
-        if entry is not None:
-            self.refresh_upstream(entry)
+    def _refresh_ready(self) -> None:
+        """Refreshes the engines on which a loading adapter is ready by now."""
+        now = anyio.current_time()
+        due = [name for name, at in self._ready_at.items() if at <= now]
+        for name in due:
+            del self._ready_at[name]
+            entry = self._entries.get(name)
+            if entry is not None:
+                self.refresh_upstream(entry)
+        self._schedule_ready()
+
+    def _schedule_ready(self) -> None:
+        """Schedules the next such refresh while requests wait for it."""
+        if self._waiting and self._ready_at:
+            self._ready_timer.schedule(min(self._ready_at.values()))
 
     def _make_snapshot(
         self, entry: upstream_entries.UpstreamEntry, now: float
     ) -> cell_events.UpstreamSnapshot:
-        """Returns a snapshot of an upstream and schedules the next one.
+        """Returns a snapshot of an upstream.
 
         The next snapshot is due when an adapter that is loading gets ready.
         """
         snapshot_builder, name = self._dependencies.upstreams, entry.upstream
         if self.service.engine is not None:
-            timer = self._ready_timers.get(name)
-            if timer is None:
-                timer = self._ready_timers[name] = timers.Timer(
-                    functools.partial(self._refresh_by_name, name),
-                    self._dependencies.tasks,
-                )
-            timer.schedule(snapshot_builder.find_next_ready(name, now))
+            ready_at = snapshot_builder.find_next_ready(name, now)
+            if ready_at == math.inf:
+                self._ready_at.pop(name, None)
+            else:
+                self._ready_at[name] = ready_at
+                self._schedule_ready()
         return snapshot_builder.make_snapshot(
             self.service, entry, self.running.get(name, {}), now
         )
 
+    def apply_remote_counts(self, counts: running_counts.Counts) -> None:
+        """Applies the changed counts of requests of other instances."""
+        changed = tuple(
+            cell_events.RemoteCount(
+                upstream, name, count + _count_pins(name, self.service)
+            )
+            for upstream, names in counts.items()
+            if upstream in self._entries
+            for name, count in names.items()
+        )
+        if changed:
+            self._handle(cell_events.RemoteCountsChanged(changed))
+
     def refresh(self) -> None:
         """Passes snapshots of all upstreams of the service to the cell."""
         now = anyio.current_time()
@@ -350,7 +386,7 @@
         events: list[cell_events.CellEvent] = []
         for name in self._entries.keys() - entries.keys():
             self._leaving.discard(name)
-            self._ready_timers.pop(name, None)
+            self._ready_at.pop(name, None)
             events.append(cell_events.UpstreamLost(name))
         self._entries = entries
         avoided = self.health.list_avoided(
@@ -439,3 +475,9 @@
 
     async def _load(self, load: cell_actions.Load) -> None:
         self._handle(await self._dependencies.load(self.service.name, load))
+
+
+def _count_pins(name: str, service: routing_document.Service) -> int:
+    """Returns the extra request with which snapshots pin a resident model."""
+    is_resident = service.engine is None or "/" not in name
+    return 1 if is_resident else 0
--- a/src/tamaracktide/entry/store_follower.py
+++ b/src/tamaracktide/entry/store_follower.py
@@ -1,5 +1,6 @@
 """Follows the platform's store by watches with few calls."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import random
 
@@ -80,7 +81,7 @@
         self.failing_since = None
         self._backoff_s = MIN_BACKOFF_S
         if unreachable_s >= MIN_OUTAGE_S:
-            self._cluster_state.store_recovered_at = anyio.current_time()
+            self._cluster_state.record_recovery(anyio.current_time())
         logs.bind(silent_s=round(unreachable_s, 2)).info(
             "store reachable again"
         )
@@ -98,6 +99,35 @@
             self._backoff_s = min(MAX_BACKOFF_S, self._backoff_s * 2)
 
 
+class StoreUse:
+    """Whether this instance follows the store itself.
+
+    Attributes:
+        is_needed: Whether it does.
+    """
+
+    __slots__ = ("_needed", "is_needed")
+
+    def __init__(self) -> None:
+        """Starts without following the store."""
+        self.is_needed = False
+        self._needed = anyio.Event()
+
+    def update(self, is_needed: bool) -> None:
+        """Starts or stops the followers; a call in progress still ends."""
+        if is_needed == self.is_needed:
+            return
+        self.is_needed = is_needed
+        if is_needed:
+            self._needed.set()
+        else:
+            self._needed = anyio.Event()
+
+    async def wait(self) -> None:
+        """Waits until the store must be followed."""
+        await self._needed.wait()
+
+
 def find_watch_pause_s(instances: int) -> float:
     """Returns the pause between two watches of upstreams, seconds."""
     factor = max(1.0, instances / SMALL_CLUSTER_INSTANCES)
@@ -114,6 +144,7 @@
         state: cluster_state.ClusterState,
         store_health: StoreHealth,
         on_change: Callable[[list[object_store.Item]], None],
+        wait_until_needed: Callable[[], Awaitable[None]],
         find_watch_pause_s: Callable[[], float] | None = None,
     ) -> None:
         """Builds a follower; `run` must be running.
@@ -124,6 +155,8 @@
             state: The cluster state, which applies the objects.
             store_health: Tracks whether the store is reachable.
             on_change: Called with the objects that were new or changed.
+            wait_until_needed: Waits while this instance gets the objects from
+                its relay.
             find_watch_pause_s: Returns the pause before the next watch;
                 None for no pauses.
         """
@@ -132,12 +165,14 @@
         self._cluster_state = state
         self._store_health = store_health
         self._on_change = on_change
+        self._wait_until_needed = wait_until_needed
         self._find_watch_pause_s = find_watch_pause_s
 
     async def run(self) -> None:
         """Lists and watches until cancelled."""
         since: int | None = None
         while True:
+            await self._wait_until_needed()
             await self._store_health.wait()
             try:
                 since = await self._follow_once(since)
--- a/src/tamaracktide/entry/store_relay.py
+++ b/src/tamaracktide/entry/store_relay.py
@@ -144,7 +144,7 @@
             peer.instance
             for peer in self._peers.list_linked()
             if peer.report is not None
-            and not peer.report.store_silent_s
+            and peer.report.store_silent_s == 0
             and not peer.report.draining
         ]
         return random.choice(candidates) if candidates else ""
--- a/src/tamaracktide/protocol/connection.py
+++ b/src/tamaracktide/protocol/connection.py
@@ -61,11 +61,24 @@
             errors.ProtocolError: The connection is closed, or the message
                 exceeds the size limit (`MESSAGE_TOO_LARGE`).
         """
-        data = codec.encode_message(message)
+        await self.send_encoded(
+            codec.encode_message(message), type(message).__name__
+        )
+
+    async def send_encoded(self, data: bytes, name: str = "message") -> None:
+        """Sends one message that is already encoded.
+
+        Args:
+            data: The encoded message.
+            name: Its name in the error.
+
+        Raises:
+            errors.ProtocolError: As for `send`.
+        """
         if len(data) > self._settings.max_message_bytes:
             raise errors.ProtocolError(
                 result_codes.ResultCode.MESSAGE_TOO_LARGE,
-                f"{type(message).__name__} of {len(data)} bytes exceeds "
+                f"{name} of {len(data)} bytes exceeds "
                 f"{self._settings.max_message_bytes}",
             )
         try:
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import msgspec
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseNotice:
@@ -20,67 +22,102 @@
     right_left_s: float
 
 
+class AdapterState(msgspec.Struct, frozen=True, array_like=True):
+    """State of an adapter on an engine, encoded as an array.
+
+    Attributes:
+        version: Its version.
+        ready_in_ms: Time until it is ready; 0 if it is ready now.
+    """
+
+    version: int
+    ready_in_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EngineNotice:
+    """State of an engine, as tracked by the lease holder of its cell.
+
+    Attributes:
+        upstream: Instance id of the engine.
+        started_ms: Start time of the engine, which identifies its incarnation.
+        orders: Number of orders that it has accepted.
+        models: Its loaded and loading adapters, by loaded base model.
+    """
+
+    upstream: str
+    started_ms: int
+    orders: int
+    models: dict[str, dict[str, AdapterState]]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceReport:
-    """Periodic report of an instance; also its heartbeat.
+    """Periodic report to a relay; also the heartbeat of the link.
+
+    A relay reports the sums over its group: itself and the members that are
+    attached to it.
 
     Attributes:
+        sequence: Number of the report on this link, from 1.
+        is_full: Whether `running` replaces all earlier counts.
+        is_relay: Whether the sender is a relay.
         ip: The sender's address.
-        running: Requests by upstream and adapter, as `model/adapter`.
+        instances: Number of instances in the sender's group.
+        running: Changed counts of requests by upstream and adapter, as
+            `model/adapter`; 0 if none is left.
         asked: Requests received since the last report, by adapter.
-        rights: The lease terms that it holds.
-        loads: Number of adapters loading in its cells.
-        store_silent_s: Time for which the store has been unreachable for it.
-        suspects: Fingerprints of requests suspected of crashing upstreams.
+        rights: The lease terms that the sender holds.
+        loads: Number of adapters loading in the sender's cells.
+        engines: Engines in the sender's cells whose state changed.
+        store_silent_s: Time since the store responded to an instance of the
+            group; 0 while it responds, -1 if none of them uses it.
         quarantined: Fingerprints of requests that crash upstreams.
-        draining: Whether it is shutting down.
+        draining: Whether the sender is shutting down.
     """
 
+    sequence: int
+    is_full: bool
+    is_relay: bool
     ip: str
+    instances: int
     running: dict[str, dict[str, int]]
     asked: dict[str, int]
     rights: tuple[LeaseNotice, ...]
     loads: int
     store_silent_s: float
-    suspects: tuple[str, ...] = ()
+    engines: tuple[EngineNotice, ...] = ()
     quarantined: tuple[str, ...] = ()
     draining: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class AdapterState:
-    """State of an adapter on an engine.
+class ClusterReport:
+    """Periodic report of a relay to its members, with sums over all instances.
 
     Attributes:
-        model: Base model.
-        adapter: Adapter.
-        version: Its version.
-        ready_in_s: Time until it is ready; 0 if it is ready now.
-    """
-
-    model: str
-    adapter: str
-    version: int
-    ready_in_s: float = 0.0
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class EngineNotice:
-    """State of an engine, as tracked by the lease holder of its cell.
-
-    Attributes:
-        upstream: Instance id of the engine.
-        started_ms: Start time of the engine, which identifies its incarnation.
-        orders: Number of orders that it has accepted.
-        models: Its loaded base models.
-        adapters: Its loaded and loading adapters.
+        is_full: Whether `running` replaces all earlier counts.
+        acknowledged: Sequence number of the latest report in `running`, by
+            member.
+        running: Changed counts of requests by upstream and adapter.
+        engines: Engines whose state changed.
+        holders: Lease holder by cell.
+        instances: Number of instances.
+        store_silent_s: Time since the store responded to any instance; 0
+            while it responds.
+        quarantined: Fingerprints of requests that crash upstreams.
+        draining: Whether the relay is shutting down.
     """
 
-    upstream: str
-    started_ms: int
-    orders: int
-    models: tuple[str, ...]
-    adapters: tuple[AdapterState, ...]
+    is_full: bool
+    acknowledged: dict[str, int]
+    running: dict[str, dict[str, int]]
+    engines: tuple[EngineNotice, ...]
+    holders: dict[str, str]
+    instances: int
+    store_silent_s: float
+    quarantined: tuple[str, ...] = ()
+    draining: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -152,9 +189,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ObjectsNotice:
-    """Objects that the sender has observed in the platform's store."""
+    """Objects that the sender has observed in the platform's store.
+
+    Attributes:
+        items: The objects.
+        recovered_s: Time since the store last recovered from an outage, as
+            the sender observed it; -1 for none.
+    """
 
     items: tuple[ObjectUpdate, ...]
+    recovered_s: float = -1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -386,6 +386,7 @@
     | peer_messages.InstancesReply
     | peer_messages.ShareRequest
     | entry_messages.InstanceReport
+    | entry_messages.ClusterReport
     | entry_messages.EngineNotice
     | entry_messages.LoadRequest
     | entry_messages.LoadReply
@@ -416,12 +417,13 @@
     18: peer_messages.InstancesFetch,
     19: peer_messages.InstancesReply,
     20: peer_messages.ShareRequest,
-    21: entry_messages.InstanceReport,
-    22: entry_messages.EngineNotice,
     23: entry_messages.LoadRequest,
     24: entry_messages.LoadReply,
     25: entry_messages.ObjectsNotice,
     26: entry_messages.PromptNotice,
     27: entry_messages.WriteRequest,
     28: entry_messages.WriteReply,
+    29: entry_messages.InstanceReport,
+    30: entry_messages.ClusterReport,
+    31: entry_messages.EngineNotice,
 }
--- a/src/tamaracktide/protocol/outbox.py
+++ b/src/tamaracktide/protocol/outbox.py
@@ -15,11 +15,15 @@
         """Creates an empty queue; `run` sends the messages."""
         self._connection = opened
         self._send, self._receive = anyio.create_memory_object_stream[
-            messages.Message
+            messages.Message | bytes
         ](max_queued)
 
-    def put(self, message: messages.Message) -> bool:
-        """Queues a message; returns False if the queue is full or closed."""
+    def put(self, message: messages.Message | bytes) -> bool:
+        """Queues a message; returns False if the queue is full or closed.
+
+        A message for several connections can be encoded once by
+        `codec.encode_message` and queued as bytes.
+        """
         try:
             self._send.send_nowait(message)
         except (
@@ -42,4 +46,7 @@
             errors.ProtocolError: The connection closed.
         """
         async for message in self._receive:
-            await self._connection.send(message)
+            if isinstance(message, bytes):
+                await self._connection.send_encoded(message)
+            else:
+                await self._connection.send(message)
--- a/tests/entry/test_store_relay.py
+++ b/tests/entry/test_store_relay.py
@@ -49,6 +49,10 @@
     def __init__(self, name: str, store_silent_s: float) -> None:
         self.remote_relay: store_relay.StoreRelay | None = None
         report = entry_messages.InstanceReport(
+            sequence=1,
+            is_full=True,
+            is_relay=True,
+            instances=1,
             ip="127.0.0.1",
             running={},
             asked={},
--- a/tests/scheduler/test_gateways.py
+++ b/tests/scheduler/test_gateways.py
@@ -48,8 +48,9 @@
         """Initializes the outbox with no messages."""
         self.sent: list[messages.Message] = []
 
-    def put(self, message: messages.Message) -> bool:
+    def put(self, message: messages.Message | bytes) -> bool:
         """Records a message."""
+        assert not isinstance(message, bytes)
         self.sent.append(message)
         return True
 
