Pass over engines that leave while their loading adapters get ready

Cause: refreshing one of several due engines can read all of them anew, which drops the ready times of engines that are gone; the loop then deleted them a second time. The test failed with the same KeyError before.

--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -331,7 +331,7 @@
         now = anyio.current_time()
         due = [name for name, at in self._ready_at.items() if at <= now]
         for name in due:
-            del self._ready_at[name]
+            self._ready_at.pop(name, None)
             entry = self._entries.get(name)
             if entry is not None:
                 self.refresh_upstream(entry)
--- /dev/null
+++ b/tests/entry/test_service_cell.py
@@ -0,0 +1,202 @@
+"""Tests of the scheduling of one service at one instance."""
+
+import dataclasses
+
+import anyio
+import anyio.abc
+import pytest
+
+from tamaracktide.core import cell_actions
+from tamaracktide.core import cell_events
+from tamaracktide.core import routing_document
+from tamaracktide.core import upstream_entries
+from tamaracktide.entry import engine_views
+from tamaracktide.entry import requests
+from tamaracktide.entry import service_cell
+from tamaracktide.entry import upstream_snapshots
+from tamaracktide.protocol import entry_messages
+
+pytestmark = pytest.mark.anyio
+
+MODEL = "m"
+BATCH_LIMIT = 2
+SERVICE = routing_document.Service(
+    name="llm",
+    engine=routing_document.EngineProfile(
+        batch_limit=BATCH_LIMIT,
+        kv_tokens=10_000,
+        adapter_slots=4,
+        weights_mb=100.0,
+        loads_per_s=4.0,
+        models={},
+    ),
+)
+ROUTE = routing_document.Route(
+    name="r",
+    host="h",
+    path_prefix="/r/",
+    kind=routing_document.RequestKind.STREAMING,
+    shares=(routing_document.Share(service="llm", weight=1.0),),
+    timeout_s=5.0,
+)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Entry instances run on asyncio."""
+    return "asyncio"
+
+
+@dataclasses.dataclass(slots=True)
+class Harness:
+    """A cell over engines whose state the tests set.
+
+    Attributes:
+        tasks: Runs the cell's timers.
+        entries: Engines by id.
+        views: Their tracked states.
+        snapshots: Engines of which snapshots were made, in order.
+    """
+
+    tasks: anyio.abc.TaskGroup
+    entries: dict[str, upstream_entries.UpstreamEntry] = dataclasses.field(
+        default_factory=dict
+    )
+    views: engine_views.EngineViews = dataclasses.field(
+        default_factory=engine_views.EngineViews
+    )
+    snapshots: list[str] = dataclasses.field(default_factory=list)
+
+    def make_cell(self) -> service_cell.ServiceCell:
+        """Returns a cell that has read the engines."""
+        cell = service_cell.ServiceCell(
+            SERVICE,
+            service_cell.Dependencies(
+                upstreams=upstream_snapshots.SnapshotBuilder(
+                    "z1",
+                    self.views,
+                    lambda service: list(self.entries.values()),
+                    lambda model, adapter: 0,
+                    self._count_running,
+                    lambda service, zone: True,
+                ),
+                find_version=lambda model, adapter: 0,
+                announce_prompt=lambda upstream, tokens: None,
+                load=self._load,
+                tasks=self.tasks,
+            ),
+        )
+        cell.refresh()
+        self.snapshots.clear()
+        return cell
+
+    def add_engine(self, name: str, **ready_in_ms: int) -> None:
+        """Adds an engine; adapters are given with the time to readiness."""
+        self.entries[name] = upstream_entries.UpstreamEntry(
+            upstream=name,
+            service="llm",
+            address="127.0.0.1:1",
+            zone="z1",
+            batch_limit=BATCH_LIMIT,
+            started_ms=1,
+            models={MODEL: {}},
+        )
+        self.views.apply_notice(
+            entry_messages.EngineNotice(
+                upstream=name,
+                started_ms=1,
+                orders=1,
+                models={
+                    MODEL: {
+                        adapter: entry_messages.AdapterState(1, milliseconds)
+                        for adapter, milliseconds in ready_in_ms.items()
+                    }
+                },
+            ),
+            anyio.current_time(),
+        )
+
+    def _count_running(self, upstream: str) -> dict[str, int]:
+        self.snapshots.append(upstream)
+        return {}
+
+    async def _load(
+        self, service: str, load: cell_actions.Load
+    ) -> cell_events.LoadEnded:
+        await anyio.sleep_forever()
+        raise AssertionError(f"{service}: {load}")
+
+
+def make_request(request_id: str, adapter: str) -> requests.ClientRequest:
+    """Returns a generation request with a deadline in five seconds."""
+    deadline = anyio.current_time() + 5.0
+    return requests.ClientRequest(
+        request_id=request_id,
+        method="POST",
+        target="/r/x",
+        headers=(),
+        body=b"",
+        route=ROUTE,
+        service=SERVICE,
+        deadline=deadline,
+        expires_at=deadline,
+        generation=requests.Generation(model=MODEL, adapter=adapter),
+    )
+
+
+async def test_request_gets_an_adapter_that_another_instance_loaded() -> None:
+    """Snapshots are made when the request needs them, and by its timer."""
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", a=40, b=80)
+        cell = harness.make_cell()
+        await anyio.sleep(0.06)
+        assert not harness.snapshots
+        placement = await cell.acquire_placement(make_request("r1", "a"))
+        assert placement.waited_s < 0.02
+        with anyio.fail_after(1.0):
+            await cell.acquire_placement(make_request("r2", "b"))
+        assert set(harness.snapshots) == {"e1"}
+        tasks.cancel_scope.cancel()
+
+
+async def test_engine_that_left_while_adapters_got_ready_is_passed_over() -> (
+    None
+):
+    """Load pattern: loads end at many engines while some of them leave.
+
+    Guards against a KeyError that ended the process: one of several due
+    engines is leaving, so that all of them are read anew.
+    """
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        for name in ("e1", "e2", "e3"):
+            harness.add_engine(name, a=20)
+        cell = harness.make_cell()
+        harness.entries["e1"] = dataclasses.replace(
+            harness.entries["e1"], leaving=True
+        )
+        cell.refresh()
+        del harness.entries["e2"]
+        await anyio.sleep(0.04)
+        placement = await cell.acquire_placement(make_request("r1", "a"))
+        assert placement.entry.upstream == "e3"
+        tasks.cancel_scope.cancel()
+
+
+async def test_requests_of_other_instances_fill_an_engine_and_free_it() -> None:
+    """Changed counts apply without a snapshot of the engine."""
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", a=0)
+        harness.add_engine("e2", a=0)
+        cell = harness.make_cell()
+        cell.apply_remote_counts({"e1": {"m/a": BATCH_LIMIT}})
+        placement = await cell.acquire_placement(make_request("r1", "a"))
+        assert placement.entry.upstream == "e2"
+        cell.apply_remote_counts({"e2": {"m/a": BATCH_LIMIT}})
+        cell.apply_remote_counts({"e1": {"m/a": 0}})
+        placement = await cell.acquire_placement(make_request("r2", "a"))
+        assert placement.entry.upstream == "e1"
+        assert not harness.snapshots
+        tasks.cancel_scope.cancel()
