--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -155,7 +155,7 @@
                 views=self.views,
                 apply_counts=self._apply_counts,
                 apply_demand=self._apply_demand,
-                apply_engine=self._apply_engine,
+                apply_engines=self._apply_engines,
                 apply_quarantined=lambda fingerprints: None,
                 apply_holders=lambda: None,
             )
@@ -212,8 +212,11 @@
     def _apply_demand(self, name: str, count: int) -> None:
         self.demand[name] = self.demand.get(name, 0) + count
 
-    def _apply_engine(self, notice: entry_messages.EngineNotice) -> None:
-        self.views.apply_notice(notice, anyio.current_time())
+    def _apply_engines(
+        self, notices: tuple[entry_messages.EngineNotice, ...]
+    ) -> None:
+        for notice in notices:
+            self.views.apply_notice(notice, anyio.current_time())
 
     def _handle(
         self,
@@ -227,7 +230,7 @@
             case entry_messages.ClusterReport():
                 self.exchange.apply_cluster_report(peer, message)
             case entry_messages.EngineNotice():
-                self.exchange.apply_engine(message)
+                self.exchange.apply_engines((message,))
 
 
 class Network:
--- a/src/tamaracktide/core/upstream_health.py
+++ b/src/tamaracktide/core/upstream_health.py
@@ -95,7 +95,7 @@
 
     def list_avoided(self, upstreams: list[str], now: float) -> set[str]:
         """Returns the upstreams of a service that receive no new requests."""
-        if not upstreams:
+        if not upstreams or not self._records:
             return set()
         unreachable = set()
         failing = []
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import uuid
 
@@ -178,7 +179,7 @@
                 views=self._views,
                 apply_counts=self._apply_remote_counts,
                 apply_demand=self._apply_demand,
-                apply_engine=self._apply_engine_notice,
+                apply_engines=self._apply_engines,
                 apply_quarantined=self._crashes.apply_quarantined,
                 apply_holders=self._refresh,
             )
@@ -353,8 +354,7 @@
             self._applied = applied
             self._update_cells(services)
             return
-        for entry in entries:
-            self._refresh_upstream(entry)
+        self._refresh_upstreams(entries)
 
     def _update_cells(
         self, services: dict[str, routing_document.Service]
@@ -549,7 +549,7 @@
             case entry_messages.ClusterReport():
                 self._exchange.apply_cluster_report(peer, message)
             case entry_messages.EngineNotice():
-                self._exchange.apply_engine(message)
+                self._exchange.apply_engines((message,))
             case entry_messages.PromptNotice():
                 self._apply_prompt(message)
             case entry_messages.LoadRequest():
@@ -570,18 +570,28 @@
 
     def _announce_engine(self, notice: entry_messages.EngineNotice) -> None:
         self._exchange.record_engine(notice)
-        self._apply_engine_notice(notice)
+        self._apply_engines([notice])
 
-    def _apply_engine_notice(self, notice: entry_messages.EngineNotice) -> None:
-        self._views.apply_notice(notice, anyio.current_time())
-        entry = self._cluster_state.upstreams.get(notice.upstream)
-        if entry is not None:
-            self._refresh_upstream(entry)
+    def _apply_engines(
+        self, notices: Iterable[entry_messages.EngineNotice]
+    ) -> None:
+        now = anyio.current_time()
+        names = []
+        for notice in notices:
+            self._views.apply_notice(notice, now)
+            names.append(notice.upstream)
+        upstreams = self._cluster_state.upstreams
+        self._refresh_upstreams(
+            [upstreams[name] for name in names if name in upstreams]
+        )
 
-    def _refresh_upstream(self, entry: upstream_entries.UpstreamEntry) -> None:
-        cell = self._cells.get(entry.service)
-        if cell is not None:
-            cell.refresh_upstream(entry)
+    def _refresh_upstreams(
+        self, entries: list[upstream_entries.UpstreamEntry]
+    ) -> None:
+        for name, cell in self._cells.items():
+            cell.refresh_upstreams(
+                [entry for entry in entries if entry.service == name]
+            )
 
     def _apply_objects(
         self, sender: str, notice: entry_messages.ObjectsNotice
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -69,7 +69,7 @@
         views: Tracked states of the engines, for the reports to members.
         apply_counts: Called with the changed counts of other instances.
         apply_demand: Called with an adapter and its requests elsewhere.
-        apply_engine: Called with the state of an engine.
+        apply_engines: Called with the states of engines.
         apply_quarantined: Called with the fingerprints of other instances.
         apply_holders: Called when the lease holders may have changed.
     """
@@ -80,7 +80,7 @@
     views: engine_views.EngineViews
     apply_counts: Callable[[running_counts.Counts], None]
     apply_demand: Callable[[str, int], None]
-    apply_engine: Callable[[entry_messages.EngineNotice], None]
+    apply_engines: Callable[[tuple[entry_messages.EngineNotice, ...]], None]
     apply_quarantined: Callable[[tuple[str, ...]], None]
     apply_holders: Callable[[], None]
 
@@ -240,8 +240,7 @@
             )
             self._acknowledged[peer.instance] = report.sequence
         self._apply_demand(peer, report)
-        for notice in report.engines:
-            self.apply_engine(notice)
+        self.apply_engines(report.engines)
         self._dependencies.apply_quarantined(report.quarantined)
         self._apply_changes()
         if before is None or _list_cells(before) != _list_cells(report):
@@ -256,10 +255,14 @@
             if peer.is_member:
                 self._asked[name] += count
 
-    def apply_engine(self, notice: entry_messages.EngineNotice) -> None:
-        """Applies the state of an engine and passes it on to members."""
-        self._changed_engines.add(notice.upstream)
-        self._dependencies.apply_engine(notice)
+    def apply_engines(
+        self, notices: tuple[entry_messages.EngineNotice, ...]
+    ) -> None:
+        """Applies the states of engines and passes them on to members."""
+        if not notices:
+            return
+        self._changed_engines.update(notice.upstream for notice in notices)
+        self._dependencies.apply_engines(notices)
 
     def apply_cluster_report(
         self, peer: entry_peers.Peer, report: entry_messages.ClusterReport
@@ -279,8 +282,8 @@
             peers.attach(peer.instance)
         self._table.apply(_CLUSTER, report.running, is_full=report.is_full)
         self._subtract_own(report.acknowledged)
-        for notice in report.engines:
-            self._dependencies.apply_engine(notice)
+        if report.engines:
+            self._dependencies.apply_engines(report.engines)
         self._dependencies.apply_quarantined(report.quarantined)
         self._apply_changes()
         self.store_silent_s = report.store_silent_s
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import math
 import random
@@ -312,29 +313,29 @@
         """Returns the number of requests that wait for a batch slot."""
         return len(self._waiting)
 
-    def refresh_upstream(self, entry: upstream_entries.UpstreamEntry) -> None:
-        """Passes a snapshot of one upstream to the cell."""
-        name = entry.upstream
-        excluded = entry.leaving or name in self._leaving
-        if self.service.engine is not None:
-            has_model = self._dependencies.upstreams.has_model(name)
-            excluded = excluded or not has_model
-        if excluded or name not in self._entries:
-            # Whether it gets new requests depends on the other upstreams.
+    def refresh_upstreams(
+        self, entries: Iterable[upstream_entries.UpstreamEntry]
+    ) -> None:
+        """Passes snapshots of some upstreams to the cell, all at once."""
+        changed = {entry.upstream: entry for entry in entries}
+        if not changed:
+            return
+        if not changed.keys() <= self._entries.keys():
             self.refresh()
             return
-        self._entries[name] = entry
-        self._handle(self._make_snapshot(entry, anyio.current_time()))
+        self._entries.update(changed)
+        events = self._make_events(changed.values(), anyio.current_time())
+        self._handle(cell_events.EventBatch(tuple(events)))
 
     def _refresh_ready(self) -> None:
         """Refreshes the engines on which a loading adapter is ready by now."""
         now = anyio.current_time()
         due = [name for name, at in self._ready_at.items() if at <= now]
         for name in due:
-            self._ready_at.pop(name, None)
-            entry = self._entries.get(name)
-            if entry is not None:
-                self.refresh_upstream(entry)
+            del self._ready_at[name]
+        self.refresh_upstreams(
+            [self._entries[name] for name in due if name in self._entries]
+        )
         self._schedule_ready()
 
     def _schedule_ready(self) -> None:
@@ -342,8 +343,30 @@
         if self._waiting and self._ready_at:
             self._ready_timer.schedule(min(self._ready_at.values()))
 
+    def _make_events(
+        self, entries: Iterable[upstream_entries.UpstreamEntry], now: float
+    ) -> list[cell_events.CellEvent]:
+        """Returns snapshots of upstreams, and whether they get new requests."""
+        avoided = self.health.list_avoided(
+            [e.upstream for e in self._entries.values() if not e.leaving], now
+        )
+        accepts_loads: dict[str, bool] = {}
+        events: list[cell_events.CellEvent] = []
+        for entry in entries:
+            zone, name = entry.zone, entry.upstream
+            if zone not in accepts_loads:
+                accepts_loads[zone] = self._dependencies.upstreams.is_orderable(
+                    self.service.name, zone
+                )
+            events.append(self._make_snapshot(entry, now, accepts_loads[zone]))
+            events.extend(self._set_leaving(name, entry, name in avoided))
+        return events
+
     def _make_snapshot(
-        self, entry: upstream_entries.UpstreamEntry, now: float
+        self,
+        entry: upstream_entries.UpstreamEntry,
+        now: float,
+        accepts_loads: bool,
     ) -> cell_events.UpstreamSnapshot:
         """Returns a snapshot of an upstream.
 
@@ -358,7 +381,11 @@
                 self._ready_at[name] = ready_at
                 self._schedule_ready()
         return snapshot_builder.make_snapshot(
-            self.service, entry, self.running.get(name, {}), now
+            self.service,
+            entry,
+            self.running.get(name, {}),
+            accepts_loads,
+            now,
         )
 
     def apply_remote_counts(self, counts: running_counts.Counts) -> None:
@@ -389,12 +416,7 @@
             self._ready_at.pop(name, None)
             events.append(cell_events.UpstreamLost(name))
         self._entries = entries
-        avoided = self.health.list_avoided(
-            [e.upstream for e in entries.values() if not e.leaving], now
-        )
-        for name, entry in entries.items():
-            events.append(self._make_snapshot(entry, now))
-            events.extend(self._set_leaving(name, entry, name in avoided))
+        events.extend(self._make_events(entries.values(), now))
         self._handle(cell_events.EventBatch(tuple(events)))
         self._refresh_timer.schedule(self.health.find_next_trial(now))
 
--- a/src/tamaracktide/entry/upstream_snapshots.py
+++ b/src/tamaracktide/entry/upstream_snapshots.py
@@ -20,9 +20,9 @@
     __slots__ = (
         "_count_running",
         "_find_version",
-        "_is_orderable",
         "_views",
         "_zone",
+        "is_orderable",
         "list_entries",
     )
 
@@ -53,7 +53,7 @@
         self._views = views
         self._find_version = find_version
         self._count_running = count_running
-        self._is_orderable = is_orderable
+        self.is_orderable = is_orderable
 
     def has_model(self, upstream: str) -> bool:
         """Whether an engine has a base model."""
@@ -64,6 +64,7 @@
         service: routing_document.Service,
         entry: upstream_entries.UpstreamEntry,
         own: dict[str, int],
+        accepts_loads: bool,
         now: float,
     ) -> cell_events.UpstreamSnapshot:
         """Returns a snapshot of an upstream.
@@ -72,6 +73,7 @@
             service: The upstream's service.
             entry: The upstream's entry in the store.
             own: Requests of this instance on the upstream, by adapter.
+            accepts_loads: Whether any instance may order loads on it now.
             now: Current time, seconds.
         """
         counts = dict(self._count_running(entry.upstream))
@@ -94,7 +96,7 @@
             loaded=tuple(loaded),
             running=sum(loaded_adapter.running for loaded_adapter in loaded),
             distance_s=CROSS_ZONE_COST_S * (entry.zone != self._zone),
-            accepts_loads=self._is_orderable(service.name, entry.zone),
+            accepts_loads=accepts_loads,
         )
 
     def _list_loaded(
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -166,7 +166,7 @@
     """Load pattern: loads end at many engines while some of them leave.
 
     Guards against a KeyError that ended the process: one of several due
-    engines is leaving, so that all of them are read anew.
+    engines was leaving, which had all of them read anew in the middle.
     """
     async with anyio.create_task_group() as tasks:
         harness = Harness(tasks)
@@ -177,13 +177,39 @@
             harness.entries["e1"], leaving=True
         )
         cell.refresh()
-        del harness.entries["e2"]
         await anyio.sleep(0.04)
+        del harness.entries["e2"]
+        cell.refresh()
         placement = await cell.acquire_placement(make_request("r1", "a"))
         assert placement.entry.upstream == "e3"
         tasks.cancel_scope.cancel()
 
 
+async def test_notice_of_an_excluded_engine_reads_that_engine_only() -> None:
+    """Load pattern: some engines are down for long while others change often.
+
+    Guards against reading all upstreams at each change of an excluded one.
+    """
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        for name in ("e1", "e2", "e3"):
+            harness.add_engine(name, a=0)
+        harness.entries["e1"] = dataclasses.replace(
+            harness.entries["e1"], leaving=True
+        )
+        cell = harness.make_cell()
+        cell.refresh_upstreams([harness.entries["e1"]])
+        assert harness.snapshots == ["e1"]
+        back = dataclasses.replace(harness.entries["e1"], leaving=False)
+        cell.refresh_upstreams([back])
+        cell.apply_remote_counts(
+            {name: {"m/a": BATCH_LIMIT} for name in ("e2", "e3")}
+        )
+        placement = await cell.acquire_placement(make_request("r1", "a"))
+        assert placement.entry.upstream == "e1"
+        tasks.cancel_scope.cancel()
+
+
 async def test_requests_of_other_instances_fill_an_engine_and_free_it() -> None:
     """Changed counts apply without a snapshot of the engine."""
     async with anyio.create_task_group() as tasks:
