Read ahead on connections to upstreams; keep the capacity of a cell

Ruled out: asyncio.StreamReader, whose buffer is private, so that an idle connection with unrequested bytes could not be told from a usable one.

--- a/src/tamaracktide/core/admission.py
+++ b/src/tamaracktide/core/admission.py
@@ -119,17 +119,14 @@
 
     def count_batch_slots(self) -> int:
         """Returns the batch slots of all usable engines."""
-        return sum(
-            engine.batch_limit for engine in self._inventory.list_usable()
-        )
+        return self._inventory.capacity.batch_slots
 
     def compute_fair_shares(self) -> fairness.FairShares:
         """Returns the fair shares of batch slots and adapter slots."""
-        usable = self._inventory.list_usable()
-        slots = sum(engine.slot_limit for engine in usable)
+        capacity = self._inventory.capacity
         return self._queue.compute_fair_shares(
-            sum(engine.batch_limit for engine in usable),
-            int(slots * SHARED_SLOTS_FRACTION),
+            capacity.batch_slots,
+            int(capacity.adapter_slots * SHARED_SLOTS_FRACTION),
         )
 
     def count_waiting(self) -> int:
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -2,12 +2,26 @@
 
 import collections
 from collections.abc import Iterator
+import dataclasses
 
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_state
 from tamaracktide.core import rows
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Capacity:
+    """What all usable engines of a cell hold together.
+
+    Attributes:
+        batch_slots: Requests that run concurrently.
+        adapter_slots: Loaded adapters.
+    """
+
+    batch_slots: int
+    adapter_slots: int
+
+
 class Inventory:
     """Keeps the records of engines, grants and loads consistent.
 
@@ -30,6 +44,7 @@
         self.loads: dict[str, cell_state.LoadRecord] = {}
         self.slots_by_customer: collections.Counter[str] = collections.Counter()
         self.changes = 0
+        self._capacity: Capacity | None = None
         self._slots_by_adapter: dict[
             rows.AdapterKey, dict[str, cell_state.Slot]
         ] = {}
@@ -38,6 +53,17 @@
         """Returns the engines that may get new work."""
         return [e for e in self.engines.values() if not e.leaving]
 
+    @property
+    def capacity(self) -> Capacity:
+        """Capacity of the usable engines."""
+        if self._capacity is None:
+            usable = self.list_usable()
+            self._capacity = Capacity(
+                sum(engine.batch_limit for engine in usable),
+                sum(engine.slot_limit for engine in usable),
+            )
+        return self._capacity
+
     def find_slots(
         self, key: rows.AdapterKey
     ) -> Iterator[tuple[cell_state.Engine, cell_state.Slot]]:
@@ -128,6 +154,7 @@
             accepts_loads=event.accepts_loads,
         )
         self.engines[event.upstream] = engine
+        self._capacity = None
         for loaded in event.loaded:
             self._add_reported(engine, loaded, event, now)
         _count_remote(engine, event)
@@ -140,6 +167,9 @@
         now: float,
     ) -> None:
         """Corrects the tracked state of an engine that did not restart."""
+        limits = (event.slots, event.batch_limit)
+        if limits != (engine.slot_limit, engine.batch_limit):
+            self._capacity = None
         engine.slot_limit = event.slots
         engine.batch_limit = event.batch_limit
         engine.snapshot_at = now
@@ -197,6 +227,7 @@
         for lora_name in list(engine.slots):
             self._drop_slot(engine, lora_name)
         del self.engines[upstream]
+        self._capacity = None
         self.loads = {
             load_id: load
             for load_id, load in self.loads.items()
@@ -310,8 +341,9 @@
         """Marks an engine as leaving or usable."""
         self.changes += 1
         engine = self.engines.get(event.upstream)
-        if engine is not None:
+        if engine is not None and engine.leaving != event.leaving:
             engine.leaving = event.leaving
+            self._capacity = None
 
     def suspend_evictions(self, event: cell_events.EvictionsSuspended) -> None:
         """Suspends or resumes evictions on an engine."""
--- a/src/tamaracktide/upstreams/calls.py
+++ b/src/tamaracktide/upstreams/calls.py
@@ -14,6 +14,7 @@
 import httpcore
 
 from tamaracktide import sockets
+from tamaracktide.upstreams import network
 from tamaracktide.upstreams import settings as upstream_settings
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -278,6 +279,7 @@
             max_keepalive_connections=self._settings.max_connections,
             keepalive_expiry=KEEPALIVE_EXPIRY_S,
             socket_options=sockets.KEEPALIVE_OPTIONS,
+            network_backend=network.Backend(),
         )
 
     def _make_request(self, call: Call) -> httpcore.Request:
--- /dev/null
+++ b/tests/upstreams/test_network.py
@@ -0,0 +1,160 @@
+"""Tests of the TCP streams that read ahead.
+
+Load pattern: many streams of short events, and peers that close, reset or go
+silent in the middle.
+"""
+
+import collections
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import socket
+import struct
+
+import anyio
+import anyio.abc
+import httpcore
+import pytest
+
+from tamaracktide.upstreams import network
+
+pytestmark = pytest.mark.anyio
+
+Peer = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """The streams use asyncio."""
+    return "asyncio"
+
+
+@contextlib.asynccontextmanager
+async def connect(peer: Peer) -> AsyncIterator[network.Stream]:
+    """Opens a stream to a peer that runs `peer` and then closes."""
+
+    async def serve(stream: anyio.abc.SocketStream) -> None:
+        async with stream:
+            await peer(stream)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    async with listener, anyio.create_task_group() as tasks:
+        tasks.start_soon(listener.serve, serve)
+        stream = await network.Backend().connect_tcp(
+            "127.0.0.1",
+            port,
+            1.0,
+            socket_options=[(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)],
+        )
+        yield stream
+        await stream.aclose()
+        tasks.cancel_scope.cancel()
+
+
+async def read_all(stream: network.Stream) -> bytes:
+    """Returns everything up to the end of a stream."""
+    parts: list[bytes] = []
+    while part := await stream.read(1000, 1.0):
+        parts.append(part)
+    return b"".join(parts)
+
+
+async def test_bytes_arrive_in_order_up_to_the_end() -> None:
+    """More than the read-ahead limit is transferred, and nothing is lost."""
+    sent = bytes(range(256)) * 4 * 1024
+
+    async def send(stream: anyio.abc.SocketStream) -> None:
+        await stream.send(sent)
+
+    async with connect(send) as stream:
+        await anyio.sleep(0.05)
+        assert await read_all(stream) == sent
+        assert await stream.read(10, 1.0) == b""
+
+
+async def test_reader_that_stops_slows_down_its_peer() -> None:
+    """At most the limit and the socket buffers are held for a slow reader."""
+    sent = collections.Counter[str]()
+
+    async def send(stream: anyio.abc.SocketStream) -> None:
+        for _ in range(1000):
+            await stream.send(b"x" * 64 * 1024)
+            sent["chunks"] += 1
+
+    async with connect(send) as stream:
+        await anyio.sleep(0.2)
+        assert 0 < sent["chunks"] < 500
+        received = sum([len(await stream.read(1 << 20, 1.0)) for _ in range(9)])
+        assert received > 0
+
+
+async def test_silence_ends_with_a_timeout_and_loses_nothing() -> None:
+    """Bytes that arrive after a timeout are read by the next call."""
+
+    async def send_late(stream: anyio.abc.SocketStream) -> None:
+        await anyio.sleep(0.15)
+        await stream.send(b"late")
+        await anyio.sleep(1.0)
+
+    async with connect(send_late) as stream:
+        with pytest.raises(httpcore.ReadTimeout):
+            await stream.read(10, 0.05)
+        assert await stream.read(10, 1.0) == b"late"
+
+
+async def test_reset_is_an_error_and_not_the_end() -> None:
+    """A response that is reset on the way must not look complete."""
+
+    async def reset(stream: anyio.abc.SocketStream) -> None:
+        await stream.send(b"part")
+        await anyio.sleep(0.05)
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        linger = struct.pack("ii", 1, 0)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    async with connect(reset) as stream:
+        assert await stream.read(10, 1.0) == b"part"
+        with pytest.raises(httpcore.ReadError):
+            await stream.read(10, 1.0)
+        with pytest.raises(httpcore.WriteError):
+            await stream.write(b"x", 1.0)
+
+
+async def test_idle_connection_with_unrequested_bytes_is_unusable() -> None:
+    """So is one that its peer has closed; a quiet one is usable."""
+
+    async def send_late(stream: anyio.abc.SocketStream) -> None:
+        await anyio.sleep(0.05)
+        await stream.send(b"unrequested")
+        await anyio.sleep(0.05)
+
+    async with connect(send_late) as stream:
+        assert not stream.get_extra_info("is_readable")
+        await anyio.sleep(0.08)
+        assert stream.get_extra_info("is_readable")
+        assert await stream.read(100, 1.0) == b"unrequested"
+        await anyio.sleep(0.1)
+        assert stream.get_extra_info("is_readable")
+
+
+async def test_write_to_a_peer_that_does_not_read_times_out() -> None:
+    """A blocked write does not hold a request beyond its time."""
+
+    async def sleep(stream: anyio.abc.SocketStream) -> None:
+        del stream
+        await anyio.sleep(1.0)
+
+    async with connect(sleep) as stream:
+        with pytest.raises(httpcore.WriteTimeout):
+            await stream.write(b"x" * (32 << 20), 0.1)
+
+
+async def test_refused_connection_is_an_error() -> None:
+    """The upstream certainly did not run the request."""
+    with socket.socket() as closed:
+        closed.bind(("127.0.0.1", 0))
+        port = closed.getsockname()[1]
+        with pytest.raises(httpcore.ConnectError):
+            await network.Backend().connect_tcp("127.0.0.1", port, 1.0)
