--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -208,17 +208,20 @@
         store: The store that calls are forwarded to.
         is_unavailable: Whether every call fails with 503.
         unavailable_kind: Kind of objects whose calls fail with 503.
+        calls: Received calls as `METHOD KIND`.
     """
 
     store: Store
     is_unavailable: bool = False
     unavailable_kind: str = ""
+    calls: list[str] = dataclasses.field(default_factory=list)
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Forwards a call, or fails it with 503."""
         kind = scope["path"].split("/")[2]
+        self.calls.append(f"{scope['method']} {kind}")
         if self.is_unavailable or kind == self.unavailable_kind:
             await reply(send, 503)
             return
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -7,12 +7,14 @@
 import signal
 
 import anyio
+import anyio.abc
 import fleet_cluster
 import httpcore
 import pytest
 
 import deployment
 from fleet import adapter
+from tamaracktide.core import relays
 from tamaracktide.entry import program
 from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
@@ -91,12 +93,13 @@
     host: str = fleet_cluster.HOST,
     peer_port: int = 0,
     store_address: str = "",
+    zone: str = "z1",
 ) -> AsyncIterator[_Instance]:
     """Runs an instance and waits until the cell's lease is held."""
     ports = [deployment.find_port() for _ in range(4)]
     settings = entry_settings.EntrySettings(
         instance=name,
-        availability_zone="z1",
+        availability_zone=zone,
         ip=host,
         caller_address=f"{host}:{ports[0]}",
         readiness_address=f"{host}:{ports[1]}",
@@ -372,6 +375,145 @@
             assert leases["llm.z1"]["Spec"]["epoch"] == 1
 
 
+@contextlib.asynccontextmanager
+async def _run_relay_and_member(
+    cluster: fleet_cluster.Cluster, monkeypatch: pytest.MonkeyPatch
+) -> AsyncIterator[
+    tuple[dict[str, _Instance], dict[str, fleet_cluster.StoreProxy], str]
+]:
+    """Runs a cluster of two instances in one zone in the way of a large one.
+
+    Yields the instances and their ways to the store by instance id, and the id
+    of the relay.
+    """
+    monkeypatch.setattr(relays, "MAX_FLAT_INSTANCES", 1)
+    zones = {"n1": "z1", "n2": "z1"}
+    relay = relays.make_plan("n1", "z1", zones, ()).relay
+    member = next(name for name in zones if name != relay)
+    port = deployment.find_port()
+    hosts = {relay: "127.0.0.1", member: "127.0.0.2"}
+    proxies: dict[str, fleet_cluster.StoreProxy] = {}
+    instances: dict[str, _Instance] = {}
+    async with contextlib.AsyncExitStack() as stack:
+        for name, host in hosts.items():
+            proxies[name], address = await cluster.add_store_proxy()
+            instances[name] = await stack.enter_async_context(
+                _run_instance(cluster, name, host, port, address)
+            )
+        yield instances, proxies, relay
+
+
+async def test_member_follows_the_store_through_its_relay(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: hundreds of instances, of which few follow the store.
+
+    Changes reach a member that makes no call itself, and a load that it needs
+    is ordered by the lease holder.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engine = await cluster.add_server(fleet_cluster.Server("e1", slots=3))
+        await cluster.add_server(fleet_cluster.Server("p1"))
+        async with _run_relay_and_member(cluster, monkeypatch) as (
+            instances,
+            proxies,
+            relay,
+        ):
+            (name,) = instances.keys() - {relay}
+            member, calls = instances[name], proxies[name].calls
+            assert (await member.generate("r1")).status == 200
+            assert engine.runs == ["r1"]
+            holder = cluster.store.objects["tamaracktide-leases"]["llm.z1"]
+            assert holder["Spec"]["holder"].startswith(relay)
+            document = fleet_cluster.make_document(3)
+            document["Routes"] = document["Routes"][:1]
+            cluster.store.put("config", "main", document)
+
+            async def is_route_removed() -> bool:
+                response = await member.send("/safe/x", "r2")
+                return response.status == 404
+
+            await _wait_until(is_route_removed)
+            assert set(calls) <= {
+                "POST tamaracktide-instances",
+                "GET tamaracktide-instances",
+            }
+
+
+async def test_member_without_its_relay_follows_the_store_itself(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: a relay is lost for good beside a change of the routes."""
+    async with fleet_cluster.run_cluster() as cluster:
+        await cluster.add_server(fleet_cluster.Server("p1"))
+        monkeypatch.setattr(relays, "MAX_FLAT_INSTANCES", 1)
+        zones = {"n1": "z1", "n2": "z1"}
+        relay = relays.make_plan("n1", "z1", zones, ()).relay
+        member = next(name for name in zones if name != relay)
+        port = deployment.find_port()
+        stop, stopped = anyio.Event(), anyio.Event()
+
+        async def run_relay(*, task_status: anyio.abc.TaskStatus[None]) -> None:
+            async with _run_instance(cluster, relay, "127.0.0.1", port):
+                task_status.started()
+                await stop.wait()
+            stopped.set()
+
+        async with anyio.create_task_group() as tasks:
+            await tasks.start(run_relay)
+            async with _run_instance(
+                cluster, member, "127.0.0.2", port
+            ) as instance:
+                assert (await instance.send("/safe/x", "r1")).status == 200
+                stop.set()
+                await stopped.wait()
+                document = fleet_cluster.make_document(3)
+                document["Routes"] = document["Routes"][:1]
+                cluster.store.put("config", "main", document)
+
+                async def is_route_removed() -> bool:
+                    response = await instance.send("/safe/x", "r2")
+                    return response.status == 404
+
+                with anyio.fail_after(3.0):
+                    await _wait_until(is_route_removed)
+
+
+async def test_relay_without_the_store_gets_changes_from_another(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: the store turns away the relay of a zone only.
+
+    Its members get changes from relays that the store still serves.
+    """
+    monkeypatch.setattr(relays, "MAX_FLAT_INSTANCES", 1)
+    async with fleet_cluster.run_cluster() as cluster:
+        await cluster.add_server(fleet_cluster.Server("p1"))
+        store_proxy, address = await cluster.add_store_proxy()
+        port = deployment.find_port()
+        async with (
+            _run_instance(
+                cluster, "n1", peer_port=port, store_address=address
+            ) as cut_off,
+            _run_instance(
+                cluster, "n2", "127.0.0.2", peer_port=port, zone="z2"
+            ),
+        ):
+            assert (await cut_off.send("/safe/x", "r1")).status == 200
+            store_proxy.is_unavailable = True
+            await anyio.sleep(1.5)
+            document = fleet_cluster.make_document(3)
+            document["Routes"] = document["Routes"][:1]
+            cluster.store.put("config", "main", document)
+
+            async def is_route_removed() -> bool:
+                response = await cut_off.send("/safe/x", "r2")
+                return response.status == 404
+
+            with anyio.fail_after(3.0):
+                await _wait_until(is_route_removed)
+
+
 async def test_request_after_a_restart_waits_for_the_lease() -> None:
     """Load pattern: requests arrive right after a restart of all instances.
 
