Let a relay find members that know nobody

Cause: members open the only link to their relay, so an instance that restarts while the store turns it away and no seed responds would stay without routes until the store is back; with links of all to all the others found it. A relay now opens a link to each instance of its group that is missing for two seconds. A member's link counts only if it opened it itself.

--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -135,10 +135,13 @@
         exchange: Its reports.
     """
 
-    def __init__(self, network: "Network", name: str, zone: str) -> None:
+    def __init__(
+        self, network: "Network", name: str, is_registry_known: bool
+    ) -> None:
         """Builds the parts; `Network.start` runs them."""
+        self._is_registry_known = is_registry_known
         self.name = name
-        self.zone = zone
+        self.zone = network.zones[name]
         self.running: running_counts.Counts = {}
         self.remote: running_counts.Counts = {}
         self.demand: dict[str, int] = {}
@@ -191,11 +194,14 @@
                     ),
                 )
                 self.exchange.peers = self.peers
-                self.peers.set_instances(
-                    self._network.addresses, self._network.zones
-                )
+                if self._is_registry_known:
+                    self.learn_registry()
                 await self.peers.run()
 
+    def learn_registry(self) -> None:
+        """Reads the list of instances."""
+        self.peers.set_instances(self._network.addresses, self._network.zones)
+
     def _get_own(self) -> report_exchange.OwnState:
         return report_exchange.OwnState(
             running=self.running,
@@ -260,9 +266,9 @@
         self._handlers: dict[str, tuple[messages.Hello, server.Handler]] = {}
         self._tasks = tasks
 
-    def start(self, name: str) -> Instance:
-        """Starts an instance."""
-        instance = Instance(self, name, self.zones[name])
+    def start(self, name: str, *, is_registry_known: bool = True) -> Instance:
+        """Starts an instance, with or without the list of the others."""
+        instance = Instance(self, name, is_registry_known)
         self.instances[name] = instance
         self._tasks.start_soon(instance.run)
         return instance
--- a/src/tamaracktide/core/relays.py
+++ b/src/tamaracktide/core/relays.py
@@ -34,11 +34,13 @@
         is_flat: Whether every instance is a relay.
         relays: Instance ids of the relays of all zones.
         relay: Relay of this instance; its own id if it is a relay itself.
+        group: Instances whose relay is this instance.
     """
 
     is_flat: bool
     relays: frozenset[str]
     relay: str
+    group: frozenset[str] = frozenset()
 
 
 def make_plan(
@@ -63,12 +65,19 @@
         for name in set(zones.values())
     }
     own = relays[zone]
+    group = frozenset(
+        name
+        for name, member_zone in zones.items()
+        if member_zone == zone
+        and name != instance
+        and instance in own
+        and _choose_own(name, own) == instance
+    )
     return RelayPlan(
         is_flat=False,
-        relays=frozenset(
-            relay for chosen in relays.values() for relay in chosen
-        ),
+        relays=frozenset(name for chosen in relays.values() for name in chosen),
         relay=_choose_own(instance, own),
+        group=group,
     )
 
 
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -48,6 +48,10 @@
 """Time for which the instance with the larger id waits for the other relay to
 open their link, so that they do not open two."""
 
+MEMBER_GRACE_S = 2.0
+"""Time for which a relay waits for a member before it opens a link itself: the
+member may have restarted while it reaches neither the store nor a seed."""
+
 DISCOVERY_S = 1.0
 """Time after a start without a list of the instances after which this instance
 makes its plan without one."""
@@ -364,13 +368,16 @@
         if is_relay and self.relay:
             self._callbacks.handle_loss(self.relay)
             self.relay = ""
-        wanted = plan.relays if is_relay else {plan.relay}
+        wanted = plan.relays | plan.group if is_relay else {plan.relay}
         wanted = wanted - {self._settings.instance}
+        missing = [
+            name for name in wanted if not self._has_link(name, is_relay)
+        ]
         self._wanted_since = {
             instance: self._wanted_since.get(instance, now)
-            for instance in wanted
+            for instance in missing
         }
-        for instance in wanted:
+        for instance in missing:
             if self._is_due(instance, is_relay, now):
                 self.dial(
                     f"{self._addresses[instance]}:{self._settings.peer_port}"
@@ -378,17 +385,26 @@
         if not is_relay:
             self._close_unwanted()
 
-    def _is_due(self, instance: str, is_relay: bool, now: float) -> bool:
-        """Whether a link to a wanted instance should be opened now."""
+    def _has_link(self, instance: str, is_relay: bool) -> bool:
+        """Whether a link is open; that of a member must be its own."""
         peer = self.known.get(instance)
-        if instance not in self._addresses or (peer and peer.links):
+        if peer is None:
+            return False
+        return any(is_relay or link.is_dialled for link in peer.links)
+
+    def _is_due(self, instance: str, is_relay: bool, now: float) -> bool:
+        """Whether a missing link should be opened now."""
+        if instance not in self._addresses:
             return False
         outage = self._outages.get(instance)
         if outage is not None and now < outage.until:
             return False
-        if not is_relay or self._settings.instance < instance:
-            return True
-        return now >= self._wanted_since[instance] + DIAL_GRACE_S
+        grace_s = 0.0
+        if is_relay and instance not in self.plan.relays:
+            grace_s = MEMBER_GRACE_S
+        elif is_relay and instance < self._settings.instance:
+            grace_s = DIAL_GRACE_S
+        return now >= self._wanted_since[instance] + grace_s
 
     def _close_unwanted(self) -> None:
         """Closes all links of a member except that to its relay.
@@ -411,7 +427,8 @@
                     logs.bind(peer=peer.instance, silent_s=LINK_TIMEOUT_S).info(
                         "link closed: no message within the timeout"
                     )
-                    self._record_outage(peer.instance)
+                    if len(peer.links) == 1:
+                        self._record_outage(peer.instance)
                     link.scope.cancel()
 
     def _record_outage(self, instance: str) -> None:
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -344,10 +344,13 @@
         changes = running_counts.find_changes(previous, own.running)
         current = self._make_member_report(own, changes, is_full=False)
         current = dataclasses.replace(current, asked=dict(asked))
-        for peer in self._get_peers().list_linked():
-            link = peer.links[-1]
-            if not link.is_dialled:
-                continue
+        links = [
+            link
+            for peer in self._get_peers().list_linked()
+            for link in peer.links
+            if link.is_dialled
+        ]
+        for link in links:
             report = current
             if not link.is_current:
                 report = dataclasses.replace(
--- a/tests/entry/test_report_exchange.py
+++ b/tests/entry/test_report_exchange.py
@@ -198,6 +198,35 @@
         await wait_until(lambda: is_consistent(network), 2.0)
 
 
+async def test_restarted_member_that_knows_nobody_is_found_by_its_relay() -> (
+    None
+):
+    """Load pattern: a restart while the store turns this machine away.
+
+    No seed responds either. It learns the other instances from its relay, as
+    it would from the store.
+    """
+    topology = memory_network.make_zones(30, 3)
+    async with memory_network.run_network(topology) as network:
+        set_running(network)
+        await wait_until(lambda: is_consistent(network))
+        name = next(
+            name
+            for name, instance in network.instances.items()
+            if not instance.peers.is_relay
+        )
+        network.stop(name)
+        await wait_until(lambda: is_consistent(network))
+        instance = network.start(name, is_registry_known=False)
+        await anyio.sleep(0)
+        await wait_until(
+            lambda: bool(instance.peers.list_relays()), 2 * CONVERGE_S
+        )
+        instance.learn_registry()
+        await wait_until(lambda: is_consistent(network), 2 * CONVERGE_S)
+        assert not instance.peers.is_relay
+
+
 async def test_demand_reaches_each_relay_once() -> None:
     """Relays count requests of all instances, for evictions and replicas."""
     topology = memory_network.make_zones(30, 3)
