Start with fewer calls to the store

An instance now lists the others half a second after its first registration; a restarted one at once. Relays pause for 0.6 s between watches of upstreams.

test_member_follows_the_store_through_its_relay failed beside load: a member counted the time before it had discovered the others as time without a relay.

--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -52,7 +52,7 @@
 """Time for which a relay waits for a member before it opens a link itself: the
 member may have restarted while it reaches neither the store nor a seed."""
 
-DISCOVERY_S = 1.0
+DISCOVERY_S = 1.5
 """Time after a start without a list of the instances after which this instance
 makes its plan without one."""
 
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -70,9 +70,18 @@
 SUBSTITUTE_S = 30.0
 """Time for which such a member follows the store."""
 
-REGISTRATION_WAIT_S = 0.5
-"""Time for which the list of instances waits for this one's registration, so
-that it contains this instance."""
+FIRST_LIST_DELAY_S = 0.5
+"""Time between the first registration of an instance and its list of all of
+them, as they all start at about the same time. Their relay plan would else
+change with each of them."""
+
+REGISTRATION_WAIT_S = 0.8
+"""Time for which the list of instances waits for the registration."""
+
+RELAY_WATCH_PAUSE_S = 0.6
+"""Pause before the next watch of upstreams in a large cluster. With the
+forwarding to members it is a fifth of the time in which a drain must be
+observed there."""
 
 CONNECT_TIMEOUT_S = 0.4
 """A hundred times the latency between zones, and half the target for a first
@@ -280,6 +289,8 @@
             await self._registered.wait()
 
     def _find_watch_pause_s(self) -> float:
+        if not self._peers.plan.is_flat:
+            return RELAY_WATCH_PAUSE_S
         return store_follower.find_watch_pause_s(
             1 + len(self._peers.list_relays())
         )
@@ -291,6 +302,7 @@
     def _needs_store(self, now: float) -> bool:
         """Whether this instance must follow the store itself."""
         if not self._peers.is_discovered:
+            self._detached_at = now
             return False
         if self._peers.is_relay or now < self._substitute_until:
             return True
@@ -329,6 +341,7 @@
     async def _write_registration(self, key: str, value: bytes) -> None:
         try:
             await self._store.create(key, value)
+            await anyio.sleep(FIRST_LIST_DELAY_S)
         except errors.PreconditionFailedError:
             stored = await self._store.read(key)
             if stored.value != value:
