Ask another relay for changes of the store that did not arrive

The calls of the relay neither failed nor ended; keep-alive needs three seconds, and a watch waits for ten. Relays now report the newest version that they know in each collection, and one that lacks a reported version for 0.8 s asks for what is newer.

The test (a silent store for one of two relays, beside a drain) failed before.

--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -16,6 +16,7 @@
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.core import catch_up
 from tamaracktide.core import running_counts
 from tamaracktide.entry import engine_views
 from tamaracktide.entry import peers as entry_peers
@@ -207,6 +208,7 @@
             running=self.running,
             rights=self.rights,
             loads=0,
+            known=catch_up.StoreVersions(),
             store_silent_s=0.0,
             quarantined=(),
             draining=False,
--- /dev/null
+++ b/src/tamaracktide/core/catch_up.py
@@ -0,0 +1,81 @@
+"""Detects that this instance misses changes that others have observed.
+
+A connection to the store can go silent without an error. An instance that
+follows the store for others then notices it only by what its peers know.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+
+MAX_BEHIND_S = 0.8
+"""Time for which an instance may lack a change that a peer has reported: the
+pause between two watches and a late timer."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreVersions:
+    """The newest known object version in each collection of the store.
+
+    Attributes:
+        documents: Of the routing document.
+        upstreams: Of the upstreams' entries.
+        versions: Of the announced adapter versions.
+        instances: Of the entry instances.
+    """
+
+    documents: int = 0
+    upstreams: int = 0
+    versions: int = 0
+    instances: int = 0
+
+    def covers(self, other: "StoreVersions") -> bool:
+        """Whether nothing of the other is newer."""
+        return (
+            self.documents >= other.documents
+            and self.upstreams >= other.upstreams
+            and self.versions >= other.versions
+            and self.instances >= other.instances
+        )
+
+
+class CatchUp:
+    """Tracks the first change that this instance lacks."""
+
+    __slots__ = ("_behind_since", "_peer", "_target")
+
+    def __init__(self) -> None:
+        """Starts without a missing change."""
+        self._target = StoreVersions()
+        self._peer = ""
+        self._behind_since = 0.0
+
+    def update(
+        self, own: StoreVersions, peers: Mapping[str, StoreVersions], now: float
+    ) -> str:
+        """Returns the peer to ask for the missing objects, empty for none.
+
+        Args:
+            own: What this instance knows.
+            peers: What its peers know, by instance id.
+            now: Current time, seconds.
+        """
+        if own.covers(self._target):
+            self._peer = ""
+            self._start(own, peers, now)
+            return ""
+        if now < self._behind_since + MAX_BEHIND_S:
+            return ""
+        peer = self._peer
+        self._start(own, peers, now)
+        return peer
+
+    def _start(
+        self, own: StoreVersions, peers: Mapping[str, StoreVersions], now: float
+    ) -> None:
+        """Waits for what the first peer with something newer knows now."""
+        for peer, versions in sorted(peers.items(), key=lambda item: item[0]):
+            if not own.covers(versions):
+                self._target, self._peer = versions, peer
+                self._behind_since = now
+                return
+        self._target = own
--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -13,6 +13,7 @@
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.core import catch_up
 from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import platform_adapter as entry_adapter
@@ -68,6 +69,7 @@
         self._adapter = adapter
         self._now = now
         self._items: dict[str, object_store.Item] = {}
+        self._newest: dict[str, int] = {}
         self._drop_at: dict[str, float] = {}
         self._listeners: list[Listener] = []
         self._changed = False
@@ -81,6 +83,33 @@
         """Returns every known object, to be sent to a peer."""
         return list(self._items.values())
 
+    def find_versions(self) -> catch_up.StoreVersions:
+        """Returns the newest known version in each collection."""
+        collections = self._adapter.collections
+        return catch_up.StoreVersions(
+            documents=self._newest.get(collections.documents, 0),
+            upstreams=self._newest.get(collections.upstreams, 0),
+            versions=self._newest.get(collections.versions, 0),
+            instances=self._newest.get(collections.instances, 0),
+        )
+
+    def list_newer(
+        self, known: catch_up.StoreVersions
+    ) -> list[object_store.Item]:
+        """Returns the objects that are newer than the known versions."""
+        collections = self._adapter.collections
+        versions = {
+            collections.documents: known.documents,
+            collections.upstreams: known.upstreams,
+            collections.versions: known.versions,
+            collections.instances: known.instances,
+        }
+        return [
+            item
+            for key, item in self._items.items()
+            if item.version > versions.get(self._find_collection(key), 0)
+        ]
+
     def apply(
         self, items: Iterable[object_store.Item]
     ) -> list[object_store.Item]:
@@ -143,9 +172,23 @@
             if item.key.startswith(self._adapter.collections.upstreams):
                 self._drop_upstream(item.key, "entry cannot be decoded")
         self._items[item.key] = item
+        collection = self._find_collection(item.key)
+        newest = self._newest.get(collection, 0)
+        self._newest[collection] = max(newest, item.version)
         self._changed = True
         return True
 
+    def _find_collection(self, key: str) -> str:
+        collections = self._adapter.collections
+        for prefix in (
+            collections.upstreams,
+            collections.versions,
+            collections.instances,
+        ):
+            if key.startswith(prefix):
+                return prefix
+        return collections.documents
+
     def _decode(self, item: object_store.Item) -> None:
         collections = self._adapter.collections
         key, value = item.key, item.value
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tamaracktide import errors
+from tamaracktide.core import catch_up
 from tamaracktide.core import popularity
 from tamaracktide.core import retry_window
 from tamaracktide.core import routing_document
@@ -118,6 +119,7 @@
         )
         self._store_health = store_follower.StoreHealth(self._cluster_state)
         self._store_use = store_follower.StoreUse()
+        self._catch_up = catch_up.CatchUp()
         self._registered = anyio.Event()
         self._started_at = anyio.current_time()
         self._detached_at = anyio.current_time()
@@ -298,6 +300,34 @@
     def _send_reports(self) -> None:
         self._store_use.update(self._needs_store(anyio.current_time()))
         self._exchange.send_reports()
+        if self._peers.is_relay:
+            self._request_missing_objects()
+
+    def _request_missing_objects(self) -> None:
+        """Asks another relay for changes that the store did not send here."""
+        known = self._cluster_state.find_versions()
+        peers = {
+            peer.instance: peer.report.known
+            for peer in self._peers.list_relays()
+            if peer.report is not None
+        }
+        peer = self._catch_up.update(known, peers, anyio.current_time())
+        if not peer:
+            return
+        logs.bind(
+            peer=peer,
+            documents=known.documents,
+            upstreams=known.upstreams,
+            versions=known.versions,
+        ).info("changes of the store missed; requesting them from a peer")
+        self._peers.send(peer, entry_messages.ObjectsRequest(known=known))
+
+    def _send_newer_objects(
+        self, peer: entry_peers.Peer, request: entry_messages.ObjectsRequest
+    ) -> None:
+        items = self._cluster_state.list_newer(request.known)
+        if items:
+            peer.send(self._make_objects_notice(items))
 
     def _needs_store(self, now: float) -> bool:
         """Whether this instance must follow the store itself."""
@@ -543,6 +573,7 @@
             running=running,
             rights=self._leases.list_lease_terms(),
             loads=self._engine_controller.count_loads(),
+            known=self._cluster_state.find_versions(),
             store_silent_s=store_silent_s,
             quarantined=self._crashes.list_announced(),
             draining=self._servers.draining,
@@ -554,7 +585,6 @@
         link: entry_peers.Link,
         message: messages.Message,
     ) -> None:
-        sender = peer.instance
         match message:
             case entry_messages.InstanceReport():
                 self._exchange.apply_report(peer, link, message)
@@ -565,18 +595,28 @@
                 self._exchange.apply_engines((message,))
             case entry_messages.PromptNotice():
                 self._apply_prompt(message)
+            case _:
+                self._handle_other(peer, message)
+
+    def _handle_other(
+        self, peer: entry_peers.Peer, message: messages.Message
+    ) -> None:
+        """Handles requests and replies, and objects of the store."""
+        match message:
             case entry_messages.LoadRequest():
-                self._loader.handle_load_request(sender, message)
+                self._loader.handle_load_request(peer.instance, message)
             case entry_messages.LoadReply():
                 self._loader.apply_reply(message)
             case entry_messages.WriteRequest():
-                self._relay.handle_write_request(sender, message)
+                self._relay.handle_write_request(peer.instance, message)
             case entry_messages.WriteReply():
                 self._relay.apply_reply(message)
             case entry_messages.ObjectsNotice():
-                self._apply_objects(sender, message)
+                self._apply_objects(peer.instance, message)
+            case entry_messages.ObjectsRequest():
+                self._send_newer_objects(peer, message)
             case _:
-                logs.bind(peer=sender).warning(
+                logs.bind(peer=peer.instance).warning(
                     "unexpected message type ignored: {}",
                     type(message).__name__,
                 )
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -11,6 +11,7 @@
 
 import anyio
 
+from tamaracktide.core import catch_up
 from tamaracktide.core import running_counts
 from tamaracktide.entry import engine_views
 from tamaracktide.entry import peers as entry_peers
@@ -44,6 +45,7 @@
         running: Its requests by upstream and adapter.
         rights: The lease terms that it holds.
         loads: Number of adapters loading in its cells.
+        known: What it knows of the store.
         store_silent_s: Time since the store responded to it; 0 while it
             responds, `NOT_USED_S` if it does not use the store.
         quarantined: Fingerprints of requests that crash upstreams.
@@ -53,6 +55,7 @@
     running: running_counts.Counts
     rights: tuple[entry_messages.LeaseNotice, ...]
     loads: int
+    known: catch_up.StoreVersions
     store_silent_s: float
     quarantined: tuple[str, ...]
     draining: bool
@@ -383,6 +386,7 @@
         return dataclasses.replace(
             report,
             is_relay=True,
+            known=own.known,
             instances=self._count_group(),
             store_silent_s=self._find_store_silence(own, members_only=True),
             quarantined=self._list_quarantined(own, members_only=True),
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from tamaracktide.core import catch_up
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LeaseNotice:
@@ -70,6 +72,7 @@
         rights: The lease terms that the sender holds.
         loads: Number of adapters loading in the sender's cells.
         engines: Engines in the sender's cells whose state changed.
+        known: What a relay knows of the store.
         store_silent_s: Time since the store responded to an instance of the
             group; 0 while it responds, -1 if none of them uses it.
         quarantined: Fingerprints of requests that crash upstreams.
@@ -87,6 +90,9 @@
     loads: int
     store_silent_s: float
     engines: tuple[EngineNotice, ...] = ()
+    known: catch_up.StoreVersions = dataclasses.field(
+        default_factory=catch_up.StoreVersions
+    )
     quarantined: tuple[str, ...] = ()
     draining: bool = False
 
@@ -201,6 +207,13 @@
     recovered_s: float = -1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ObjectsRequest:
+    """Requests the objects that are newer than what the sender knows."""
+
+    known: catch_up.StoreVersions
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WriteRequest:
     """Requests a write from a peer while the sender cannot reach the store.
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -391,6 +391,7 @@
     | entry_messages.LoadRequest
     | entry_messages.LoadReply
     | entry_messages.ObjectsNotice
+    | entry_messages.ObjectsRequest
     | entry_messages.PromptNotice
     | entry_messages.WriteRequest
     | entry_messages.WriteReply
@@ -426,4 +427,5 @@
     29: entry_messages.InstanceReport,
     30: entry_messages.ClusterReport,
     31: entry_messages.EngineNotice,
+    32: entry_messages.ObjectsRequest,
 }
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import MutableMapping
 import contextlib
 import dataclasses
 import json
@@ -208,12 +209,14 @@
         store: The store that calls are forwarded to.
         is_unavailable: Whether every call fails with 503.
         unavailable_kind: Kind of objects whose calls fail with 503.
+        is_silent: Whether calls get no response, those in progress included.
         calls: Received calls as `METHOD KIND`.
     """
 
     store: Store
     is_unavailable: bool = False
     unavailable_kind: str = ""
+    is_silent: bool = False
     calls: list[str] = dataclasses.field(default_factory=list)
 
     async def __call__(
@@ -225,7 +228,15 @@
         if self.is_unavailable or kind == self.unavailable_kind:
             await reply(send, 503)
             return
-        await self.store(scope, receive, send)
+        await self.store(scope, receive, self._make_send(send))
+
+    def _make_send(self, send: asgi.Send) -> asgi.Send:
+        async def send_unless_silent(message: MutableMapping[str, Any]) -> None:
+            if self.is_silent:
+                await anyio.sleep_forever()
+            await send(message)
+
+        return send_unless_silent
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -514,6 +514,39 @@
                 await _wait_until(is_route_removed)
 
 
+async def test_relay_whose_store_went_silent_learns_of_a_drain_in_time(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: a drain while the store is silent for one relay only.
+
+    Its calls neither fail nor end. Guards against its members sending to the
+    upstream for more than three seconds.
+    """
+    monkeypatch.setattr(relays, "MAX_FLAT_INSTANCES", 1)
+    async with fleet_cluster.run_cluster() as cluster:
+        leaving = await cluster.add_server(fleet_cluster.Server("p1"))
+        await cluster.add_server(fleet_cluster.Server("p2"))
+        store_proxy, address = await cluster.add_store_proxy()
+        port = deployment.find_port()
+        async with (
+            _run_instance(
+                cluster, "n1", peer_port=port, store_address=address
+            ) as silent,
+            _run_instance(
+                cluster, "n2", "127.0.0.2", peer_port=port, zone="z2"
+            ),
+        ):
+            await anyio.sleep(1.0)
+            store_proxy.is_silent = True
+            cluster.register(leaving, state="draining")
+            await anyio.sleep(2.5)
+            before = len(leaving.runs)
+            for index in range(8):
+                response = await silent.send("/safe/x", f"r{index}")
+                assert response.status == 200
+            assert len(leaving.runs) == before
+
+
 async def test_request_after_a_restart_waits_for_the_lease() -> None:
     """Load pattern: requests arrive right after a restart of all instances.
 
