--- /dev/null
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -0,0 +1,279 @@
+"""Objects of the store: who reads them, and how the others get them.
+
+Relays follow the store and forward changes to their members. A member that is
+without a relay, or whose relays do not reach the store, follows it itself.
+"""
+
+from collections.abc import Iterator
+import random
+
+import anyio
+import msgspec
+
+from tamaracktide import errors
+from tamaracktide.core import catch_up
+from tamaracktide.entry import cluster_state
+from tamaracktide.entry import peers as entry_peers
+from tamaracktide.entry import platform_adapter as entry_adapter
+from tamaracktide.entry import report_exchange
+from tamaracktide.entry import settings as entry_settings
+from tamaracktide.entry import store_follower
+from tamaracktide.object_api import object_store
+from tamaracktide.observability import logs
+from tamaracktide.protocol import codec
+from tamaracktide.protocol import entry_messages
+
+DETACHED_S = 0.5
+"""Time without a relay after which a member follows the store itself. Together
+with the timeout of a link it leaves half of the time in which a drain must be
+observed."""
+
+STORE_SILENT_S = 1.0
+"""Time without a response of the store to any relay after which members try
+to reach it."""
+
+SUBSTITUTE_CHANCE = 0.02
+"""Chance that a member tries it in one report period."""
+
+SUBSTITUTE_S = 30.0
+"""Time for which such a member follows the store."""
+
+FIRST_LIST_DELAY_S = 0.5
+"""Time between the first registration of an instance and its list of all of
+them, as they all start at about the same time. Their relay plan would else
+change with each of them."""
+
+REGISTRATION_WAIT_S = 0.8
+"""Time for which the list of instances waits for the registration."""
+
+RELAY_WATCH_PAUSE_S = 0.6
+"""Pause before the next watch of upstreams in a large cluster. With the
+forwarding to members it is a fifth of the time in which a drain must be
+observed there."""
+
+REGISTRATION_RETRY_S = 1.0
+
+
+class ObjectExchange:
+    """Follows the store where this instance must, and forwards its objects."""
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        collections: entry_adapter.Collections,
+        store: object_store.ValueStore,
+        state: cluster_state.ClusterState,
+        store_health: store_follower.StoreHealth,
+        reports: report_exchange.ReportExchange,
+        peers: entry_peers.Peers,
+    ) -> None:
+        """Starts without following the store.
+
+        Args:
+            settings: The instance's settings.
+            collections: Keys in the store.
+            store: The store.
+            state: The cluster state, which applies the objects.
+            store_health: Tracks whether the store is reachable.
+            reports: What relays report of the store.
+            peers: Links to relays and members.
+        """
+        self._settings = settings
+        self._collections = collections
+        self._store = store
+        self._cluster_state = state
+        self._store_health = store_health
+        self._reports = reports
+        self._peers = peers
+        self._store_use = store_follower.StoreUse()
+        self._catch_up = catch_up.CatchUp()
+        self._registered = anyio.Event()
+        self._detached_at = anyio.current_time()
+        self._substitute_until = float("-inf")
+
+    @property
+    def store_silent_s(self) -> float:
+        """Time since the store responded, as this instance reports it."""
+        if not self._store_use.is_needed:
+            return report_exchange.NOT_USED_S
+        return self._store_health.unreachable_s
+
+    def make_followers(self) -> Iterator[store_follower.Follower]:
+        """Returns the followers of all collections, which must be run."""
+        collections = self._collections
+        for prefix, wait_until_needed, find_watch_pause_s in (
+            (collections.documents, self._store_use.wait, None),
+            (
+                collections.upstreams,
+                self._store_use.wait,
+                self._find_watch_pause_s,
+            ),
+            (collections.versions, self._store_use.wait, None),
+            (collections.instances, self._wait_to_list_instances, None),
+        ):
+            yield store_follower.Follower(
+                prefix,
+                self._store,
+                self._cluster_state,
+                self._store_health,
+                self._forward,
+                wait_until_needed,
+                find_watch_pause_s,
+            )
+
+    def update(self) -> None:
+        """Decides once per report period who follows the store."""
+        self._store_use.update(self._needs_store(anyio.current_time()))
+        if self._peers.is_relay:
+            self._request_missing()
+
+    async def register(self) -> None:
+        """Registers this instance's address once the store is reachable."""
+        settings = self._settings
+        key = self._collections.instances + settings.instance
+        value = msgspec.json.encode(
+            cluster_state.InstanceRecord(
+                ip=settings.ip, zone=settings.availability_zone
+            )
+        )
+        while True:
+            await self._store_health.wait()
+            try:
+                await self._write_registration(key, value)
+            except errors.PlatformError as error:
+                logs.bind(code=error.code.value).warning(
+                    "registration failed; retrying: {}", error.detail
+                )
+                await anyio.sleep(
+                    REGISTRATION_RETRY_S * random.uniform(0.5, 1.5)
+                )
+                continue
+            self._registered.set()
+            return
+
+    def apply(self, sender: str, notice: entry_messages.ObjectsNotice) -> None:
+        """Applies objects of the store that another instance has observed."""
+        if notice.recovered_s >= 0:
+            recovered_at = anyio.current_time() - notice.recovered_s
+            self._cluster_state.record_recovery(recovered_at)
+        changed = self._cluster_state.apply(
+            object_store.Item(
+                item.key, item.version, None if item.deleted else item.value
+            )
+            for item in notice.items
+        )
+        self._forward(changed, sender)
+
+    def send_all(self, peer: entry_peers.Peer, link: entry_peers.Link) -> None:
+        """Sends every known object once on a link to a peer without a store."""
+        items = self._cluster_state.list_items()
+        if link.has_objects or not items or not _lacks_store(peer):
+            return
+        link.has_objects = link.queue.put(self._make_notice(items))
+
+    def send_newer(
+        self, peer: entry_peers.Peer, request: entry_messages.ObjectsRequest
+    ) -> None:
+        """Sends a peer the objects that it lacks."""
+        items = self._cluster_state.list_newer(request.known)
+        if items:
+            peer.send(self._make_notice(items))
+
+    async def _write_registration(self, key: str, value: bytes) -> None:
+        try:
+            await self._store.create(key, value)
+            await anyio.sleep(FIRST_LIST_DELAY_S)
+        except errors.PreconditionFailedError:
+            stored = await self._store.read(key)
+            if stored.value != value:
+                await self._store.update(key, value, stored.version)
+
+    def _forward(
+        self, items: list[object_store.Item], sender: str = ""
+    ) -> None:
+        """Forwards store changes to members and isolated peers."""
+        if not items:
+            return
+        encoded = codec.encode_message(self._make_notice(items))
+        for peer in self._peers.list_linked():
+            is_relay = peer.instance == self._peers.relay
+            if peer.instance == sender or not (is_relay or _lacks_store(peer)):
+                continue
+            if not peer.send(encoded):
+                # The queue is full; all objects follow with a later report.
+                for link in peer.links:
+                    link.has_objects = False
+
+    def _make_notice(
+        self, items: list[object_store.Item]
+    ) -> entry_messages.ObjectsNotice:
+        return entry_messages.ObjectsNotice(
+            items=tuple(_make_object_update(item) for item in items),
+            recovered_s=self._cluster_state.find_recovered_s(),
+        )
+
+    async def _wait_to_list_instances(self) -> None:
+        """Waits until the instances must be listed, as they are at a start."""
+        if self._peers.is_discovered:
+            await self._store_use.wait()
+            return
+        with anyio.move_on_after(REGISTRATION_WAIT_S):
+            await self._registered.wait()
+
+    def _find_watch_pause_s(self) -> float:
+        if not self._peers.plan.is_flat:
+            return RELAY_WATCH_PAUSE_S
+        return store_follower.find_watch_pause_s(
+            1 + len(self._peers.list_relays())
+        )
+
+    def _request_missing(self) -> None:
+        """Asks another relay for changes that the store did not send here."""
+        known = self._cluster_state.find_versions()
+        peers = {
+            peer.instance: peer.report.known
+            for peer in self._peers.list_relays()
+            if peer.report is not None
+        }
+        peer = self._catch_up.update(known, peers, anyio.current_time())
+        if not peer:
+            return
+        logs.bind(
+            peer=peer,
+            documents=known.documents,
+            upstreams=known.upstreams,
+            versions=known.versions,
+        ).info("changes of the store missed; requesting them from a peer")
+        self._peers.send(peer, entry_messages.ObjectsRequest(known=known))
+
+    def _needs_store(self, now: float) -> bool:
+        """Whether this instance must follow the store itself."""
+        if not self._peers.is_discovered:
+            self._detached_at = now
+            return False
+        if self._peers.is_relay or now < self._substitute_until:
+            return True
+        if not self._peers.relay:
+            return now >= self._detached_at + DETACHED_S
+        self._detached_at = now
+        silent_s = self._reports.store_silent_s
+        if silent_s > STORE_SILENT_S and random.random() < SUBSTITUTE_CHANCE:
+            self._substitute_until = now + SUBSTITUTE_S
+        return now < self._substitute_until
+
+
+def _lacks_store(peer: entry_peers.Peer) -> bool:
+    """Whether a peer gets the store's objects from this instance."""
+    report = peer.report
+    if report is None:
+        return False
+    return not report.is_relay or report.store_silent_s > 0
+
+
+def _make_object_update(item: object_store.Item) -> entry_messages.ObjectUpdate:
+    return entry_messages.ObjectUpdate(
+        key=item.key,
+        version=item.version,
+        value=item.value or b"",
+        deleted=item.value is None,
+    )
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -3,15 +3,11 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
-import random
 import uuid
 
 import anyio
 import anyio.abc
-import msgspec
 
-from tamaracktide import errors
-from tamaracktide.core import catch_up
 from tamaracktide.core import popularity
 from tamaracktide.core import retry_window
 from tamaracktide.core import routing_document
@@ -26,6 +22,7 @@
 from tamaracktide.entry import forwarding
 from tamaracktide.entry import lease_manager
 from tamaracktide.entry import loader as entry_loader
+from tamaracktide.entry import object_exchange
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import report_exchange
@@ -40,7 +37,6 @@
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
-from tamaracktide.protocol import codec
 from tamaracktide.protocol import entry_messages
 from tamaracktide.protocol import messages
 from tamaracktide.upstreams import calls
@@ -56,40 +52,11 @@
 TASK_RESTART_DELAY_S = 0.5
 """Delay before a failed task is restarted."""
 
-DETACHED_S = 0.5
-"""Time without a relay after which a member follows the store itself. Together
-with the timeout of a link it leaves half of the time in which a drain must be
-observed."""
-
-STORE_SILENT_S = 1.0
-"""Time without a response of the store to any relay after which members try
-to reach it."""
-
-SUBSTITUTE_CHANCE = 0.02
-"""Chance that a member tries it in one report period."""
-
-SUBSTITUTE_S = 30.0
-"""Time for which such a member follows the store."""
-
-FIRST_LIST_DELAY_S = 0.5
-"""Time between the first registration of an instance and its list of all of
-them, as they all start at about the same time. Their relay plan would else
-change with each of them."""
-
-REGISTRATION_WAIT_S = 0.8
-"""Time for which the list of instances waits for the registration."""
-
-RELAY_WATCH_PAUSE_S = 0.6
-"""Pause before the next watch of upstreams in a large cluster. With the
-forwarding to members it is a fifth of the time in which a drain must be
-observed there."""
-
 CONNECT_TIMEOUT_S = 0.4
 """A hundred times the latency between zones, and half the target for a first
 token."""
 
 MAX_CONNECTIONS = 512
-REGISTRATION_RETRY_S = 1.0
 
 
 class EntryInstance:
@@ -118,15 +85,10 @@
             adapter, anyio.current_time
         )
         self._store_health = store_follower.StoreHealth(self._cluster_state)
-        self._store_use = store_follower.StoreUse()
-        self._catch_up = catch_up.CatchUp()
-        self._registered = anyio.Event()
         self._started_at = anyio.current_time()
-        self._detached_at = anyio.current_time()
         self._applied: tuple[
             routing_document.RouteTable | None, dict[tuple[str, str], int]
         ] = (None, {})
-        self._substitute_until = float("-inf")
         self._exchange = self._make_exchange()
         self._peers = entry_peers.Peers(
             settings,
@@ -141,6 +103,15 @@
             tasks,
         )
         self._exchange.peers = self._peers
+        self._objects = object_exchange.ObjectExchange(
+            settings,
+            adapter.collections,
+            store,
+            self._cluster_state,
+            self._store_health,
+            self._exchange,
+            self._peers,
+        )
         self._relay = store_relay.StoreRelay(store, self._peers, tasks)
         self._leases = lease_manager.LeaseManager(
             settings,
@@ -237,32 +208,13 @@
             zone=settings.availability_zone,
             ip=settings.ip,
         ).info("instance started")
-        collections = self._adapter.collections
-        for prefix, wait_until_needed, find_watch_pause_s in (
-            (collections.documents, self._store_use.wait, None),
-            (
-                collections.upstreams,
-                self._store_use.wait,
-                self._find_watch_pause_s,
-            ),
-            (collections.versions, self._store_use.wait, None),
-            (collections.instances, self._wait_to_list_instances, None),
-        ):
-            follower = store_follower.Follower(
-                prefix,
-                self._store,
-                self._cluster_state,
-                self._store_health,
-                self._forward_objects,
-                wait_until_needed,
-                find_watch_pause_s,
-            )
+        for follower in self._objects.make_followers():
             self._tasks.start_soon(_run_with_restarts, follower.run)
         self._tasks.start_soon(self._peers.run)
         self._tasks.start_soon(self._dial_seeds_if_undiscovered)
         for run in (
             self._leases.run,
-            self._register,
+            self._objects.register,
             self._refresh_all,
             self._drop_lapsed,
         ):
@@ -282,100 +234,9 @@
         if not self._cluster_state.instances:
             self.dial_seeds(self._settings.seeds)
 
-    async def _wait_to_list_instances(self) -> None:
-        """Waits until the instances must be listed, as they are at a start."""
-        if self._peers.is_discovered:
-            await self._store_use.wait()
-            return
-        with anyio.move_on_after(REGISTRATION_WAIT_S):
-            await self._registered.wait()
-
-    def _find_watch_pause_s(self) -> float:
-        if not self._peers.plan.is_flat:
-            return RELAY_WATCH_PAUSE_S
-        return store_follower.find_watch_pause_s(
-            1 + len(self._peers.list_relays())
-        )
-
     def _send_reports(self) -> None:
-        self._store_use.update(self._needs_store(anyio.current_time()))
+        self._objects.update()
         self._exchange.send_reports()
-        if self._peers.is_relay:
-            self._request_missing_objects()
-
-    def _request_missing_objects(self) -> None:
-        """Asks another relay for changes that the store did not send here."""
-        known = self._cluster_state.find_versions()
-        peers = {
-            peer.instance: peer.report.known
-            for peer in self._peers.list_relays()
-            if peer.report is not None
-        }
-        peer = self._catch_up.update(known, peers, anyio.current_time())
-        if not peer:
-            return
-        logs.bind(
-            peer=peer,
-            documents=known.documents,
-            upstreams=known.upstreams,
-            versions=known.versions,
-        ).info("changes of the store missed; requesting them from a peer")
-        self._peers.send(peer, entry_messages.ObjectsRequest(known=known))
-
-    def _send_newer_objects(
-        self, peer: entry_peers.Peer, request: entry_messages.ObjectsRequest
-    ) -> None:
-        items = self._cluster_state.list_newer(request.known)
-        if items:
-            peer.send(self._make_objects_notice(items))
-
-    def _needs_store(self, now: float) -> bool:
-        """Whether this instance must follow the store itself."""
-        if not self._peers.is_discovered:
-            self._detached_at = now
-            return False
-        if self._peers.is_relay or now < self._substitute_until:
-            return True
-        if not self._peers.relay:
-            return now >= self._detached_at + DETACHED_S
-        self._detached_at = now
-        silent_s = self._exchange.store_silent_s
-        if silent_s > STORE_SILENT_S and random.random() < SUBSTITUTE_CHANCE:
-            self._substitute_until = now + SUBSTITUTE_S
-        return now < self._substitute_until
-
-    async def _register(self) -> None:
-        """Registers this instance's address once the store is reachable."""
-        settings = self._settings
-        key = self._adapter.collections.instances + settings.instance
-        value = msgspec.json.encode(
-            cluster_state.InstanceRecord(
-                ip=settings.ip, zone=settings.availability_zone
-            )
-        )
-        while True:
-            await self._store_health.wait()
-            try:
-                await self._write_registration(key, value)
-            except errors.PlatformError as error:
-                logs.bind(code=error.code.value).warning(
-                    "registration failed; retrying: {}", error.detail
-                )
-                await anyio.sleep(
-                    REGISTRATION_RETRY_S * random.uniform(0.5, 1.5)
-                )
-                continue
-            self._registered.set()
-            return
-
-    async def _write_registration(self, key: str, value: bytes) -> None:
-        try:
-            await self._store.create(key, value)
-            await anyio.sleep(FIRST_LIST_DELAY_S)
-        except errors.PreconditionFailedError:
-            stored = await self._store.read(key)
-            if stored.value != value:
-                await self._store.update(key, value, stored.version)
 
     def _apply_state_change(self) -> None:
         """Applies changes of the cluster state to every part."""
@@ -566,15 +427,12 @@
             for upstream, counts in cell.running.items():
                 if counts:
                     running[upstream] = dict(counts)
-        store_silent_s = report_exchange.NOT_USED_S
-        if self._store_use.is_needed:
-            store_silent_s = self._store_health.unreachable_s
         return report_exchange.OwnState(
             running=running,
             rights=self._leases.list_lease_terms(),
             loads=self._engine_controller.count_loads(),
             known=self._cluster_state.find_versions(),
-            store_silent_s=store_silent_s,
+            store_silent_s=self._objects.store_silent_s,
             quarantined=self._crashes.list_announced(),
             draining=self._servers.draining,
         )
@@ -588,7 +446,7 @@
         match message:
             case entry_messages.InstanceReport():
                 self._exchange.apply_report(peer, link, message)
-                self._send_all_objects(peer, link)
+                self._objects.send_all(peer, link)
             case entry_messages.ClusterReport():
                 self._exchange.apply_cluster_report(peer, message)
             case entry_messages.EngineNotice():
@@ -612,9 +470,9 @@
             case entry_messages.WriteReply():
                 self._relay.apply_reply(message)
             case entry_messages.ObjectsNotice():
-                self._apply_objects(peer.instance, message)
+                self._objects.apply(peer.instance, message)
             case entry_messages.ObjectsRequest():
-                self._send_newer_objects(peer, message)
+                self._objects.send_newer(peer, message)
             case _:
                 logs.bind(peer=peer.instance).warning(
                     "unexpected message type ignored: {}",
@@ -646,67 +504,6 @@
                 [entry for entry in entries if entry.service == name]
             )
 
-    def _apply_objects(
-        self, sender: str, notice: entry_messages.ObjectsNotice
-    ) -> None:
-        """Applies objects of the store that another instance has observed."""
-        if notice.recovered_s >= 0:
-            recovered_at = anyio.current_time() - notice.recovered_s
-            self._cluster_state.record_recovery(recovered_at)
-        changed = self._cluster_state.apply(
-            object_store.Item(
-                item.key, item.version, None if item.deleted else item.value
-            )
-            for item in notice.items
-        )
-        self._forward_objects(changed, sender)
-
-    def _forward_objects(
-        self, items: list[object_store.Item], sender: str = ""
-    ) -> None:
-        """Forwards store changes to members and isolated peers."""
-        if not items:
-            return
-        encoded = codec.encode_message(self._make_objects_notice(items))
-        for peer in self._peers.list_linked():
-            is_relay = peer.instance == self._peers.relay
-            if peer.instance != sender and (is_relay or _lacks_store(peer)):
-                peer.send(encoded)
-
-    def _send_all_objects(
-        self, peer: entry_peers.Peer, link: entry_peers.Link
-    ) -> None:
-        """Sends every known object once on a link to a peer without a store."""
-        items = self._cluster_state.list_items()
-        if link.has_objects or not items or not _lacks_store(peer):
-            return
-        link.has_objects = link.queue.put(self._make_objects_notice(items))
-
-    def _make_objects_notice(
-        self, items: list[object_store.Item]
-    ) -> entry_messages.ObjectsNotice:
-        return entry_messages.ObjectsNotice(
-            items=tuple(_make_object_update(item) for item in items),
-            recovered_s=self._cluster_state.find_recovered_s(),
-        )
-
-
-def _lacks_store(peer: entry_peers.Peer) -> bool:
-    """Whether a peer gets the store's objects from this instance."""
-    report = peer.report
-    if report is None:
-        return False
-    return not report.is_relay or report.store_silent_s > 0
-
-
-def _make_object_update(item: object_store.Item) -> entry_messages.ObjectUpdate:
-    return entry_messages.ObjectUpdate(
-        key=item.key,
-        version=item.version,
-        value=item.value or b"",
-        deleted=item.value is None,
-    )
-
 
 async def _run_with_restarts(run: Callable[[], Awaitable[None]]) -> None:
     """Restarts a task that fails, so that requests continue to be served."""
