--- a/src/tamaracktide/settings/files.py
+++ b/src/tamaracktide/settings/files.py
@@ -1,12 +1,10 @@
 """Settings files: JSON, validated against the schema of a data class."""
 
-import functools
 import json
 import pathlib
 from typing import Any
 from typing import TypeVar
 
-import jsonschema
 import msgspec
 
 from tamaracktide import errors
@@ -29,10 +27,10 @@
 
 def find_faults(value: object, data_class: type) -> list[str]:
     """Returns all validation faults as `path: message`, sorted."""
-    faults: list[str] = []
-    for error in _make_validator(data_class).iter_errors(value):
-        faults.extend(_describe_error(error))
-    return sorted(faults)
+    # The validator takes a tenth of a second to import, and few starts need it.
+    from tamaracktide.settings import faults
+
+    return faults.find_faults(value, make_schema(data_class))
 
 
 def parse_settings(text: str, data_class: type[_T]) -> _T:
@@ -48,12 +46,13 @@
         raise errors.SettingsError(
             result_codes.ResultCode.SETTINGS_INVALID, f"not JSON: {error}"
         ) from error
-    faults = find_faults(value, data_class)
-    if faults:
-        raise errors.SettingsError(
-            result_codes.ResultCode.SETTINGS_INVALID, "; ".join(faults)
-        )
-    return msgspec.convert(value, data_class)
+    try:
+        converted = msgspec.convert(value, data_class)
+    except msgspec.ValidationError as error:
+        raise _make_error(value, data_class, str(error)) from error
+    if not _has_known_fields(value, msgspec.to_builtins(converted)):
+        raise _make_error(value, data_class, "a field is not known")
+    return converted
 
 
 def read_settings(path: str, data_class: type[_T]) -> _T:
@@ -71,24 +70,24 @@
     return parse_settings(text, data_class)
 
 
-@functools.cache
-def _make_validator(data_class: type) -> jsonschema.Draft202012Validator:
-    return jsonschema.Draft202012Validator(make_schema(data_class))
-
-
-def _describe_error(error: jsonschema.ValidationError) -> list[str]:
-    """Returns the faults of a schema error, each with its field path."""
-    path = error.json_path
-    rule: Any = error.validator_value
-    schema: Any = error.schema
-    match error.validator:
-        case "additionalProperties" if isinstance(error.instance, dict):
-            extra = error.instance.keys() - schema["properties"].keys()
-            return [f"{path}.{name}: is not a known field" for name in extra]
-        case "required":
-            # jsonschema raises a separate error for each missing field, which
-            # only the message names.
-            missing = [n for n in rule if error.message.startswith(repr(n))]
-            return [f"{path}.{name}: is a required field" for name in missing]
-        case _:
-            return [f"{path}: {error.message}"]
+def _has_known_fields(value: object, known: object) -> bool:
+    """Whether a value has no fields beyond those that were converted."""
+    match value, known:
+        case dict(), dict():
+            return value.keys() <= known.keys() and all(
+                _has_known_fields(item, known[name])
+                for name, item in value.items()
+            )
+        case list(), list() | tuple():
+            return all(map(_has_known_fields, value, known))
+    return True
+
+
+def _make_error(
+    value: object, data_class: type, detail: str
+) -> errors.SettingsError:
+    """Returns an error with all faults, or with a detail if none is found."""
+    faults = find_faults(value, data_class)
+    return errors.SettingsError(
+        result_codes.ResultCode.SETTINGS_INVALID, "; ".join(faults) or detail
+    )
