Drop the sums of a lost relay when a member becomes one itself

Cause: a member whose relay closed its link kept the relay's sums, which is meant until the next relay's first report; if it then became the relay of its zone, they stayed for good and every request counted twice. It passed before because the in-memory network closed the connections of a killed instance only by silence. The test of a killed relay failed with connections that close at once.

--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -13,6 +13,7 @@
 
 import anyio
 import anyio.abc
+from anyio.streams import memory
 
 from tamaracktide import errors
 from tamaracktide import result_codes
@@ -42,15 +43,15 @@
 class MemoryConnection(connection.Connection):
     """One end of a connection that passes encoded messages in memory."""
 
-    __slots__ = ("_inbox", "_network", "_own", "_to_peer")
+    __slots__ = ("_inbox", "_network", "_to_peer", "own")
 
     def __init__(
         self,
         network: "Network",
         own: messages.Hello,
         peer: messages.Hello,
-        inbox: anyio.abc.ObjectReceiveStream[bytes],
-        to_peer: anyio.abc.ObjectSendStream[bytes],
+        inbox: memory.MemoryObjectReceiveStream[bytes],
+        to_peer: memory.MemoryObjectSendStream[bytes],
     ) -> None:
         """Creates an end whose handshake is complete."""
         self.peer = peer
@@ -58,7 +59,7 @@
         self.received = 0
         self.sent = 0
         self._network = network
-        self._own = own
+        self.own = own
         self._inbox = inbox
         self._to_peer = to_peer
 
@@ -73,9 +74,9 @@
             errors.ProtocolError: The connection is closed.
         """
         self.sent += 1
-        if not self._network.is_connected(self._own, self.peer):
+        if not self._network.is_connected(self.own, self.peer):
             return
-        self._network.count(self._own, self.peer, len(data))
+        self._network.count(self.own, self.peer, len(data))
         try:
             await self._to_peer.send(data)
         except (anyio.BrokenResourceError, anyio.ClosedResourceError):
@@ -92,7 +93,7 @@
                 data = await self._inbox.receive()
             except (anyio.EndOfStream, anyio.ClosedResourceError):
                 raise _Closed from None
-            if not self._network.is_connected(self._own, self.peer):
+            if not self._network.is_connected(self.own, self.peer):
                 continue
             self.received += 1
             message = codec.decode_message(data)
@@ -105,10 +106,14 @@
         detail: str = "",
     ) -> None:
         """Closes both directions, after a time-out if the network is cut."""
-        if not self._network.is_connected(self._own, self.peer):
+        if not self._network.is_connected(self.own, self.peer):
             await anyio.sleep(connection.GOODBYE_TIMEOUT_S)
-        await self._to_peer.aclose()
-        await self._inbox.aclose()
+        self.close_at_once()
+
+    def close_at_once(self) -> None:
+        """Closes both directions without waiting; idempotent."""
+        self._to_peer.close()
+        self._inbox.close()
 
 
 @dataclasses.dataclass(slots=True)
@@ -267,6 +272,7 @@
         self.instances: dict[str, Instance] = {}
         self.cut_off: set[str] = set()
         self.traffic: dict[str, Traffic] = {}
+        self._connections: list[MemoryConnection] = []
         self._handlers: dict[str, tuple[messages.Hello, server.Handler]] = {}
         self._tasks = tasks
 
@@ -280,6 +286,9 @@
     def stop(self, name: str) -> None:
         """Kills an instance; its connections close at once."""
         self.instances.pop(name).scope.cancel()
+        for end in self._connections:
+            if name in (end.own.instance, end.peer.instance):
+                end.close_at_once()
 
     def is_connected(
         self, sender: messages.Hello, receiver: messages.Hello
@@ -325,7 +334,9 @@
         )
         accepted = MemoryConnection(self, peer, hello, from_client, to_client)
         self._tasks.start_soon(_serve_connection, handler, accepted)
-        return MemoryConnection(self, hello, peer, from_peer, to_peer)
+        opened = MemoryConnection(self, hello, peer, from_peer, to_peer)
+        self._connections += (accepted, opened)
+        return opened
 
     async def serve(
         self,
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -371,8 +371,7 @@
             ).info("relay plan changed")
         self.plan = plan
         is_relay = self.is_relay
-        if is_relay and self.relay:
-            self._callbacks.handle_loss(self.relay)
+        if is_relay:
             self.relay = ""
         wanted = plan.relays | plan.group if is_relay else {plan.relay}
         wanted = wanted - {self._settings.instance}
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -184,8 +184,15 @@
         self._report_to_members(own)
 
     def _change_role(self, is_relay: bool) -> None:
-        """Makes the next report on each link a full one of the new kind."""
+        """Makes the next report on each link a full one of the new kind.
+
+        A relay gets the sums of the other relays from themselves, so those of
+        the relay that it had are dropped.
+        """
         self._was_relay = is_relay
+        if is_relay:
+            self._detach()
+            self._apply_changes()
         for peer in self._get_peers().list_linked():
             for link in peer.links:
                 link.is_current = False
@@ -213,8 +220,6 @@
         """Drops the counts of an instance whose last link has closed."""
         self._table.remove(instance)
         self._acknowledged.pop(instance, None)
-        if instance == self._get_peers().relay:
-            self._detach()
         self._apply_changes()
         self._dependencies.apply_holders()
 
@@ -305,7 +310,7 @@
             self._dependencies.apply_counts(changed)
 
     def _detach(self) -> None:
-        """Drops the sums of the relay; relays report their own sums."""
+        """Drops the sums of the relay that this member had."""
         self._table.remove(_CLUSTER)
         self._table.remove(_OWN)
 
