Apply entries that a notice of an engine took precedence over

Cause: an entry in the store is skipped for three seconds after a notice of the lease holder. All entries used to be applied anew at each change of the store; since only those that changed are, a skipped one was lost.

--- a/src/tamaracktide/entry/engine_views.py
+++ b/src/tamaracktide/entry/engine_views.py
@@ -55,6 +55,7 @@
     def __init__(self) -> None:
         """Starts without engines."""
         self._views: dict[str, EngineView] = {}
+        self._deferred: dict[str, upstream_entries.UpstreamEntry] = {}
 
     def find(self, upstream: str) -> EngineView:
         """Returns the view of an engine, an empty one for an unknown engine."""
@@ -63,12 +64,17 @@
     def apply_entry(
         self, entry: upstream_entries.UpstreamEntry, now: float
     ) -> None:
-        """Applies an engine's entry in the store."""
+        """Applies an engine's entry in the store.
+
+        An entry that a recent notice takes precedence over is deferred.
+        """
         view = self.find(entry.upstream)
         is_notice_recent = now < view.reported_at + NOTICE_PRECEDENCE_S
+        self._deferred.pop(entry.upstream, None)
         if entry.started_ms < view.started_ms:
             return
         if entry.started_ms == view.started_ms and is_notice_recent:
+            self._deferred[entry.upstream] = entry
             return
         self._views[entry.upstream] = EngineView(
             entry.started_ms,
@@ -82,6 +88,21 @@
             },
         )
 
+    def apply_deferred(self, now: float) -> list[str]:
+        """Applies the entries whose notice no longer takes precedence.
+
+        Returns:
+            The engines that they belong to.
+        """
+        due = [
+            entry
+            for name, entry in self._deferred.items()
+            if now >= self.find(name).reported_at + NOTICE_PRECEDENCE_S
+        ]
+        for entry in due:
+            self.apply_entry(entry, now)
+        return [entry.upstream for entry in due]
+
     def apply_notice(
         self, notice: entry_messages.EngineNotice, now: float
     ) -> None:
@@ -139,6 +160,7 @@
     def forget(self, upstream: str) -> None:
         """Drops the view of an engine that was removed."""
         self._views.pop(upstream, None)
+        self._deferred.pop(upstream, None)
 
 
 def make_state(
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -47,7 +47,8 @@
 applied at once; this bounds the age of whatever depends on the time alone."""
 
 LAPSE_CHECK_PERIOD_S = 0.25
-"""Interval at which upstreams whose entry was not restored are dropped."""
+"""Interval at which upstreams whose entry was not restored are dropped, and
+entries applied that a notice took precedence over."""
 
 TASK_RESTART_DELAY_S = 0.5
 """Delay before a failed task is restarted."""
@@ -216,7 +217,7 @@
             self._leases.run,
             self._objects.register,
             self._refresh_all,
-            self._drop_lapsed,
+            self._apply_lapsed,
         ):
             self._tasks.start_soon(_run_with_restarts, run)
         await self._servers.run()
@@ -338,10 +339,19 @@
             await anyio.sleep(REFRESH_PERIOD_S)
             self._refresh()
 
-    async def _drop_lapsed(self) -> None:
+    async def _apply_lapsed(self) -> None:
+        """Applies what only the passing of time brings into force."""
         while True:
             await anyio.sleep(LAPSE_CHECK_PERIOD_S)
             self._cluster_state.drop_lapsed()
+            upstreams = self._cluster_state.upstreams
+            self._refresh_upstreams(
+                [
+                    upstreams[name]
+                    for name in self._views.apply_deferred(anyio.current_time())
+                    if name in upstreams
+                ]
+            )
 
     def _refresh(self) -> None:
         for cell in self._cells.values():
