Remove the unread time of a peer's last contact; say which links grow

It was read by the counts that the relay reports replaced. The doc comment of the relays claimed that no instance's links grow; those between relays do. No change of behaviour.

--- a/src/tamaracktide/core/relays.py
+++ b/src/tamaracktide/core/relays.py
@@ -3,8 +3,7 @@
 In a small cluster every instance has a link to every other one. In a larger
 cluster a few instances of each availability zone are relays: every other
 instance has one link, to a relay of its zone, and the relays have links to each
-other. The number of links and messages of an instance thus does not depend on
-the number of instances.
+other. Only the links between relays grow with the number of instances.
 
 Relays need no agreement: each instance ranks the instances of a zone by
 rendezvous hashing and skips those that it cannot reach. Instances with
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -129,7 +129,6 @@
     Attributes:
         instance: Instance id.
         report: Its latest report, None before the first.
-        last_contact_at: Time of the last contact.
         links: Its open links; the last one is used.
         stream: The link of its latest complete report; changes are applied
             from this link only.
@@ -139,7 +138,6 @@
 
     instance: str
     report: entry_messages.InstanceReport | None = None
-    last_contact_at: float = float("-inf")
     links: list[Link] = dataclasses.field(default_factory=list)
     stream: Link | None = None
     incarnation: str = ""
@@ -521,7 +519,6 @@
                 try:
                     while True:
                         message = await link.connection.receive()
-                        peer.last_contact_at = anyio.current_time()
                         self._outages.pop(peer.instance, None)
                         self._callbacks.handle(peer, link, message)
                 except errors.ProtocolError:
