Test blocked writes against a peer that really does not read

Cause: the streams that anyio accepts are not paused, so the test's peer read all 32 MiB in the background and the write finished, depending on speed, before its 0.1 s were over. Ruled out: kernel buffers (a peer that reads nothing takes 4.3 MB here).

--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -141,14 +141,13 @@
 
 async def test_write_to_a_peer_that_does_not_read_times_out() -> None:
     """A blocked write does not hold a request beyond its time."""
-
-    async def sleep(stream: anyio.abc.SocketStream) -> None:
-        del stream
-        await anyio.sleep(1.0)
-
-    async with connect(sleep) as stream:
-        with pytest.raises(httpcore.WriteTimeout):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        # Never accepted: streams that anyio accepts read without being asked.
+        port = listener.getsockname()[1]
+        stream = await network.Backend().connect_tcp("127.0.0.1", port, 1.0)
+        with pytest.raises(httpcore.WriteTimeout), anyio.fail_after(1.0):
             await stream.write(b"x" * (32 << 20), 0.1)
+        await stream.aclose()
 
 
 async def test_refused_connection_is_an_error() -> None:
