Mend KNOWN-RED 1 to 3: leftovers of tests, links to old addresses

Entries 1 and 2, tests blamed for streams and sockets that others left open. Traced: strategies.from_type of hypothesis and test_outbox turn every warning into an error for a while, so a collection in that time reports the leftovers of any earlier test of the worker.

Traced by the membership events: a scheduler kept dialling the address at which a peer was listed when the link was first opened, for good. After a restart at another address each failed retry marked the peer unresponsive, and cells went back and forth (epochs 4, 5, 6). Also, a failed attempt that had begun before the peer's last message counted as newer than it. Ruled out: the probes of the reconciliation, which look the address up. Links now look it up on each attempt, and an attempt counts from when it began.

--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -290,6 +290,11 @@
             if name in (end.own.instance, end.peer.instance):
                 end.close_at_once()
 
+    def close(self) -> None:
+        """Closes all connections at once."""
+        for end in self._connections:
+            end.close_at_once()
+
     def is_connected(
         self, sender: messages.Hello, receiver: messages.Hello
     ) -> bool:
@@ -377,3 +382,4 @@
         await anyio.sleep(0)
         yield network
         tasks.cancel_scope.cancel()
+    network.close()
--- a/src/tamaracktide/core/membership.py
+++ b/src/tamaracktide/core/membership.py
@@ -72,9 +72,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unresponsive:
-    """An instance did not respond over a new connection."""
+    """An instance did not respond over a new connection.
+
+    Attributes:
+        instance: The instance.
+        attempted_at: When the attempt began, seconds; infinite for now.
+    """
 
     instance: str
+    attempted_at: float = float("inf")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,7 +143,12 @@
                 if self._unresponsive.pop(instance, None) is None:
                     self._expire_evidence(now)
                     return
-            case Unresponsive(instance):
+            case Unresponsive(instance, attempted_at):
+                if attempted_at < self._last_contact.get(
+                    instance, -float("inf")
+                ):
+                    # It has restarted at another address since.
+                    return
                 self._unresponsive[instance] = now
                 self._last_contact.pop(instance, None)
             case Left(instance):
--- a/src/tamaracktide/scheduler/peers.py
+++ b/src/tamaracktide/scheduler/peers.py
@@ -110,12 +110,15 @@
             now = anyio.current_time()
             return self.membership.is_reachable(instance, now) is True
         self._probes[instance] = anyio.Event()
+        attempted_at = anyio.current_time()
         try:
             reachable = await self._connect_once(instance)
         finally:
             self._probes.pop(instance).set()
-        event = membership.Responded if reachable else membership.Unresponsive
-        self.record_event(event(instance))
+        if reachable:
+            self.record_event(membership.Responded(instance))
+        else:
+            self.record_event(membership.Unresponsive(instance, attempted_at))
         return reachable
 
     async def probe_all(self, instances: list[str]) -> None:
@@ -253,29 +256,32 @@
         return [candidates[instance] for instance in chosen]
 
     def _update_links(self, tasks: anyio.abc.TaskGroup) -> None:
-        chosen = {member.instance: member for member in self._choose_peers()}
-        for instance in set(self._links) - set(chosen):
+        chosen = {member.instance for member in self._choose_peers()}
+        for instance in set(self._links) - chosen:
             self._links.pop(instance).cancel()
-        for instance, member in chosen.items():
-            if instance not in self._links:
-                scope = self._links[instance] = anyio.CancelScope()
-                tasks.start_soon(self._keep_link, member, scope)
+        for instance in chosen - set(self._links):
+            scope = self._links[instance] = anyio.CancelScope()
+            tasks.start_soon(self._keep_link, instance, scope)
 
-    async def _keep_link(
-        self, member: membership.Member, scope: anyio.CancelScope
-    ) -> None:
+    async def _keep_link(self, instance: str, scope: anyio.CancelScope) -> None:
         with scope:
             while True:
-                await self._link_once(member)
+                # A restarted instance may be listed with another address.
+                member = self.membership.find(instance)
+                if member is not None:
+                    await self._link_once(member)
                 await anyio.sleep(LINK_RETRY_S)
 
     async def _link_once(self, member: membership.Member) -> None:
+        attempted_at = anyio.current_time()
         try:
             peer_connection = await client.open_connection(
                 member.inner_address, self._hello, self._settings.inner
             )
         except errors.ProtocolError:
-            self.record_event(membership.Unresponsive(member.instance))
+            self.record_event(
+                membership.Unresponsive(member.instance, attempted_at)
+            )
             return
         try:
             await self.serve(peer_connection)
--- a/src/tamaracktide/standins/service/server.py
+++ b/src/tamaracktide/standins/service/server.py
@@ -80,6 +80,14 @@
         super().__init__(config)
         self._stop_timeout_s = stop_timeout_s
 
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serves; also closes the listening sockets when cancelled."""
+        try:
+            await super().serve(sockets)
+        finally:
+            for server in getattr(self, "servers", ()):
+                server.close()
+
     async def shutdown(
         self, sockets: list[socket.socket] | None = None
     ) -> None:
--- a/tests/bench/test_gateway_bench.py
+++ b/tests/bench/test_gateway_bench.py
@@ -80,7 +80,7 @@
     )
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     address = f"127.0.0.1:{port}"
-    async with anyio.create_task_group() as tasks:
+    async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, serve_stream)
         yield call_factories.EngineCallFactory(
             make_settings(address),
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -57,6 +57,17 @@
     assert members.is_reachable(first, 10.5 + SETTINGS.heard_s) is None
 
 
+def test_failed_attempt_is_older_than_a_later_contact() -> None:
+    """A restarted instance may respond while its old address is dialled."""
+    members = make_membership()
+    first = "s2"
+    members.handle(membership.Responded(first), 10.5)
+    members.handle(membership.Unresponsive(first, attempted_at=10.4), 11.0)
+    assert first in members.list_owners(CELL, 11.0)
+    members.handle(membership.Unresponsive(first, attempted_at=10.6), 11.0)
+    assert first not in members.list_owners(CELL, 11.0)
+
+
 def test_reported_departure_takes_precedence_over_the_list() -> None:
     """A leaving instance gets no work while the list shows it as live."""
     members = make_membership()
--- a/tests/gateway/gateway_fakes.py
+++ b/tests/gateway/gateway_fakes.py
@@ -535,6 +535,13 @@
     listener = await anyio.create_tcp_listener(
         local_host="127.0.0.1", local_port=0
     )
-    tasks.start_soon(listener.serve, handler)
+    tasks.start_soon(_serve, listener, handler)
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     return f"127.0.0.1:{port}"
+
+
+async def _serve(
+    listener: anyio.abc.Listener[anyio.abc.SocketStream], handler: Handler
+) -> None:
+    async with listener:
+        await listener.serve(handler)
--- a/tests/load/test_load.py
+++ b/tests/load/test_load.py
@@ -244,7 +244,7 @@
     )
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     running.address = f"127.0.0.1:{port}"
-    async with anyio.create_task_group() as tasks:
+    async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, running.handle)
         yield running
         tasks.cancel_scope.cancel()
--- a/tests/scheduler/scheduler_fixtures.py
+++ b/tests/scheduler/scheduler_fixtures.py
@@ -83,6 +83,11 @@
         self._calls = platform_calls.HttpClient(self.settings)
         self._tasks = tasks
 
+    async def close(self) -> None:
+        """Closes the connections to the platform."""
+        await self.objects.close()
+        await self._calls.close()
+
     async def list_instance(self, name: str, **fields: str) -> None:
         """Adds an instance to the platform's list."""
         entry = msgspec.json.encode({"zone": ZONE, **fields})
@@ -206,24 +211,28 @@
         task_status: anyio.abc.TaskStatus[RunningScheduler],
     ) -> None:
         instance_client = instances.InstanceClient(self.settings)
-        with anyio.CancelScope() as scope:
-            async with (
-                calls.UpstreamClient(settings.upstreams) as upstream_client,
-                anyio.create_task_group() as tasks,
-            ):
-                running_program = program.Program(
-                    settings,
-                    self.objects,
-                    instance_client,
-                    upstream_client,
-                    tasks,
-                )
-                inner = settings.inner
-                address = f"{inner.host}:{inner.port}"
-                task_status.started(
-                    RunningScheduler(running_program, address, scope)
-                )
-                await running_program.run_parts()
+        try:
+            with anyio.CancelScope() as scope:
+                async with (
+                    calls.UpstreamClient(settings.upstreams) as upstream_client,
+                    anyio.create_task_group() as tasks,
+                ):
+                    running_program = program.Program(
+                        settings,
+                        self.objects,
+                        instance_client,
+                        upstream_client,
+                        tasks,
+                    )
+                    inner = settings.inner
+                    address = f"{inner.host}:{inner.port}"
+                    task_status.started(
+                        RunningScheduler(running_program, address, scope)
+                    )
+                    await running_program.run_parts()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await instance_client.close()
 
 
 @contextlib.asynccontextmanager
@@ -238,8 +247,10 @@
         server.run_embedded(app) as address,
         anyio.create_task_group() as tasks,
     ):
-        yield SchedulerCluster(address, tasks)
+        cluster = SchedulerCluster(address, tasks)
+        yield cluster
         tasks.cancel_scope.cancel()
+    await cluster.close()
 
 
 def make_request(
--- a/tests/scheduler/test_takeover.py
+++ b/tests/scheduler/test_takeover.py
@@ -13,6 +13,7 @@
 from tamaracktide.protocol import connection
 from tamaracktide.protocol import messages
 from tamaracktide.protocol import server
+from tamaracktide.scheduler import peers
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import engine as engine_client
 from tamaracktide.upstreams import settings as upstream_settings
@@ -101,6 +102,33 @@
     assert names == {grant.lora_name}
 
 
+async def test_restart_at_another_address_moves_the_cell_once(
+    cluster: fixtures.SchedulerCluster,
+) -> None:
+    """The links of the other scheduler do not dial the old address."""
+    owner, other = order_by_preference("s1", "s2")
+    second = await cluster.start_scheduler(other)
+    preferred = await cluster.start_scheduler(owner)
+    gateway = await cluster.connect_gateway(preferred)
+    await request_until_epoch(gateway, "a", 1)
+    await preferred.program.service.stop()
+    preferred.scope.cancel()
+    restarted = await cluster.start_scheduler(owner)
+    gateway = await cluster.connect_gateway(restarted)
+    with anyio.fail_after(fixtures.WAIT_S):
+        while second.program.service.cells:
+            await anyio.sleep(0.05)
+    epochs = set()
+    ends_at = anyio.current_time() + 2 * peers.LINK_RETRY_S
+    for number in itertools.count():
+        grant = await request_until_epoch(gateway, f"b-{number}", 1)
+        epochs.add(grant.epoch)
+        if anyio.current_time() > ends_at:
+            break
+        await anyio.sleep(0.05)
+    assert len(epochs) == 1
+
+
 async def kill_owner(
     cluster: fixtures.SchedulerCluster,
 ) -> tuple[fixtures.RunningScheduler, str, messages.GrantReply]:
--- a/tests/upstreams/test_upstreams.py
+++ b/tests/upstreams/test_upstreams.py
@@ -90,7 +90,7 @@
     )
     port = listener.extra(anyio.abc.SocketAttribute.local_port)
     scripted_server.address = f"127.0.0.1:{port}"
-    async with anyio.create_task_group() as tasks:
+    async with listener, anyio.create_task_group() as tasks:
         tasks.start_soon(listener.serve, scripted_server.handle)
         yield scripted_server
         tasks.cancel_scope.cancel()
