Forward requests with the stream client; plan relays only on changes

Cause: of the processor time of an entry instance, requests take most, and forwarding events most of that (docs/PLATFORM.md); every chunk passed through httpcore's pool, connection and h11 in Python. The product already had a client for streamed responses on httptools, with the same interface, that the gateways use. Entry instances now use it for requests, orders and reports; it reads through the streams that read ahead and closes idle connections that have expired. It now also handles what any plain service may send: bodies ended by the connection, responses to HEAD, interim responses, bytes after a response; a request that is not taken is a time-out.

The relay plan, a rendezvous ranking of all instances made four times a second, is made again only when the instances or the unreachable ones change.

--- a/src/tamaracktide/entry/engine_controller.py
+++ b/src/tamaracktide/entry/engine_controller.py
@@ -19,6 +19,7 @@
 from tamaracktide.observability import logs
 from tamaracktide.protocol import entry_messages
 from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import streams
 
 ADAPTER_LOAD_S = 0.25
 """Time to fetch an adapter while the weight store is not saturated."""
@@ -94,7 +95,7 @@
 
     holder: str
     adapter: entry_adapter.PlatformAdapter
-    upstream_client: calls.UpstreamClient
+    upstream_client: streams.StreamClient
     leases: lease_manager.LeaseManager
     popularity: popularity.Popularity
     is_in_use: Callable[[str, str], bool]
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -20,6 +20,7 @@
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import streams
 
 Codes = result_codes.ResultCode
 
@@ -76,7 +77,7 @@
     def __init__(
         self,
         adapter: entry_adapter.PlatformAdapter,
-        upstream_client: calls.UpstreamClient,
+        upstream_client: streams.StreamClient,
         find_cell: Callable[
             [routing_document.Service], service_cell.ServiceCell
         ],
@@ -369,7 +370,7 @@
         request: requests.ClientRequest,
         responder: responses.Responder,
         progress: results.Progress,
-        open_response: calls.OpenResponse,
+        open_response: streams.StreamedResponse,
     ) -> results.Result:
         fields = self._adapter.parse_response_headers(
             open_response.status, open_response.headers
@@ -414,7 +415,7 @@
         request: requests.ClientRequest,
         responder: responses.Responder,
         progress: results.Progress,
-        open_response: calls.OpenResponse,
+        open_response: streams.StreamedResponse,
     ) -> results.Result:
         """Forwards complete events as they arrive."""
         splitter = event_stream.EventSplitter(progress.last_id or 0)
@@ -446,7 +447,7 @@
         return results.Completed(Codes.OK)
 
 
-def _is_event_stream(open_response: calls.OpenResponse) -> bool:
+def _is_event_stream(open_response: streams.StreamedResponse) -> bool:
     for name, value in open_response.headers:
         if name == b"content-type":
             return value.startswith(EVENT_STREAM_TYPE)
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -95,6 +95,9 @@
 
 WEB_SOCKETS = Transport()
 
+_PlanInputs = tuple[Mapping[str, str], frozenset[str]]
+"""Availability zones by instance id, and the instances to skip."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Link:
@@ -230,7 +233,8 @@
         self._outages: dict[str, _Outage] = {}
         self._draining: dict[str, float] = {}
         self._started_at = anyio.current_time()
-        self.plan = self._make_plan(0.0)
+        self._plan_inputs: _PlanInputs = ({}, frozenset())
+        self.plan = self._make_plan(*self._plan_inputs)
         self._inner = protocol_settings.InnerSettings(
             host=settings.ip,
             port=settings.peer_port,
@@ -343,26 +347,33 @@
             self._dialling.add(address)
             self._tasks.start_soon(self._open_link, address)
 
-    def _make_plan(self, now: float) -> relays.RelayPlan:
-        unreachable = {
-            instance
-            for instance, outage in self._outages.items()
-            if now < outage.until
-        }
-        unreachable |= {
-            instance
-            for instance, until in self._draining.items()
-            if now < until
-        }
+    def _make_plan(
+        self, zones: Mapping[str, str], unreachable: frozenset[str]
+    ) -> relays.RelayPlan:
         return relays.make_plan(
             self._settings.instance,
             self._settings.availability_zone,
-            self._zones,
+            zones,
             unreachable,
         )
 
+    def _list_unreachable(self, now: float) -> frozenset[str]:
+        """Returns the instances that must not be chosen as relays."""
+        ends = {
+            instance: outage.until for instance, outage in self._outages.items()
+        }
+        return frozenset(
+            instance
+            for instance, until in (*ends.items(), *self._draining.items())
+            if now < until
+        )
+
     def _update_plan(self, now: float) -> None:
-        plan = self._make_plan(now)
+        inputs = self._zones, self._list_unreachable(now)
+        plan = self.plan
+        if inputs != self._plan_inputs:
+            plan = self._make_plan(*inputs)
+            self._plan_inputs = inputs
         if (plan.relay, plan.is_flat) != (self.plan.relay, self.plan.is_flat):
             logs.bind(
                 relay=plan.relay, relays=len(plan.relays), flat=plan.is_flat
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -39,8 +39,8 @@
 from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.protocol import entry_messages
 from tamaracktide.protocol import messages
-from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import settings as upstream_settings
+from tamaracktide.upstreams import streams
 
 REFRESH_PERIOD_S = 2.0
 """Interval at which cells read the state of all their upstreams. Changes are
@@ -57,8 +57,6 @@
 """A hundred times the latency between zones, and half the target for a first
 token."""
 
-MAX_CONNECTIONS = 512
-
 
 class EntryInstance:
     """An entry instance: builds its parts and connects them."""
@@ -67,7 +65,7 @@
         self,
         settings: entry_settings.EntrySettings,
         adapter: entry_adapter.PlatformAdapter,
-        upstream_client: calls.UpstreamClient,
+        upstream_client: streams.StreamClient,
         store: object_store.ValueStore,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
@@ -543,10 +541,10 @@
     """
     store = adapter.open_store(settings.platform_address)
     upstreams = upstream_settings.UpstreamSettings(
-        connect_timeout_s=CONNECT_TIMEOUT_S, max_connections=MAX_CONNECTIONS
+        connect_timeout_s=CONNECT_TIMEOUT_S
     )
     async with (
-        calls.UpstreamClient(upstreams) as upstream_client,
+        streams.StreamClient(upstreams) as upstream_client,
         anyio.create_task_group() as tasks,
     ):
         instance = EntryInstance(
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -8,26 +8,43 @@
 import time
 from typing import Self
 
-import anyio
-import anyio.abc
+import httpcore
 import httptools
 
+from tamaracktide import sockets
 from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import network
 from tamaracktide.upstreams import settings as upstream_settings
 
 KEEPALIVE_EXPIRY_S = 30.0
 RECEIVE_BYTES = 262_144
+FIRST_FINAL_STATUS = 200
+"""Lowest status code of a response that no other one follows."""
 
-HeaderPairs = tuple[tuple[bytes, bytes], ...]
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+"""Headers without which the end of the connection ends a body."""
 
 
 class _Connection:
-    """A connection and the parser state of its current response."""
+    """A connection and the parser state of its current response.
+
+    Attributes:
+        address: `host:port` of its peer.
+        stream: The TCP stream.
+        idle_since: When it became idle, seconds of the monotonic clock.
+        headers: Headers of the current response.
+        headers_complete: Whether all of them have arrived.
+        complete: Whether the current response has arrived completely.
+        keep_alive: Whether another request may follow.
+        has_failed: Whether the response cannot be completed.
+    """
 
     __slots__ = (
+        "_body",
+        "_has_body",
         "address",
-        "body",
         "complete",
+        "has_failed",
         "headers",
         "headers_complete",
         "idle_since",
@@ -36,20 +53,36 @@
         "stream",
     )
 
-    def __init__(self, address: str, stream: anyio.abc.SocketStream) -> None:
+    def __init__(self, address: str, stream: network.Stream) -> None:
         self.address = address
         self.stream = stream
         self.idle_since = 0.0
-        self.reset()
+        self.reset(has_body=True)
+
+    def reset(self, *, has_body: bool) -> None:
+        """Resets the parser state for the next response.
 
-    def reset(self) -> None:
-        """Resets the parser state for the next response."""
+        Args:
+            has_body: Whether the response may have a body, which that to a
+                HEAD request has not.
+        """
+        self._has_body = has_body
         self.parser = httptools.HttpResponseParser(self)
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
+        self._body: list[bytes] = []
         self.headers_complete = False
         self.complete = False
         self.keep_alive = False
+        self.has_failed = False
+
+    def on_message_begin(self) -> None:
+        """Refuses a response that no request asked for; called by the parser.
+
+        Raises:
+            ValueError: The current response is complete.
+        """
+        if self.complete:
+            raise ValueError("data after the end of the response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Stores a header; called by the parser."""
@@ -57,53 +90,95 @@
 
     def on_headers_complete(self) -> None:
         """Records the end of the headers; called by the parser."""
+        if self.parser.get_status_code() < FIRST_FINAL_STATUS:
+            return
         self.headers_complete = True
+        self.complete = not self._has_body
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body; called by the parser."""
-        self.body.append(body)
+        self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Records the end of the response; called by the parser."""
+        if not self.headers_complete:
+            # An interim response precedes the final one.
+            self.headers.clear()
+            return
         self.complete = True
         self.keep_alive = self.parser.should_keep_alive()
 
     def drain_body(self) -> bytes:
         """Returns and clears the body bytes received since the last call."""
-        if not self.body:
+        if not self._body:
             return b""
-        body = b"".join(self.body)
-        self.body.clear()
+        body = b"".join(self._body)
+        self._body.clear()
         return body
 
     def is_readable(self) -> bool:
         """Whether an idle connection has unexpected data or was closed."""
+        if self.stream.get_extra_info("is_readable"):
+            return True
         poll = select.poll()
-        socket = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-        poll.register(socket, select.POLLIN)
+        poll.register(self.stream.get_extra_info("socket"), select.POLLIN)
         return bool(poll.poll(0))
 
+    async def send(
+        self, request: bytes, timeout_s: float
+    ) -> calls.Failure | None:
+        """Sends a request; returns the failure, if any.
+
+        A peer may respond before it has received the request and close, so a
+        broken connection only counts when the response is read.
+        """
+        try:
+            await self.stream.write(request, timeout_s)
+        except httpcore.WriteTimeout:
+            return calls.Failure(
+                calls.FailureKind.TIMEOUT,
+                f"request not taken within {timeout_s:g} s",
+            )
+        except httpcore.WriteError:
+            return None
+        return None
+
     async def receive(self, timeout_s: float) -> calls.Failure | None:
         """Reads and parses once; returns the failure, if any."""
+        failure = await self._receive(timeout_s)
+        self.has_failed = failure is not None
+        return failure
+
+    async def _receive(self, timeout_s: float) -> calls.Failure | None:
         try:
-            with anyio.fail_after(timeout_s):
-                data = await self.stream.receive(RECEIVE_BYTES)
+            data = await self.stream.read(RECEIVE_BYTES, timeout_s)
+            if not data:
+                return self._end()
             self.parser.feed_data(data)
-        except TimeoutError:
+        except httpcore.ReadTimeout:
             return calls.Failure(
                 calls.FailureKind.TIMEOUT,
                 f"no data received for {timeout_s:g} s",
             )
-        except (
-            anyio.EndOfStream,
-            anyio.BrokenResourceError,
-            httptools.HttpParserError,
-        ) as error:
+        except (httpcore.ReadError, httptools.HttpParserError) as error:
+            if self.complete:
+                self.keep_alive = False
+                return None
             return calls.Failure(
                 calls.FailureKind.BROKEN, f"{type(error).__name__} {error}"
             )
         return None
 
+    def _end(self) -> calls.Failure | None:
+        """Handles the end of the stream, which may end the response."""
+        is_framed = any(name in FRAMING_HEADERS for name, _ in self.headers)
+        if self.headers_complete and not is_framed:
+            self.complete = True
+            return None
+        return calls.Failure(
+            calls.FailureKind.BROKEN, "connection closed within the response"
+        )
+
 
 class StreamedResponse:
     """A response whose body is still arriving; it must be closed after use.
@@ -160,11 +235,10 @@
         connection = self._connection
         try:
             # The end of the body follows immediately after the last event.
-            if not connection.complete:
+            if not connection.complete and not connection.has_failed:
                 await connection.receive(calls.BODY_END_TIMEOUT_S)
         finally:
-            with anyio.CancelScope(shield=True):
-                await self._client.return_connection(connection)
+            await self._client.return_connection(connection)
 
 
 class StreamClient:
@@ -173,6 +247,7 @@
     def __init__(self, settings: upstream_settings.UpstreamSettings) -> None:
         """Creates a client without opening connections."""
         self._settings = settings
+        self._backend = network.Backend()
         self._idle: dict[str, list[_Connection]] = {}
 
     async def __aenter__(self) -> Self:
@@ -205,22 +280,39 @@
             response = await self._exchange(connection, call)
         finally:
             if not isinstance(response, StreamedResponse):
-                await anyio.aclose_forcefully(connection.stream)
+                await connection.stream.aclose()
         return response
 
+    async def send(self, call: calls.Call) -> calls.Response | calls.Failure:
+        """Sends a call and returns the complete response."""
+        response = await self.open(call)
+        if isinstance(response, calls.Failure):
+            return response
+        try:
+            return await response.read(self._settings.max_answer_bytes)
+        finally:
+            await response.close()
+
+    def count_idle(self, address: str) -> int:
+        """Returns the number of idle connections to an address."""
+        return len(self._idle.get(address, ()))
+
     async def close_idle(self, address: str) -> None:
         """Closes the idle connections to an address."""
         for connection in self._idle.pop(address, []):
-            await anyio.aclose_forcefully(connection.stream)
+            await connection.stream.aclose()
 
     async def return_connection(self, connection: _Connection) -> None:
         """Keeps a reusable connection as idle and closes any other."""
         if connection.keep_alive:
-            connection.reset()
-            connection.idle_since = time.monotonic()
-            self._idle.setdefault(connection.address, []).append(connection)
+            now = time.monotonic()
+            connection.idle_since = now
+            idle = self._idle.setdefault(connection.address, [])
+            idle.append(connection)
+            while now - idle[0].idle_since >= KEEPALIVE_EXPIRY_S:
+                await idle.pop(0).stream.aclose()
             return
-        await anyio.aclose_forcefully(connection.stream)
+        await connection.stream.aclose()
 
     async def _find_idle(self, address: str) -> _Connection | None:
         idle = self._idle.get(address, [])
@@ -229,15 +321,19 @@
             age_s = time.monotonic() - connection.idle_since
             if age_s < KEEPALIVE_EXPIRY_S and not connection.is_readable():
                 return connection
-            await anyio.aclose_forcefully(connection.stream)
+            await connection.stream.aclose()
         return None
 
     async def _connect(self, address: str) -> _Connection | calls.Failure:
         host, _, port = address.rpartition(":")
         try:
-            with anyio.fail_after(self._settings.connect_timeout_s):
-                stream = await anyio.connect_tcp(host, int(port))
-        except (OSError, TimeoutError) as error:
+            stream = await self._backend.connect_tcp(
+                host,
+                int(port),
+                self._settings.connect_timeout_s,
+                socket_options=sockets.KEEPALIVE_OPTIONS,
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             return calls.Failure(
                 calls.FailureKind.UNREACHABLE,
                 f"cannot connect to {address}: {error}",
@@ -250,17 +346,10 @@
         headers = calls.make_headers(self._settings, call)
         request_line = f"{call.method} {call.target} HTTP/1.1\r\n".encode()
         header_lines = b"".join(b"%s: %s\r\n" % pair for pair in headers)
-        try:
-            with anyio.fail_after(call.timeout_s):
-                await connection.stream.send(
-                    request_line + header_lines + b"\r\n" + call.body
-                )
-        except (anyio.BrokenResourceError, TimeoutError) as error:
-            return calls.Failure(
-                calls.FailureKind.BROKEN, f"cannot send the request: {error!r}"
-            )
-        while not connection.headers_complete:
+        connection.reset(has_body=call.method != "HEAD")
+        failure = await connection.send(
+            request_line + header_lines + b"\r\n" + call.body, call.timeout_s
+        )
+        while failure is None and not connection.headers_complete:
             failure = await connection.receive(call.timeout_s)
-            if failure is not None:
-                return failure
-        return StreamedResponse(self, connection, call.timeout_s)
+        return failure or StreamedResponse(self, connection, call.timeout_s)
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -18,8 +18,8 @@
 from tamaracktide.entry import program
 from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
-from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import settings as upstream_settings
+from tamaracktide.upstreams import streams
 
 pytestmark = pytest.mark.anyio
 
@@ -110,7 +110,7 @@
     fleet_adapter = adapter.FleetAdapter()
     store = fleet_adapter.open_store(settings.platform_address)
     async with (
-        calls.UpstreamClient(
+        streams.StreamClient(
             upstream_settings.UpstreamSettings()
         ) as upstream_client,
         httpcore.AsyncConnectionPool() as pool,
--- /dev/null
+++ b/tests/upstreams/test_streams.py
@@ -0,0 +1,205 @@
+"""Tests of the client for streamed responses.
+
+Load pattern: responses that end in every way HTTP allows, on connections that
+are reused for the next request.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+import socket
+
+import anyio
+import anyio.abc
+import pytest
+
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import settings as upstream_settings
+from tamaracktide.upstreams import streams
+
+pytestmark = pytest.mark.anyio
+SETTINGS = upstream_settings.UpstreamSettings()
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """The streams use asyncio."""
+    return "asyncio"
+
+
+class Upstream:
+    """Answers each request with the next scripted bytes.
+
+    Attributes:
+        script: Bytes to send for each request; empty bytes close.
+        connections: Number of accepted connections.
+        address: Its address.
+    """
+
+    def __init__(self, *script: bytes) -> None:
+        """Uses a script."""
+        self.script = list(script)
+        self.connections = 0
+        self.address = ""
+
+    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves a connection."""
+        self.connections += 1
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                while await stream.receive():
+                    response = self.script.pop(0)
+                    if not response:
+                        return
+                    await stream.send(response)
+                    if response.endswith(b"\n!"):
+                        return
+
+
+@contextlib.asynccontextmanager
+async def run_upstream(
+    *script: bytes,
+) -> AsyncIterator[tuple[Upstream, streams.StreamClient]]:
+    """Runs a scripted upstream and a client."""
+    upstream = Upstream(*script)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    upstream.address = f"127.0.0.1:{port}"
+    async with (
+        listener,
+        streams.StreamClient(SETTINGS) as client,
+        anyio.create_task_group() as tasks,
+    ):
+        tasks.start_soon(listener.serve, upstream.handle)
+        yield upstream, client
+        tasks.cancel_scope.cancel()
+
+
+def make_call(upstream: Upstream, method: str = "GET") -> calls.Call:
+    """Returns a call with a second for each read."""
+    return calls.Call(
+        method=method, address=upstream.address, target="/x", timeout_s=1.0
+    )
+
+
+async def send(
+    upstream: Upstream, client: streams.StreamClient, method: str = "GET"
+) -> tuple[int, bytes] | calls.FailureKind:
+    """Returns the status and body of a response, or why there is none."""
+    response = await client.send(make_call(upstream, method))
+    if isinstance(response, calls.Failure):
+        return response.kind
+    return response.status, response.body
+
+
+async def test_connection_is_reused_after_a_complete_response() -> None:
+    """Also after responses that have no body."""
+    no_content = b"HTTP/1.1 204 No Content\r\n\r\n"
+    async with run_upstream(OK, no_content, OK) as (upstream, client):
+        assert await send(upstream, client) == (200, b"ok")
+        assert await send(upstream, client) == (204, b"")
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 1
+
+
+async def test_end_of_the_connection_ends_an_unframed_body() -> None:
+    """Without a length or chunks, the end is not a failure."""
+    unframed = b"HTTP/1.1 200 OK\r\n\r\nall\n!"
+    async with run_upstream(unframed, OK) as (upstream, client):
+        assert await send(upstream, client) == (200, b"all\n!")
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 2
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\nContent-Le\n!",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc\n!",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n!",
+        b"HTTP/1.1 99999 ?\r\n\r\n",
+    ],
+)
+async def test_incomplete_response_is_a_failure(response: bytes) -> None:
+    """It may have run and must not look complete."""
+    async with run_upstream(response, OK) as (upstream, client):
+        assert await send(upstream, client) is calls.FailureKind.BROKEN
+        assert await send(upstream, client) == (200, b"ok")
+
+
+async def test_response_to_head_has_no_body() -> None:
+    """Its length is that of the body that GET would return."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n"
+    async with run_upstream(head, OK) as (upstream, client):
+        assert await send(upstream, client, "HEAD") == (200, b"")
+        assert await send(upstream, client) == (200, b"ok")
+
+
+async def test_interim_responses_are_skipped() -> None:
+    """Their headers do not belong to the final response."""
+    interim = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+    async with run_upstream(interim + OK, OK) as (upstream, client):
+        response = await client.open(make_call(upstream))
+        assert isinstance(response, streams.StreamedResponse)
+        assert response.status == 200
+        assert dict(response.headers) == {b"content-length": b"2"}
+        assert await response.receive() == b"ok"
+        await response.close()
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 1
+
+
+async def test_bytes_after_a_response_end_its_connection() -> None:
+    """They could be taken for the response to the next request."""
+    async with run_upstream(OK + OK, OK) as (upstream, client):
+        assert await send(upstream, client) == (200, b"ok")
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 2
+
+
+async def test_connection_closed_while_idle_is_not_reused() -> None:
+    """The next request must not fail for it, even right after the close."""
+    async with run_upstream(OK + b"\n!", OK) as (upstream, client):
+        assert await send(upstream, client) == (200, b"ok")
+        await anyio.sleep(0.05)
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 2
+
+
+async def test_silent_upstream_is_a_timeout() -> None:
+    """A request that is not taken times out as one that is not answered."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        async with streams.StreamClient(SETTINGS) as client:
+            for size in (0, 32 << 20):
+                failure = await client.send(
+                    calls.Call(
+                        method="POST",
+                        address=address,
+                        target="/x",
+                        body=b"x" * size,
+                        timeout_s=0.1,
+                    )
+                )
+                assert isinstance(failure, calls.Failure)
+                assert failure.kind is calls.FailureKind.TIMEOUT
+
+
+async def test_expired_idle_connections_are_closed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Connections of a past burst do not stay open beside those in use."""
+    async with run_upstream(OK, OK, OK) as (upstream, client):
+        burst = [await client.open(make_call(upstream)) for _ in range(2)]
+        for response in burst:
+            assert isinstance(response, streams.StreamedResponse)
+            await response.read(100)
+            await response.close()
+        monkeypatch.setattr(streams, "KEEPALIVE_EXPIRY_S", 0.05)
+        await anyio.sleep(0.1)
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 3
+        assert client.count_idle(upstream.address) == 1
