Wait for received bytes with one timer per time-out, not one per read

The timer of an earlier read now stays and is started again when it ends too early; no scope and no library lookup per read. Writes wait only if the transport is full. New tests: each read has its own time-out; a cancelled read leaves no timer that ends the next one.

--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Iterable
+import math
 import socket
 from typing import Any
 
@@ -31,8 +32,11 @@
         self.is_ended = False
         self.error: Exception | None = None
         self.transport: asyncio.Transport | None = None
-        self._received = anyio.Event()
-        self._writable = anyio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._waiter: asyncio.Future[None] | None = None
+        self._deadline = math.inf
+        self._timer: asyncio.TimerHandle | None = None
+        self._writable = asyncio.Event()
         self._writable.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -43,41 +47,87 @@
         self.buffer += data
         if len(self.buffer) > MAX_READ_AHEAD_BYTES and self.transport:
             self.transport.pause_reading()
-        self._received.set()
+        self._wake_reader()
 
     def eof_received(self) -> bool:
         self.is_ended = True
-        self._received.set()
+        self._wake_reader()
         # The connection stays open until `aclose`.
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_ended = True
         self.error = exc
-        self._received.set()
+        self._wake_reader()
         self._writable.set()
+        if self._timer is not None:
+            self._timer.cancel()
 
     def pause_writing(self) -> None:
-        self._writable = anyio.Event()
+        self._writable.clear()
 
     def resume_writing(self) -> None:
         self._writable.set()
 
-    async def read(self, max_bytes: int) -> bytes:
-        """Returns received bytes, empty at the end; may raise `error`."""
+    def _wake_reader(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def read(self, max_bytes: int, timeout: float | None) -> bytes:
+        """Returns received bytes, empty at the end; may raise `error`.
+
+        Raises:
+            TimeoutError: None arrived in time, in seconds.
+        """
         while not self.buffer:
             if self.error is not None:
                 raise self.error
             if self.is_ended:
                 return b""
-            self._received = anyio.Event()
-            await self._received.wait()
+            await self._wait_received(timeout)
         data = bytes(self.buffer[:max_bytes])
         del self.buffer[:max_bytes]
         if self.transport is not None and not self.transport.is_reading():
             self.transport.resume_reading()
         return data
 
+    async def _wait_received(self, timeout: float | None) -> None:
+        self._waiter = self._loop.create_future()
+        if timeout is not None:
+            self._set_deadline(self._loop.time() + timeout)
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+            self._deadline = math.inf
+
+    def _set_deadline(self, deadline: float) -> None:
+        """Starts the timer, unless it already ends in time.
+
+        A timer that ends before the deadline is started again then. A stream
+        of short pauses so needs one timer per time-out, not one per pause.
+        """
+        self._deadline = deadline
+        if self._timer is not None:
+            if self._timer.when() <= deadline:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(deadline, self._check_deadline)
+
+    def _check_deadline(self) -> None:
+        self._timer = None
+        if self._waiter is None or self._deadline == math.inf:
+            return
+        if self._loop.time() < self._deadline:
+            self._set_deadline(self._deadline)
+        elif not self._waiter.done():
+            self._waiter.set_exception(TimeoutError("no data in time"))
+
+    @property
+    def is_writable(self) -> bool:
+        """Whether more may be written without waiting."""
+        return self.error is None and self._writable.is_set()
+
     async def wait_writable(self) -> None:
         """Waits until most of what was written is sent; may raise `error`."""
         await self._writable.wait()
@@ -104,11 +154,8 @@
             httpcore.ReadTimeout: None arrived in time, in seconds.
             httpcore.ReadError: The connection is broken.
         """
-        if self._receiver.buffer:
-            return await self._receiver.read(max_bytes)
         try:
-            with anyio.fail_after(timeout):
-                return await self._receiver.read(max_bytes)
+            return await self._receiver.read(max_bytes, timeout)
         except TimeoutError as error:
             raise httpcore.ReadTimeout(str(error)) from error
         except OSError as error:
@@ -126,9 +173,10 @@
         if self._transport.is_closing():
             raise httpcore.WriteError("the connection is closed")
         try:
-            with anyio.fail_after(timeout):
-                self._transport.write(buffer)
-                await self._receiver.wait_writable()
+            self._transport.write(buffer)
+            if not self._receiver.is_writable:
+                with anyio.fail_after(timeout):
+                    await self._receiver.wait_writable()
         except TimeoutError as error:
             raise httpcore.WriteTimeout(str(error)) from error
         except OSError as error:
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -157,3 +157,36 @@
         port = closed.getsockname()[1]
         with pytest.raises(httpcore.ConnectError):
             await network.Backend().connect_tcp("127.0.0.1", port, 1.0)
+
+
+async def test_each_read_has_its_own_timeout() -> None:
+    """A timer that was started for an earlier read does not end a later one."""
+
+    async def send_twice(stream: anyio.abc.SocketStream) -> None:
+        for part in (b"first", b"second", b"third"):
+            await anyio.sleep(0.1)
+            await stream.send(part)
+        await anyio.sleep(1.0)
+
+    async with connect(send_twice) as stream:
+        assert await stream.read(10, 0.15) == b"first"
+        assert await stream.read(10, 0.15) == b"second"
+        assert await stream.read(10, 5.0) == b"third"
+        started_at = anyio.current_time()
+        with pytest.raises(httpcore.ReadTimeout):
+            await stream.read(10, 0.05)
+        assert 0.05 <= anyio.current_time() - started_at < 0.5
+
+
+async def test_cancelled_read_leaves_the_stream_usable() -> None:
+    """Its time-out does not end the next read, which gets the bytes."""
+
+    async def send_late(stream: anyio.abc.SocketStream) -> None:
+        await anyio.sleep(0.2)
+        await stream.send(b"late")
+        await anyio.sleep(1.0)
+
+    async with connect(send_late) as stream:
+        with anyio.move_on_after(0.05):
+            await stream.read(10, 0.1)
+        assert await stream.read(10, None) == b"late"
