Break ties between equally busy engines differently in each instance

Cause: instances know of each other's requests half a second to a second late, and every cell took the first of several equally busy engines in the same order. Dozens of instances so sent their next requests to the same server. Each cell now has a preference for each engine, of less than one request's cost, which also reuses its connections.

The test of a lost response relied on the order in which servers were listed; it now sends its six requests at once, so that both servers certainly get some.

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -16,6 +16,12 @@
 from tamaracktide.core import routing
 from tamaracktide.core import rows
 
+MAX_PREFERENCE_S = 0.002
+"""Maximum advantage of one engine over another that is as busy. It is less than
+what a single request on an engine costs. Cells with the same state, in which
+the latest choices of the others are missing, so choose different engines, and
+each of them reuses its connections."""
+
 MIN_TIMER_DELAY_S = 0.001
 """Shortest delay of a timer; rounding must not make it fire immediately."""
 
@@ -154,7 +160,10 @@
             self._parts.placer.backoff.remove_engine(event.upstream)
         lost = inventory.apply_snapshot(event, now)
         self._granter.end_lost_grants(lost)
-        cell_invariants.check_engine(inventory.engines[event.upstream])
+        engine = inventory.engines[event.upstream]
+        if engine is not tracked:
+            engine.preference_s = self._parts.rng.uniform(0.0, MAX_PREFERENCE_S)
+        cell_invariants.check_engine(engine)
 
     def _adopt(self, event: cell_events.GrantAdopted, now: float) -> None:
         grant = self._parts.inventory.adopt_grant(event, now)
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -86,6 +86,7 @@
         snapshot_at: When its state was last polled.
         prefixes: Prompt prefixes that it probably has cached, oldest first.
         distance_s: Additional cost over an engine in the same zone, seconds.
+        preference_s: Advantage over engines that are as busy, seconds.
         accepts_loads: Whether any instance may order loads on it now.
         prefill_done_at: When the prefill of the prompts sent to it is expected
             to end.
@@ -108,6 +109,7 @@
     snapshot_at: float = 0.0
     prefixes: dict[str, None] = dataclasses.field(default_factory=dict)
     distance_s: float = 0.0
+    preference_s: float = 0.0
     accepts_loads: bool = True
     prefill_done_at: float = 0.0
     host_cached: dict[rows.AdapterKey, None] = dataclasses.field(
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -192,7 +192,8 @@
         fill = engine.running / engine.batch_limit
         if self._settings.spread:
             cost_s = _estimate_delay_s(engine, now) + engine.distance_s
-            return _CACHED_PREFIX_SAVING_S * cached - cost_s
+            saving_s = _CACHED_PREFIX_SAVING_S * cached + engine.preference_s
+            return saving_s - cost_s
         return self._settings.batch_weight * fill + _PREFIX_SCORE * cached
 
     def _find_packed(
--- a/tests/core/test_spread_cell.py
+++ b/tests/core/test_spread_cell.py
@@ -19,7 +19,7 @@
 SLOTS = 8
 
 
-def _make_cell(max_prefill_backlog_s: float = 0.03) -> cell.Cell:
+def _make_cell(max_prefill_backlog_s: float = 0.03, seed: int = 1) -> cell.Cell:
     settings = cell_settings.CellSettings(
         loads_per_s=1000.0,
         loads_in_flight=100.0,
@@ -30,7 +30,7 @@
         max_prefill_backlog_s=max_prefill_backlog_s,
         demand_tau_s=5.0,
     )
-    cell_ = cell.Cell(settings, random.Random(1))
+    cell_ = cell.Cell(settings, random.Random(seed))
     for name in ENGINES:
         cell_.handle(_make_snapshot(name), 0.0)
     return cell_
@@ -310,3 +310,32 @@
     )
     loop.feed(batch, 1.1)
     assert [grant.upstream for _, grant in loop.grants] == ["e1"]
+
+
+def _grant_first(seed: int, running: dict[str, int]) -> str:
+    """Returns the engine that a new cell chooses for its first request."""
+    loop = _Loop(_make_cell(seed=seed))
+    for name in ENGINES:
+        loaded = cell_events.LoadedAdapter("m/hot@", HOT, running.get(name, 0))
+        loop.feed(_make_snapshot(name, (loaded,)), 0.0)
+    loop.feed(_submit("r"), 0.0)
+    ((_, grant),) = loop.grants
+    return grant.upstream
+
+
+def test_cells_with_the_same_state_choose_different_engines() -> None:
+    """No engine gets the next request of every instance.
+
+    Load pattern: dozens of instances that know of each other's requests half a
+    second late choose between equally busy engines at the same time.
+    """
+    chosen = collections.Counter(_grant_first(seed, {}) for seed in range(60))
+    assert set(chosen) == set(ENGINES)
+    assert max(chosen.values()) <= 60 / 2
+
+
+def test_less_busy_engine_is_chosen_by_every_cell() -> None:
+    """What distinguishes cells counts less than one request on an engine."""
+    running = dict.fromkeys(ENGINES, 5)
+    running["e4"] = 4
+    assert {_grant_first(seed, running) for seed in range(60)} == {"e4"}
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -221,16 +221,26 @@
 
 
 async def test_idempotent_request_with_a_lost_response_is_retried() -> None:
-    """Another server runs it; the client receives one complete response."""
+    """Another server runs it; the client receives one complete response.
+
+    Requests at the same time use both servers.
+    """
     async with fleet_cluster.run_cluster() as cluster:
         failing_server = await cluster.add_server(
             fleet_cluster.Server("p1", drop_response=True)
         )
         healthy_server = await cluster.add_server(fleet_cluster.Server("p2"))
         async with _run_instance(cluster) as instance:
-            for index in range(6):
-                response = await instance.send("/safe/x", f"r{index}")
-                assert response.status == 200
+            statuses = []
+
+            async def send(request_id: str) -> None:
+                response = await instance.send("/safe/x", request_id)
+                statuses.append(response.status)
+
+            async with anyio.create_task_group() as tasks:
+                for index in range(6):
+                    tasks.start_soon(send, f"r{index}")
+            assert statuses == [200] * 6
             assert failing_server.runs
             assert len(healthy_server.runs) == 6
 
