--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -130,6 +130,8 @@
                 inventory.set_leaving(event)
             case cell_events.EvictionsSuspended():
                 inventory.suspend_evictions(event)
+            case cell_events.AdaptersReady():
+                inventory.set_ready(event)
             case cell_events.RemoteCountsChanged():
                 inventory.apply_remote_counts(event)
             case cell_events.LoadReported():
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -27,6 +27,19 @@
     ready: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdaptersReady:
+    """Loads that other instances ordered on an engine have ended.
+
+    Attributes:
+        upstream: Instance id of the engine.
+        lora_names: Slots that are ready now.
+    """
+
+    upstream: str
+    lora_names: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamSnapshot:
     """An engine was polled (first contact, restart, takeover or refresh).
@@ -291,6 +304,7 @@
 
 CellEvent: TypeAlias = (
     EventBatch
+    | AdaptersReady
     | UpstreamSnapshot
     | UpstreamLost
     | UpstreamLeaving
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -218,6 +218,26 @@
             slot.state = cell_state.SlotState.RESERVED
         self._add_slot(engine, slot)
 
+    def set_ready(self, event: cell_events.AdaptersReady) -> None:
+        """Marks slots as ready whose load was not ordered by this cell."""
+        self.changes += 1
+        engine = self.engines.get(event.upstream)
+        if engine is None:
+            return
+        own = {
+            load.lora_name
+            for load in self.loads.values()
+            if load.upstream == engine.name
+        }
+        for name in event.lora_names:
+            slot = engine.slots.get(name)
+            if (
+                slot is not None
+                and slot.state is cell_state.SlotState.LOADING
+                and name not in own
+            ):
+                slot.state = cell_state.SlotState.READY
+
     def remove_engine(self, upstream: str) -> list[cell_state.GrantRecord]:
         """Removes an engine with its loads and grants; returns the grants."""
         self.changes += 1
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -276,7 +276,7 @@
             if not lost.timed_out:
                 self._crashes.record_loss(request.fingerprint, placement.entry)
         if changed:
-            cell.refresh()
+            cell.refresh_health()
 
     async def _send_with_retries(
         self,
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -252,8 +252,10 @@
         self._engine_controller.update(state.upstreams, services)
         self._crashes.check(state.upstreams)
         self._apply_instances()
+        for cell in self._cells.values():
+            cell.remove_upstreams(changed - state.upstreams.keys())
         applied = (state.table, dict(state.versions))
-        if applied != self._applied or len(entries) < len(changed):
+        if applied != self._applied:
             self._applied = applied
             self._update_cells(services)
             return
@@ -278,7 +280,8 @@
 
     def _apply_lease_change(self) -> None:
         self._engine_controller.wake()
-        self._refresh()
+        for cell in self._cells.values():
+            cell.refresh_orderable()
 
     def _apply_remote_counts(self, counts: running_counts.Counts) -> None:
         for cell in self._cells.values():
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -144,11 +145,15 @@
         self._ready_timer = timers.Timer(
             self._refresh_ready, dependencies.tasks
         )
+        self._orderable: dict[str, bool] = {}
         self._refresh_timer = timers.Timer(self.refresh, dependencies.tasks)
+        self._trial_timer = timers.Timer(
+            self.refresh_health, dependencies.tasks
+        )
         self.reachability = reachability.Reachability(
             self.health,
             lambda upstream: upstream in self._entries,
-            self.refresh,
+            self.refresh_health,
             dependencies.tasks,
         )
 
@@ -320,24 +325,78 @@
         changed = {entry.upstream: entry for entry in entries}
         if not changed:
             return
-        if not changed.keys() <= self._entries.keys():
-            self.refresh()
-            return
         self._entries.update(changed)
         events = self._make_events(changed.values(), anyio.current_time())
         self._handle(cell_events.EventBatch(tuple(events)))
 
+    def remove_upstreams(self, upstreams: Collection[str]) -> None:
+        """Removes upstreams that are no longer listed."""
+        events = self._remove(self._entries.keys() & upstreams)
+        if events:
+            self._handle(cell_events.EventBatch(tuple(events)))
+
+    def _remove(
+        self, upstreams: Collection[str]
+    ) -> list[cell_events.CellEvent]:
+        for name in upstreams:
+            del self._entries[name]
+            self._leaving.discard(name)
+            self._ready_at.pop(name, None)
+        return [cell_events.UpstreamLost(name) for name in upstreams]
+
+    def refresh_health(self) -> None:
+        """Stops or resumes new requests to upstreams as their health says."""
+        now = anyio.current_time()
+        avoided = self._list_avoided(now)
+        events = [
+            event
+            for name, entry in self._entries.items()
+            for event in self._set_leaving(name, entry, name in avoided)
+        ]
+        if events:
+            self._handle(cell_events.EventBatch(tuple(events)))
+        self._trial_timer.schedule(self.health.find_next_trial(now))
+
+    def refresh_orderable(self) -> None:
+        """Applies whether loads may be ordered, where that has changed."""
+        is_orderable = self._dependencies.upstreams.is_orderable
+        changed = {
+            zone
+            for zone, was_orderable in self._orderable.items()
+            if is_orderable(self.service.name, zone) != was_orderable
+        }
+        for zone in changed:
+            self._orderable[zone] = not self._orderable[zone]
+        self.refresh_upstreams(
+            [entry for entry in self._entries.values() if entry.zone in changed]
+        )
+
     def _refresh_ready(self) -> None:
-        """Refreshes the engines on which a loading adapter is ready by now."""
+        """Passes on which loading adapters are ready by now."""
         now = anyio.current_time()
         due = [name for name, at in self._ready_at.items() if at <= now]
+        if not due:
+            return
+        snapshot_builder = self._dependencies.upstreams
+        events: list[cell_events.CellEvent] = [
+            cell_events.AdaptersReady(
+                name, tuple(snapshot_builder.list_ready(name, now))
+            )
+            for name in due
+        ]
         for name in due:
-            del self._ready_at[name]
-        self.refresh_upstreams(
-            [self._entries[name] for name in due if name in self._entries]
-        )
+            self._set_next_ready(name, now)
+        self._handle(cell_events.EventBatch(tuple(events)))
         self._schedule_ready()
 
+    def _set_next_ready(self, upstream: str, now: float) -> None:
+        """Records when the next loading adapter of an engine is ready."""
+        ready_at = self._dependencies.upstreams.find_next_ready(upstream, now)
+        if ready_at == math.inf:
+            self._ready_at.pop(upstream, None)
+        else:
+            self._ready_at[upstream] = ready_at
+
     def _schedule_ready(self) -> None:
         """Schedules the next such refresh while requests wait for it."""
         if self._waiting and self._ready_at:
@@ -347,9 +406,7 @@
         self, entries: Iterable[upstream_entries.UpstreamEntry], now: float
     ) -> list[cell_events.CellEvent]:
         """Returns snapshots of upstreams, and whether they get new requests."""
-        avoided = self.health.list_avoided(
-            [e.upstream for e in self._entries.values() if not e.leaving], now
-        )
+        avoided = self._list_avoided(now)
         accepts_loads: dict[str, bool] = {}
         events: list[cell_events.CellEvent] = []
         for entry in entries:
@@ -362,6 +419,10 @@
             events.extend(self._set_leaving(name, entry, name in avoided))
         return events
 
+    def _list_avoided(self, now: float) -> set[str]:
+        listed = [e.upstream for e in self._entries.values() if not e.leaving]
+        return self.health.list_avoided(listed, now)
+
     def _make_snapshot(
         self,
         entry: upstream_entries.UpstreamEntry,
@@ -374,12 +435,8 @@
         """
         snapshot_builder, name = self._dependencies.upstreams, entry.upstream
         if self.service.engine is not None:
-            ready_at = snapshot_builder.find_next_ready(name, now)
-            if ready_at == math.inf:
-                self._ready_at.pop(name, None)
-            else:
-                self._ready_at[name] = ready_at
-                self._schedule_ready()
+            self._set_next_ready(name, now)
+            self._schedule_ready()
         return snapshot_builder.make_snapshot(
             self.service,
             entry,
@@ -410,15 +467,17 @@
                 self.service.name
             )
         }
-        events: list[cell_events.CellEvent] = []
-        for name in self._entries.keys() - entries.keys():
-            self._leaving.discard(name)
-            self._ready_at.pop(name, None)
-            events.append(cell_events.UpstreamLost(name))
+        events = self._remove(self._entries.keys() - entries.keys())
         self._entries = entries
+        self._orderable = {
+            entry.zone: self._dependencies.upstreams.is_orderable(
+                self.service.name, entry.zone
+            )
+            for entry in entries.values()
+        }
         events.extend(self._make_events(entries.values(), now))
         self._handle(cell_events.EventBatch(tuple(events)))
-        self._refresh_timer.schedule(self.health.find_next_trial(now))
+        self._trial_timer.schedule(self.health.find_next_trial(now))
 
     def _set_leaving(
         self,
--- a/src/tamaracktide/entry/upstream_snapshots.py
+++ b/src/tamaracktide/entry/upstream_snapshots.py
@@ -1,6 +1,8 @@
 """Builds snapshots of the tracked state of upstreams for the cells."""
 
 from collections.abc import Callable
+import dataclasses
+import functools
 import math
 
 from tamaracktide.core import cell_events
@@ -14,6 +16,10 @@
 the traffic costs as much as a hundredth of a response."""
 
 
+MAX_CACHED_NAMES = 16_384
+"""Names of adapters that are kept; more than all engines of a service hold."""
+
+
 class SnapshotBuilder:
     """Combines store entries, engine views and the requests of peers."""
 
@@ -115,19 +121,36 @@
         for model, adapters in view.models.items():
             loaded.append(_make_resident(model, counts.get(model, 0)))
             for adapter, adapter_view in adapters.items():
-                name = f"{model}/{adapter}"
-                announced = self._find_version(model, adapter)
-                version = _name_version(adapter_view.version, announced)
+                names = self._find_names(model, adapter, adapter_view)
                 loaded.append(
                     cell_events.LoadedAdapter(
-                        lora_name=f"{name}@{version}",
-                        key=rows.AdapterKey(name, version),
-                        running=counts.get(name, 0),
+                        lora_name=names.lora_name,
+                        key=names.key,
+                        running=counts.get(names.key.adapter, 0),
                         ready=adapter_view.ready_at <= now,
                     )
                 )
         return loaded
 
+    def _find_names(
+        self,
+        model: str,
+        adapter: str,
+        adapter_view: engine_views.AdapterView,
+    ) -> "_Names":
+        announced = self._find_version(model, adapter)
+        version = _name_version(adapter_view.version, announced)
+        return _make_names(model, adapter, version)
+
+    def list_ready(self, upstream: str, now: float) -> list[str]:
+        """Returns the slots of an engine whose load has ended by now."""
+        return [
+            self._find_names(model, adapter, adapter_view).lora_name
+            for model, adapters in self._views.find(upstream).models.items()
+            for adapter, adapter_view in adapters.items()
+            if 0.0 < adapter_view.ready_at <= now
+        ]
+
     def find_next_ready(self, upstream: str, now: float) -> float:
         """Returns when an adapter of an engine is ready next, or infinity."""
         return min(
@@ -141,6 +164,25 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Names:
+    """Names of a loaded adapter.
+
+    Attributes:
+        key: Adapter, with its model, and version.
+        lora_name: Name of its slot.
+    """
+
+    key: rows.AdapterKey
+    lora_name: str
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
+def _make_names(model: str, adapter: str, version: str) -> _Names:
+    key = rows.AdapterKey(f"{model}/{adapter}", version)
+    return _Names(key, key.text)
+
+
 def _make_resident(name: str, running: int) -> cell_events.LoadedAdapter:
     """Returns a resident model or service, pinned by an extra request."""
     return cell_events.LoadedAdapter(
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -10,6 +10,7 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
+from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
 from tamaracktide.entry import requests
 from tamaracktide.entry import service_cell
@@ -56,6 +57,7 @@
         entries: Engines by id.
         views: Their tracked states.
         snapshots: Engines of which snapshots were made, in order.
+        unordered: Availability zones where no loads may be ordered.
     """
 
     tasks: anyio.abc.TaskGroup
@@ -66,6 +68,7 @@
         default_factory=engine_views.EngineViews
     )
     snapshots: list[str] = dataclasses.field(default_factory=list)
+    unordered: set[str] = dataclasses.field(default_factory=set)
 
     def make_cell(self) -> service_cell.ServiceCell:
         """Returns a cell that has read the engines."""
@@ -78,7 +81,7 @@
                     lambda service: list(self.entries.values()),
                     lambda model, adapter: 0,
                     self._count_running,
-                    lambda service, zone: True,
+                    lambda service, zone: zone not in self.unordered,
                 ),
                 find_version=lambda model, adapter: 0,
                 announce_prompt=lambda upstream, tokens: None,
@@ -90,13 +93,15 @@
         self.snapshots.clear()
         return cell
 
-    def add_engine(self, name: str, **ready_in_ms: int) -> None:
+    def add_engine(
+        self, name: str, zone: str = "z1", **ready_in_ms: int
+    ) -> None:
         """Adds an engine; adapters are given with the time to readiness."""
         self.entries[name] = upstream_entries.UpstreamEntry(
             upstream=name,
             service="llm",
             address="127.0.0.1:1",
-            zone="z1",
+            zone=zone,
             batch_limit=BATCH_LIMIT,
             started_ms=1,
             models={MODEL: {}},
@@ -145,7 +150,7 @@
 
 
 async def test_request_gets_an_adapter_that_another_instance_loaded() -> None:
-    """Snapshots are made when the request needs them, and by its timer."""
+    """Readiness is passed on when a request needs it, without snapshots."""
     async with anyio.create_task_group() as tasks:
         harness = Harness(tasks)
         harness.add_engine("e1", a=40, b=80)
@@ -156,7 +161,7 @@
         assert placement.waited_s < 0.02
         with anyio.fail_after(1.0):
             await cell.acquire_placement(make_request("r2", "b"))
-        assert set(harness.snapshots) == {"e1"}
+        assert not harness.snapshots
         tasks.cancel_scope.cancel()
 
 
@@ -226,3 +231,62 @@
         assert placement.entry.upstream == "e1"
         assert not harness.snapshots
         tasks.cancel_scope.cancel()
+
+
+async def test_health_of_an_upstream_changes_without_snapshots() -> None:
+    """Load pattern: many servers flap while all instances try them.
+
+    A failing engine gets no request until its trial, then it does again.
+    """
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", a=0)
+        harness.add_engine("e2", a=0)
+        cell = harness.make_cell()
+        for _ in range(3):
+            cell.health.record_failure("e1", anyio.current_time())
+        cell.refresh_health()
+        placements = [
+            await cell.acquire_placement(make_request(f"r{i}", "a"))
+            for i in range(BATCH_LIMIT)
+        ]
+        assert {p.entry.upstream for p in placements} == {"e2"}
+        with anyio.fail_after(2 * upstream_health.INITIAL_AVOID_S):
+            late = await cell.acquire_placement(make_request("late", "a"))
+        assert late.entry.upstream == "e1"
+        assert not harness.snapshots
+        tasks.cancel_scope.cancel()
+
+
+async def test_lease_change_reads_the_engines_of_its_zone_only() -> None:
+    """Load pattern: leases change hands often while requests wait."""
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1")
+        harness.add_engine("e2", "z2")
+        cell = harness.make_cell()
+        cell.refresh_orderable()
+        assert not harness.snapshots
+        harness.unordered.add("z2")
+        cell.refresh_orderable()
+        assert harness.snapshots == ["e2"]
+        cell.refresh_orderable()
+        assert harness.snapshots == ["e2"]
+        harness.unordered.clear()
+        cell.refresh_orderable()
+        assert harness.snapshots == ["e2", "e2"]
+        tasks.cancel_scope.cancel()
+
+
+async def test_removed_engine_is_forgotten_without_reading_others() -> None:
+    """Its requests end, and new ones go elsewhere."""
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", a=0)
+        harness.add_engine("e2", a=0)
+        cell = harness.make_cell()
+        cell.remove_upstreams({"e1", "unknown"})
+        placement = await cell.acquire_placement(make_request("r1", "a"))
+        assert placement.entry.upstream == "e2"
+        assert not harness.snapshots
+        tasks.cancel_scope.cancel()
