Share results of failing upstreams in a zone; return them by trial

Members now report the results of upstreams that fail some to their relay, which passes them on to its group; results of others count with half the weight, so five failures in a zone exclude a server there. It comes back one request at a time until one succeeds, at a slightly different time in each instance, and only if it fails more than the others, so a common fault restricts nothing. Ruled out: sharing between zones (a cut path would exclude sound servers, and it costs traffic between zones), and sharing unreachable servers (a refused connection costs a few milliseconds and no request).

--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -19,6 +19,7 @@
 from tamaracktide import result_codes
 from tamaracktide.core import catch_up
 from tamaracktide.core import running_counts
+from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import report_exchange
@@ -138,6 +139,8 @@
         running: Its requests, to be changed by the caller.
         remote: The requests of the others, as its cells would know them.
         demand: Reported requests for adapters elsewhere.
+        results: Results of its requests, until it reports them.
+        remote_results: Sums of the results of others that it was told.
         rights: Lease terms that it reports.
         peers: Its links.
         exchange: Its reports.
@@ -153,6 +156,8 @@
         self.running: running_counts.Counts = {}
         self.remote: running_counts.Counts = {}
         self.demand: dict[str, int] = {}
+        self.results: report_exchange.Results = {}
+        self.remote_results: report_exchange.Results = {}
         self.rights: tuple[entry_messages.LeaseNotice, ...] = ()
         self.views = engine_views.EngineViews()
         self.scope = anyio.CancelScope()
@@ -166,6 +171,8 @@
                 views=self.views,
                 apply_counts=self._apply_counts,
                 apply_demand=self._apply_demand,
+                take_results=self._take_results,
+                apply_results=self._apply_results,
                 apply_engines=self._apply_engines,
                 apply_quarantined=lambda fingerprints: None,
                 apply_holders=lambda: None,
@@ -224,6 +231,15 @@
     def _apply_counts(self, counts: running_counts.Counts) -> None:
         running_counts.apply_changes(self.remote, counts)
 
+    def _take_results(self) -> report_exchange.Results:
+        results, self.results = self.results, {}
+        return results
+
+    def _apply_results(self, results: report_exchange.Results) -> None:
+        for upstream, observed in results.items():
+            known = self.remote_results.get(upstream, upstream_health.Results())
+            self.remote_results[upstream] = known + observed
+
     def _apply_demand(self, name: str, count: int) -> None:
         self.demand[name] = self.demand.get(name, 0) + count
 
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -85,10 +85,12 @@
     Attributes:
         upstream: Instance id.
         leaving: False when an operator cancelled the drain.
+        on_trial: Whether it gets one request at a time.
     """
 
     upstream: str
     leaving: bool = True
+    on_trial: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -79,6 +79,7 @@
         pending: Loads in flight on it.
         unattributed: Running remote requests whose adapter is unknown.
         leaving: Whether it gets no new work.
+        on_trial: Whether this cell sends it one request at a time.
         exclusive: Id of the request that runs alone on it or that it is being
             kept free for, or empty.
         evictions_suspended: Whether no adapter may be unloaded now.
@@ -103,6 +104,7 @@
     pending: int = 0
     unattributed: int = 0
     leaving: bool = False
+    on_trial: bool = False
     exclusive: str = ""
     evictions_suspended: bool = False
     reported: cell_events.LoadReported | None = None
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -361,7 +361,10 @@
         """Marks an engine as leaving or usable."""
         self.changes += 1
         engine = self.engines.get(event.upstream)
-        if engine is not None and engine.leaving != event.leaving:
+        if engine is None:
+            return
+        engine.on_trial = event.on_trial
+        if engine.leaving != event.leaving:
             engine.leaving = event.leaving
             self._capacity = None
 
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -522,6 +522,8 @@
 def _has_batch_slot(
     engine: cell_state.Engine, slot: cell_state.Slot, over_share: bool
 ) -> bool:
+    if engine.on_trial and any(used.pins for used in engine.slots.values()):
+        return False
     if not over_share:
         return engine.free_batch_slots > 0
     if engine.free_batch_slots <= engine.batch_headroom + engine.pending:
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -242,7 +242,8 @@
         tokens = 0
         match result:
             case results.Completed():
-                cell.health.record_success(upstream)
+                if cell.health.record_success(upstream):
+                    cell.refresh_health()
                 self._crashes.record_completion(request.fingerprint)
                 tokens = 1
                 engine = request.service.engine
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -160,6 +160,8 @@
                 views=self._views,
                 apply_counts=self._apply_remote_counts,
                 apply_demand=self._apply_demand,
+                take_results=self._take_results,
+                apply_results=self._apply_results,
                 apply_engines=self._apply_engines,
                 apply_quarantined=self._crashes.apply_quarantined,
                 apply_holders=self._refresh,
@@ -287,6 +289,17 @@
         for cell in self._cells.values():
             cell.apply_remote_counts(counts)
 
+    def _take_results(self) -> report_exchange.Results:
+        return {
+            upstream: observed
+            for cell in self._cells.values()
+            for upstream, observed in cell.health.take_results().items()
+        }
+
+    def _apply_results(self, results: report_exchange.Results) -> None:
+        for cell in self._cells.values():
+            cell.apply_results(results)
+
     def _is_in_use(self, upstream: str, name: str) -> bool:
         """Whether a request of any instance uses an adapter on an upstream."""
         if any(
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -13,6 +13,7 @@
 
 from tamaracktide.core import catch_up
 from tamaracktide.core import running_counts
+from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.observability import logs
@@ -33,6 +34,9 @@
 NOT_USED_S = -1.0
 """Store silence reported by an instance that does not use the store."""
 
+Results = dict[str, upstream_health.Results]
+"""Results of requests by upstream."""
+
 _CLUSTER = "\x00cluster"
 _OWN = "\x00own"
 
@@ -75,6 +79,8 @@
         apply_engines: Called with the states of engines.
         apply_quarantined: Called with the fingerprints of other instances.
         apply_holders: Called when the lease holders may have changed.
+        take_results: Returns the results of own requests since the last call.
+        apply_results: Called with the results of another instance.
     """
 
     ip: str
@@ -86,6 +92,8 @@
     apply_engines: Callable[[tuple[entry_messages.EngineNotice, ...]], None]
     apply_quarantined: Callable[[tuple[str, ...]], None]
     apply_holders: Callable[[], None]
+    take_results: Callable[[], Results]
+    apply_results: Callable[[Results], None]
 
 
 class ReportExchange:
@@ -113,6 +121,7 @@
         self._acknowledged: dict[str, int] = {}
         self._group_sent: running_counts.Counts = {}
         self._cluster_sent: running_counts.Counts = {}
+        self._group_results: dict[str, Results] = {}
         self._changed_engines: set[str] = set()
         self._own_engines: dict[str, entry_messages.EngineNotice] = {}
         self._relays_reported_at = float("-inf")
@@ -248,6 +257,7 @@
             )
             self._acknowledged[peer.instance] = report.sequence
         self._apply_demand(peer, report)
+        self._apply_results(peer, report)
         self.apply_engines(report.engines)
         self._dependencies.apply_quarantined(report.quarantined)
         self._apply_changes()
@@ -263,6 +273,18 @@
             if peer.is_member:
                 self._asked[name] += count
 
+    def _apply_results(
+        self, peer: entry_peers.Peer, report: entry_messages.InstanceReport
+    ) -> None:
+        """Applies the results of a member and keeps them for the others."""
+        if not report.results:
+            return
+        results = self._group_results.setdefault(peer.instance, {})
+        for upstream, observed in report.results.items():
+            known = results.get(upstream, upstream_health.Results())
+            results[upstream] = known + observed
+        self._dependencies.apply_results(report.results)
+
     def apply_engines(
         self, notices: tuple[entry_messages.EngineNotice, ...]
     ) -> None:
@@ -293,6 +315,9 @@
         if report.engines:
             self._dependencies.apply_engines(report.engines)
         self._dependencies.apply_quarantined(report.quarantined)
+        for instance, results in report.results.items():
+            if instance != self._dependencies.instance:
+                self._dependencies.apply_results(results)
         self._apply_changes()
         self.store_silent_s = report.store_silent_s
         self._remote_instances = report.instances
@@ -351,7 +376,11 @@
         previous = self._own_counts.get(self._sequence - 1, {})
         changes = running_counts.find_changes(previous, own.running)
         current = self._make_member_report(own, changes, is_full=False)
-        current = dataclasses.replace(current, asked=dict(asked))
+        current = dataclasses.replace(
+            current,
+            asked=dict(asked),
+            results=self._dependencies.take_results(),
+        )
         links = [
             link
             for peer in self._get_peers().list_linked()
@@ -425,6 +454,10 @@
         changes = running_counts.find_changes(self._cluster_sent, cluster)
         self._cluster_sent = cluster
         changed, self._changed_engines = self._changed_engines, set()
+        results, self._group_results = self._group_results, {}
+        own_results = self._dependencies.take_results()
+        if own_results:
+            results[self._dependencies.instance] = own_results
         members = self._get_peers().list_members()
         if not members:
             return
@@ -439,6 +472,7 @@
             [notice for notice in notices if notice is not None],
             is_full=False,
         )
+        partial = dataclasses.replace(partial, results=results)
         full = partial
         if not all(peer.links[-1].is_current for peer in members):
             full = self._make_cluster_report(
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import math
 import random
@@ -131,13 +132,14 @@
     ) -> None:
         """Starts without requests; `refresh` reads the upstreams."""
         self.service = service
-        self.health = upstream_health.UpstreamHealth()
+        self.health = upstream_health.UpstreamHealth(random.Random())
         self.running: dict[str, dict[str, int]] = {}
         self._dependencies = dependencies
         self._cell = self._make_cell()
         self._waiting: dict[str, _QueuedRequest] = {}
         self._entries: dict[str, upstream_entries.UpstreamEntry] = {}
         self._leaving: set[str] = set()
+        self._on_trial: set[str] = set()
         self._tick_timer = timers.Timer(
             lambda: self._handle(cell_events.Tick()), dependencies.tasks
         )
@@ -341,17 +343,18 @@
         for name in upstreams:
             del self._entries[name]
             self._leaving.discard(name)
+            self._on_trial.discard(name)
             self._ready_at.pop(name, None)
         return [cell_events.UpstreamLost(name) for name in upstreams]
 
     def refresh_health(self) -> None:
         """Stops or resumes new requests to upstreams as their health says."""
         now = anyio.current_time()
-        avoided = self._list_avoided(now)
+        avoided, on_trial = self._list_avoided(now)
         events = [
             event
             for name, entry in self._entries.items()
-            for event in self._set_leaving(name, entry, name in avoided)
+            for event in self._set_leaving(entry, avoided, on_trial)
         ]
         if events:
             self._handle(cell_events.EventBatch(tuple(events)))
@@ -406,22 +409,26 @@
         self, entries: Iterable[upstream_entries.UpstreamEntry], now: float
     ) -> list[cell_events.CellEvent]:
         """Returns snapshots of upstreams, and whether they get new requests."""
-        avoided = self._list_avoided(now)
+        avoided, on_trial = self._list_avoided(now)
         accepts_loads: dict[str, bool] = {}
         events: list[cell_events.CellEvent] = []
         for entry in entries:
-            zone, name = entry.zone, entry.upstream
+            zone = entry.zone
             if zone not in accepts_loads:
                 accepts_loads[zone] = self._dependencies.upstreams.is_orderable(
                     self.service.name, zone
                 )
             events.append(self._make_snapshot(entry, now, accepts_loads[zone]))
-            events.extend(self._set_leaving(name, entry, name in avoided))
+            events.extend(self._set_leaving(entry, avoided, on_trial))
         return events
 
-    def _list_avoided(self, now: float) -> set[str]:
+    def _list_avoided(self, now: float) -> tuple[set[str], set[str]]:
+        """Returns the avoided upstreams and those on trial."""
         listed = [e.upstream for e in self._entries.values() if not e.leaving]
-        return self.health.list_avoided(listed, now)
+        return (
+            self.health.list_avoided(listed, now),
+            self.health.list_trials(listed, now),
+        )
 
     def _make_snapshot(
         self,
@@ -481,31 +488,55 @@
 
     def _set_leaving(
         self,
-        name: str,
         entry: upstream_entries.UpstreamEntry,
-        avoided: bool,
+        avoided: set[str],
+        on_trial: set[str],
     ) -> list[cell_events.CellEvent]:
         """Returns the events that start or stop new requests to an upstream."""
-        leaving = entry.leaving or avoided
+        name = entry.upstream
+        leaving = entry.leaving or name in avoided
         if self.service.engine is not None:
             leaving = leaving or not self._dependencies.upstreams.has_model(
                 name
             )
-        if leaving == (name in self._leaving):
-            return [cell_events.UpstreamLeaving(name)] if leaving else []
+        is_on_trial = name in on_trial
+        was = name in self._leaving, name in self._on_trial
+        if was == (leaving, is_on_trial):
+            if not leaving and not is_on_trial:
+                return []
+            return [cell_events.UpstreamLeaving(name, leaving, is_on_trial)]
         logs.bind(
             upstream=name,
             drains=entry.leaving,
-            avoided=avoided,
+            avoided=name in avoided,
+            on_trial=is_on_trial,
+            failure_rate=round(self.health.find_failure_rate(name), 3),
         ).info(
             "upstream {} new requests",
             "excluded from" if leaving else "accepts",
         )
-        if leaving:
-            self._leaving.add(name)
-        else:
-            self._leaving.discard(name)
-        return [cell_events.UpstreamLeaving(name, leaving)]
+        for names, is_in in (
+            (self._leaving, leaving),
+            (self._on_trial, is_on_trial),
+        ):
+            if is_in:
+                names.add(name)
+            else:
+                names.discard(name)
+        return [cell_events.UpstreamLeaving(name, leaving, is_on_trial)]
+
+    def apply_results(
+        self, results: Mapping[str, upstream_health.Results]
+    ) -> None:
+        """Applies the results of requests of another instance."""
+        now = anyio.current_time()
+        changed = [
+            self.health.record_remote(upstream, observed, now)
+            for upstream, observed in results.items()
+            if upstream in self._entries
+        ]
+        if any(changed):
+            self.refresh_health()
 
     def _handle(self, event: cell_events.CellEvent) -> None:
         now = anyio.current_time()
@@ -533,6 +564,7 @@
         )
         self._cell = self._make_cell()
         self._leaving.clear()
+        self._on_trial.clear()
         for request_id in list(self._waiting):
             self._set_result(
                 cell_actions.Refuse(
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from tamaracktide.core import catch_up
+from tamaracktide.core import upstream_health
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,6 +78,8 @@
             group; 0 while it responds, -1 if none of them uses it.
         quarantined: Fingerprints of requests that crash upstreams.
         draining: Whether the sender is shutting down.
+        results: Results of a member's requests since its last report, of
+            upstreams that failed some.
     """
 
     sequence: int
@@ -95,6 +98,9 @@
     )
     quarantined: tuple[str, ...] = ()
     draining: bool = False
+    results: dict[str, upstream_health.Results] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -113,6 +119,8 @@
             while it responds.
         quarantined: Fingerprints of requests that crash upstreams.
         draining: Whether the relay is shutting down.
+        results: Results of the group's requests since the last report, by
+            instance and upstream.
     """
 
     is_full: bool
@@ -124,6 +132,9 @@
     store_silent_s: float
     quarantined: tuple[str, ...] = ()
     draining: bool = False
+    results: dict[str, dict[str, upstream_health.Results]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import random
 
 import anyio
 import anyio.abc
@@ -23,7 +24,7 @@
     def __init__(self) -> None:
         self.connections = 0
         self.port = 0
-        self.health = upstream_health.UpstreamHealth()
+        self.health = upstream_health.UpstreamHealth(random.Random(1))
         self.refreshed = anyio.Event()
 
     @property
--- a/tests/entry/test_report_exchange.py
+++ b/tests/entry/test_report_exchange.py
@@ -12,6 +12,7 @@
 from tamaracktide.bench.slopes import memory_network
 from tamaracktide.core import relays
 from tamaracktide.core import running_counts
+from tamaracktide.core import upstream_health
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.protocol import entry_messages
 
@@ -233,6 +234,22 @@
         assert not instance.peers.is_relay
 
 
+async def test_results_reach_the_other_instances_of_the_zone_once() -> None:
+    """Instances elsewhere use other network paths and judge for themselves."""
+    topology = memory_network.make_zones(30, 3)
+    async with memory_network.run_network(topology) as network:
+        set_running(network)
+        await wait_until(lambda: is_consistent(network))
+        for instance in network.instances.values():
+            instance.results = {"e1": upstream_health.Results(1, 2)}
+        await anyio.sleep(1.5)
+        for instance in network.instances.values():
+            others = list(topology.values()).count(instance.zone) - 1
+            assert instance.remote_results == {
+                "e1": upstream_health.Results(others, 2 * others)
+            }
+
+
 async def test_demand_reaches_each_relay_once() -> None:
     """Relays count requests of all instances, for evictions and replicas."""
     topology = memory_network.make_zones(30, 3)
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -258,6 +258,54 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_engine_on_trial_gets_one_request_at_a_time() -> None:
+    """Load pattern: a queue waits for a server that has just come back.
+
+    If it still fails, it costs one request of each instance, not a batch.
+    """
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", a=0)
+        harness.add_engine("e2", a=0)
+        cell = harness.make_cell()
+        for _ in range(3):
+            cell.health.record_failure("e1", anyio.current_time())
+        cell.refresh_health()
+        for index in range(BATCH_LIMIT):
+            await cell.acquire_placement(make_request(f"r{index}", "a"))
+        granted: list[service_cell.Placement] = []
+
+        async def wait_for_placement(request_id: str) -> None:
+            request = make_request(request_id, "a")
+            granted.append(await cell.acquire_placement(request))
+
+        for index in range(2):
+            tasks.start_soon(wait_for_placement, f"waiting{index}")
+        await anyio.sleep(1.5 * upstream_health.INITIAL_AVOID_S)
+        assert [p.entry.upstream for p in granted] == ["e1"]
+        assert cell.health.record_success("e1")
+        cell.refresh_health()
+        await anyio.sleep(0.05)
+        assert [p.entry.upstream for p in granted] == ["e1", "e1"]
+        tasks.cancel_scope.cancel()
+
+
+async def test_results_of_others_stop_requests_to_an_engine() -> None:
+    """Load pattern: a server breaks that dozens of instances share."""
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", a=0)
+        harness.add_engine("e2", a=0)
+        cell = harness.make_cell()
+        cell.apply_results({"e1": upstream_health.Results(failed=5)})
+        placements = [
+            await cell.acquire_placement(make_request(f"r{i}", "a"))
+            for i in range(BATCH_LIMIT)
+        ]
+        assert {p.entry.upstream for p in placements} == {"e2"}
+        tasks.cancel_scope.cancel()
+
+
 async def test_lease_change_reads_the_engines_of_its_zone_only() -> None:
     """Load pattern: leases change hands often while requests wait."""
     async with anyio.create_task_group() as tasks:
