--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -156,8 +156,8 @@
         self.running: running_counts.Counts = {}
         self.remote: running_counts.Counts = {}
         self.demand: dict[str, int] = {}
-        self.results: report_exchange.Results = {}
-        self.remote_results: report_exchange.Results = {}
+        self.results: report_exchange.ResultsByUpstream = {}
+        self.remote_results: report_exchange.ResultsByUpstream = {}
         self.rights: tuple[entry_messages.LeaseNotice, ...] = ()
         self.views = engine_views.EngineViews()
         self.scope = anyio.CancelScope()
@@ -231,11 +231,13 @@
     def _apply_counts(self, counts: running_counts.Counts) -> None:
         running_counts.apply_changes(self.remote, counts)
 
-    def _take_results(self) -> report_exchange.Results:
+    def _take_results(self) -> report_exchange.ResultsByUpstream:
         results, self.results = self.results, {}
         return results
 
-    def _apply_results(self, results: report_exchange.Results) -> None:
+    def _apply_results(
+        self, results: report_exchange.ResultsByUpstream
+    ) -> None:
         for upstream, observed in results.items():
             known = self.remote_results.get(upstream, upstream_health.Results())
             self.remote_results[upstream] = known + observed
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -289,14 +289,16 @@
         for cell in self._cells.values():
             cell.apply_remote_counts(counts)
 
-    def _take_results(self) -> report_exchange.Results:
+    def _take_results(self) -> report_exchange.ResultsByUpstream:
         return {
             upstream: observed
             for cell in self._cells.values()
             for upstream, observed in cell.health.take_results().items()
         }
 
-    def _apply_results(self, results: report_exchange.Results) -> None:
+    def _apply_results(
+        self, results: report_exchange.ResultsByUpstream
+    ) -> None:
         for cell in self._cells.values():
             cell.apply_results(results)
 
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -34,7 +34,7 @@
 NOT_USED_S = -1.0
 """Store silence reported by an instance that does not use the store."""
 
-Results = dict[str, upstream_health.Results]
+ResultsByUpstream = dict[str, upstream_health.Results]
 """Results of requests by upstream."""
 
 _CLUSTER = "\x00cluster"
@@ -92,8 +92,8 @@
     apply_engines: Callable[[tuple[entry_messages.EngineNotice, ...]], None]
     apply_quarantined: Callable[[tuple[str, ...]], None]
     apply_holders: Callable[[], None]
-    take_results: Callable[[], Results]
-    apply_results: Callable[[Results], None]
+    take_results: Callable[[], ResultsByUpstream]
+    apply_results: Callable[[ResultsByUpstream], None]
 
 
 class ReportExchange:
@@ -121,7 +121,7 @@
         self._acknowledged: dict[str, int] = {}
         self._group_sent: running_counts.Counts = {}
         self._cluster_sent: running_counts.Counts = {}
-        self._group_results: dict[str, Results] = {}
+        self._group_results: dict[str, ResultsByUpstream] = {}
         self._changed_engines: set[str] = set()
         self._own_engines: dict[str, entry_messages.EngineNotice] = {}
         self._relays_reported_at = float("-inf")
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -350,7 +350,7 @@
     def refresh_health(self) -> None:
         """Stops or resumes new requests to upstreams as their health says."""
         now = anyio.current_time()
-        avoided, on_trial = self._list_avoided(now)
+        avoided, on_trial = self._list_limited(now)
         events = [
             event
             for name, entry in self._entries.items()
@@ -362,18 +362,24 @@
 
     def refresh_orderable(self) -> None:
         """Applies whether loads may be ordered, where that has changed."""
-        is_orderable = self._dependencies.upstreams.is_orderable
-        changed = {
-            zone
-            for zone, was_orderable in self._orderable.items()
-            if is_orderable(self.service.name, zone) != was_orderable
-        }
-        for zone in changed:
-            self._orderable[zone] = not self._orderable[zone]
+        previous, self._orderable = self._orderable, self._find_orderable()
         self.refresh_upstreams(
-            [entry for entry in self._entries.values() if entry.zone in changed]
+            [
+                entry
+                for entry in self._entries.values()
+                if self._orderable[entry.zone] != previous.get(entry.zone)
+            ]
         )
 
+    def _find_orderable(self) -> dict[str, bool]:
+        """Returns whether loads may be ordered, by availability zone."""
+        return {
+            zone: self._dependencies.upstreams.is_orderable(
+                self.service.name, zone
+            )
+            for zone in {entry.zone for entry in self._entries.values()}
+        }
+
     def _refresh_ready(self) -> None:
         """Passes on which loading adapters are ready by now."""
         now = anyio.current_time()
@@ -409,7 +415,7 @@
         self, entries: Iterable[upstream_entries.UpstreamEntry], now: float
     ) -> list[cell_events.CellEvent]:
         """Returns snapshots of upstreams, and whether they get new requests."""
-        avoided, on_trial = self._list_avoided(now)
+        avoided, on_trial = self._list_limited(now)
         accepts_loads: dict[str, bool] = {}
         events: list[cell_events.CellEvent] = []
         for entry in entries:
@@ -422,7 +428,7 @@
             events.extend(self._set_leaving(entry, avoided, on_trial))
         return events
 
-    def _list_avoided(self, now: float) -> tuple[set[str], set[str]]:
+    def _list_limited(self, now: float) -> tuple[set[str], set[str]]:
         """Returns the avoided upstreams and those on trial."""
         listed = [e.upstream for e in self._entries.values() if not e.leaving]
         return (
@@ -476,12 +482,7 @@
         }
         events = self._remove(self._entries.keys() - entries.keys())
         self._entries = entries
-        self._orderable = {
-            entry.zone: self._dependencies.upstreams.is_orderable(
-                self.service.name, entry.zone
-            )
-            for entry in entries.values()
-        }
+        self._orderable = self._find_orderable()
         events.extend(self._make_events(entries.values(), now))
         self._handle(cell_events.EventBatch(tuple(events)))
         self._trial_timer.schedule(self.health.find_next_trial(now))
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -323,6 +323,11 @@
         harness.unordered.clear()
         cell.refresh_orderable()
         assert harness.snapshots == ["e2", "e2"]
+        harness.add_engine("e3", "z3")
+        cell.refresh_upstreams([harness.entries["e3"]])
+        harness.unordered.add("z3")
+        cell.refresh_orderable()
+        assert harness.snapshots == ["e2", "e2", "e3", "e3"]
         tasks.cancel_scope.cancel()
 
 
