Treat a store that changes did not arrive from as silent

Once a change had to be requested, the store now counts as unreachable, so the other relays forward changes at once. Test that failed first (3 of 3 runs): test_changes_after_a_missed_one_reach_a_silent_relay_at_once.

The tests of drains sent requests one after the other, which since ties are broken by instance may all use one server; they now send eight at once, so that every server in use gets some.

--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tamaracktide import errors
+from tamaracktide import result_codes
 from tamaracktide.core import catch_up
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import peers as entry_peers
@@ -245,6 +246,13 @@
             versions=known.versions,
         ).info("changes of the store missed; requesting them from a peer")
         self._peers.send(peer, entry_messages.ObjectsRequest(known=known))
+        # Other relays forward changes at once to one that reports an outage.
+        self._store_health.record_failure(
+            errors.PlatformUnavailableError(
+                result_codes.ResultCode.PLATFORM_UNAVAILABLE,
+                "changes that others observed did not arrive",
+            )
+        )
 
     def _needs_store(self, now: float) -> bool:
         """Whether this instance must follow the store itself."""
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -15,6 +15,7 @@
 import deployment
 from fleet import adapter
 from tamaracktide.core import relays
+from tamaracktide.entry import object_exchange
 from tamaracktide.entry import program
 from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
@@ -58,6 +59,22 @@
             content=b"body",
         )
 
+    async def send_at_once(self, count: int, prefix: str) -> None:
+        """Sends requests at the same time, which so use all servers.
+
+        Each must be answered with 200.
+        """
+        statuses = []
+
+        async def send(request_id: str) -> None:
+            response = await self.send("/safe/x", request_id)
+            statuses.append(response.status)
+
+        async with anyio.create_task_group() as tasks:
+            for index in range(count):
+                tasks.start_soon(send, f"{prefix}{index}")
+        assert statuses == [200] * count
+
     async def generate(
         self, request_id: str, name: str = "a1", path: str = "/stream/x"
     ) -> httpcore.Response:
@@ -231,16 +248,7 @@
         )
         healthy_server = await cluster.add_server(fleet_cluster.Server("p2"))
         async with _run_instance(cluster) as instance:
-            statuses = []
-
-            async def send(request_id: str) -> None:
-                response = await instance.send("/safe/x", request_id)
-                statuses.append(response.status)
-
-            async with anyio.create_task_group() as tasks:
-                for index in range(6):
-                    tasks.start_soon(send, f"r{index}")
-            assert statuses == [200] * 6
+            await instance.send_at_once(6, "r")
             assert failing_server.runs
             assert len(healthy_server.runs) == 6
 
@@ -290,9 +298,7 @@
             cluster.register(leaving, state="draining")
             await anyio.sleep(1.0)
             before = len(leaving.runs)
-            for index in range(8):
-                response = await instance.send("/safe/x", f"r{index}")
-                assert response.status == 200
+            await instance.send_at_once(8, "s")
             assert len(leaving.runs) == before
 
 
@@ -551,12 +557,44 @@
             cluster.register(leaving, state="draining")
             await anyio.sleep(2.5)
             before = len(leaving.runs)
-            for index in range(8):
-                response = await silent.send("/safe/x", f"r{index}")
-                assert response.status == 200
+            await silent.send_at_once(8, "r")
             assert len(leaving.runs) == before
 
 
+async def test_changes_after_a_missed_one_reach_a_silent_relay_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: several drains while the store is silent for one relay.
+
+    Having missed the first, the relay no longer counts on its own connection.
+    """
+    monkeypatch.setattr(relays, "MAX_FLAT_INSTANCES", 1)
+    async with fleet_cluster.run_cluster() as cluster:
+        first, second, _ = [
+            await cluster.add_server(fleet_cluster.Server(name))
+            for name in ("p1", "p2", "p3")
+        ]
+        store_proxy, address = await cluster.add_store_proxy()
+        port = deployment.find_port()
+        async with (
+            _run_instance(
+                cluster, "n1", peer_port=port, store_address=address
+            ) as silent,
+            _run_instance(
+                cluster, "n2", "127.0.0.2", peer_port=port, zone="z2"
+            ),
+        ):
+            await anyio.sleep(1.0)
+            store_proxy.is_silent = True
+            cluster.register(first, state="draining")
+            await anyio.sleep(3.0)
+            cluster.register(second, state="draining")
+            await anyio.sleep(2 * object_exchange.RELAY_WATCH_PAUSE_S)
+            before = len(first.runs), len(second.runs)
+            await silent.send_at_once(9, "r")
+            assert (len(first.runs), len(second.runs)) == before
+
+
 async def test_request_after_a_restart_waits_for_the_lease() -> None:
     """Load pattern: requests arrive right after a restart of all instances.
 
