Omit empty fields from messages

Cause: reports between instances name each field, also those that are empty by default, which most are in most reports; the results of failing upstreams added another. Receivers already use defaults for missing fields, and the round trip of every message is tested.

--- a/src/tamaracktide/protocol/codec.py
+++ b/src/tamaracktide/protocol/codec.py
@@ -1,5 +1,6 @@
 """CBOR encoding of messages, with limits on the accepted input."""
 
+import dataclasses
 import math
 from typing import NoReturn
 
@@ -40,12 +41,28 @@
 def encode_message(message: messages.Message) -> bytes:
     """Returns the message as the CBOR array `[number, fields]`.
 
-    Integers must fit into 64 bits; receivers reject larger ones.
+    Integers must fit into 64 bits; receivers reject larger ones. Empty fields
+    whose default is empty are omitted.
     """
     fields = msgspec.to_builtins(message, builtin_types=(bytes,))
+    for name in _OMITTABLE[type(message)]:
+        if not fields[name]:
+            del fields[name]
     return cbor2.dumps([_NUMBER_BY_TYPE[type(message)], fields])
 
 
+def _list_omittable(message_type: type[messages.Message]) -> tuple[str, ...]:
+    """Returns the fields that are empty by default."""
+    names = []
+    for field in dataclasses.fields(message_type):
+        default = field.default
+        if field.default_factory is not dataclasses.MISSING:
+            default = field.default_factory()
+        if default in ((), "", b"", False, 0) or default == {}:
+            names.append(field.name)
+    return tuple(names)
+
+
 def decode_message(data: bytes) -> messages.Message | None:
     """Decodes a message; returns None if its number is unknown.
 
@@ -109,3 +126,9 @@
     return errors.ProtocolError(
         result_codes.ResultCode.MALFORMED_MESSAGE, detail
     )
+
+
+_OMITTABLE = {
+    message_type: _list_omittable(message_type)
+    for message_type in messages.NUMBERS.values()
+}
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -29,6 +29,17 @@
     assert codec.decode_message(codec.encode_message(message)) == message
 
 
+def test_empty_fields_take_no_bytes() -> None:
+    """Most reports have nothing to say in most of their fields."""
+    reply = messages.RefusalReply(
+        request_id="r", code=result_codes.ResultCode.NO_UPSTREAM
+    )
+    encoded = codec.encode_message(reply)
+    assert b"owner" not in encoded
+    assert b"request_id" in encoded
+    assert codec.decode_message(encoded) == reply
+
+
 def test_unknown_fields_are_ignored_and_missing_fields_use_defaults() -> None:
     """An additional field of a newer peer is ignored."""
     data = cbor2.dumps([2, {"code": 5, "later": [1, 2]}])
