Write once what the change to forwarding and health had twice

Read again as a newcomer; behaviour stays as it is. - A response that is read completely: one class (calls.PartialResponse) for the httpcore and the httptools client, which had read and send each. - Closing the listening sockets of a cancelled server: one class for the product's servers and the stand-ins'. - Sums of results by upstream, own results of an upstream, the slots that a cell is loading, and where loads may be ordered: one function each. - The key of a loaded adapter is cached alone; the name of its slot follows from it. Upstreams that fail are looked for only if one does; the removed ones are computed once. - take_results says that it also drops the records of recovered upstreams.

--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -238,9 +238,7 @@
     def _apply_results(
         self, results: report_exchange.ResultsByUpstream
     ) -> None:
-        for upstream, observed in results.items():
-            known = self.remote_results.get(upstream, upstream_health.Results())
-            self.remote_results[upstream] = known + observed
+        upstream_health.add_results(self.remote_results, results)
 
     def _apply_demand(self, name: str, count: int) -> None:
         self.demand[name] = self.demand.get(name, 0) + count
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -181,11 +181,7 @@
             for load in self.loads.values()
             if load.upstream == engine.name
         }
-        loading = {
-            load.lora_name
-            for load in self.loads.values()
-            if load.upstream == engine.name
-        }
+        loading = self._list_loading(engine)
         for name, slot in list(engine.slots.items()):
             if name not in reported and not slot.pins and name not in loading:
                 self._drop_slot(engine, name)
@@ -224,19 +220,20 @@
         engine = self.engines.get(event.upstream)
         if engine is None:
             return
-        own = {
+        for name in set(event.lora_names) - self._list_loading(engine):
+            slot = engine.slots.get(name)
+            if slot is None:
+                continue
+            if slot.state is cell_state.SlotState.LOADING:
+                slot.state = cell_state.SlotState.READY
+
+    def _list_loading(self, engine: cell_state.Engine) -> set[str]:
+        """Returns the slots of an engine that this cell is loading."""
+        return {
             load.lora_name
             for load in self.loads.values()
             if load.upstream == engine.name
         }
-        for name in event.lora_names:
-            slot = engine.slots.get(name)
-            if (
-                slot is not None
-                and slot.state is cell_state.SlotState.LOADING
-                and name not in own
-            ):
-                slot.state = cell_state.SlotState.READY
 
     def remove_engine(self, upstream: str) -> list[cell_state.GrantRecord]:
         """Removes an engine with its loads and grants; returns the grants."""
--- a/src/tamaracktide/core/membership.py
+++ b/src/tamaracktide/core/membership.py
@@ -147,7 +147,7 @@
                 if attempted_at < self._last_contact.get(
                     instance, -float("inf")
                 ):
-                    # It has restarted at another address since.
+                    # It responded later than that, from a new address perhaps.
                     return
                 self._unresponsive[instance] = now
                 self._last_contact.pop(instance, None)
--- a/src/tamaracktide/core/upstream_health.py
+++ b/src/tamaracktide/core/upstream_health.py
@@ -9,6 +9,7 @@
 upstreams.
 """
 
+from collections.abc import Mapping
 import dataclasses
 import statistics
 
@@ -73,6 +74,14 @@
         )
 
 
+def add_results(
+    totals: dict[str, Results], added: Mapping[str, Results]
+) -> None:
+    """Adds results by upstream to totals."""
+    for upstream, results in added.items():
+        totals[upstream] = totals.get(upstream, Results()) + results
+
+
 @dataclasses.dataclass(slots=True)
 class _Health:
     failure_rate: float = 0.0
@@ -81,6 +90,11 @@
     unreachable: bool = False
     results: Results = Results()
 
+    def add_own(self, results: Results) -> None:
+        """Adds own results, which are also to be reported."""
+        self.results += results
+        self.add(results, FAILURE_RATE_WEIGHT)
+
     def add(self, results: Results, weight: float) -> None:
         """Updates the failure rate; `weight` is that of each result."""
         count = results.completed + results.failed
@@ -114,8 +128,7 @@
         if record is None:
             return False
         was_on_trial = record.needs_trial
-        record.results += Results(completed=1)
-        record.add(Results(completed=1), FAILURE_RATE_WEIGHT)
+        record.add_own(Results(completed=1))
         if was_on_trial:
             record.failure_rate *= TRIAL_SUCCESS_FACTOR
         return was_on_trial and not record.needs_trial
@@ -127,8 +140,7 @@
             Whether the upstream was not avoided before and now is.
         """
         record = self._records.setdefault(upstream, _Health())
-        record.results += Results(failed=1)
-        record.add(Results(failed=1), FAILURE_RATE_WEIGHT)
+        record.add_own(Results(failed=1))
         return record.needs_trial and self._avoid(record, now)
 
     def record_remote(
@@ -148,14 +160,16 @@
         return self._avoid(record, now)
 
     def take_results(self) -> dict[str, Results]:
-        """Returns own results since the last call, of upstreams that fail."""
-        taken = {
-            name: record.results
-            for name, record in self._records.items()
-            if record.results.completed or record.results.failed
-        }
+        """Returns own results since the last call, of upstreams that fail.
+
+        Drops the records of those that have recovered: nothing of them is left
+        to report.
+        """
+        taken: dict[str, Results] = {}
         for name, record in list(self._records.items()):
-            record.results = Results()
+            if record.results != Results():
+                taken[name] = record.results
+                record.results = Results()
             is_sound = record.failure_rate < FAILURE_RATE_WEIGHT / 2
             if is_sound and not record.unreachable:
                 del self._records[name]
@@ -166,14 +180,6 @@
         record = self._records.get(upstream)
         return 0.0 if record is None else record.failure_rate
 
-    def _avoid(self, record: _Health, now: float) -> bool:
-        if now < record.avoid_until:
-            return False
-        jitter = self._rng.uniform(1 - AVOID_JITTER, 1 + AVOID_JITTER)
-        record.avoid_until = now + record.avoid_s * jitter
-        record.avoid_s = min(MAX_AVOID_S, record.avoid_s * 2)
-        return True
-
     def record_unreachable(self, upstream: str) -> bool:
         """Records a failed connection; returns whether the state changed."""
         record = self._records.setdefault(upstream, _Health())
@@ -215,7 +221,8 @@
 
     def _list_failing(self, upstreams: list[str]) -> list[str]:
         """Returns the reachable upstreams that fail more than the others."""
-        if not upstreams or not self._records:
+        is_failing = any(r.needs_trial for r in self._records.values())
+        if not upstreams or not is_failing:
             return []
         unreachable = self._list_unreachable(upstreams)
         least_rate = max(
@@ -243,3 +250,11 @@
             ),
             default=float("inf"),
         )
+
+    def _avoid(self, record: _Health, now: float) -> bool:
+        if now < record.avoid_until:
+            return False
+        jitter = self._rng.uniform(1 - AVOID_JITTER, 1 + AVOID_JITTER)
+        record.avoid_until = now + record.avoid_s * jitter
+        record.avoid_s = min(MAX_AVOID_S, record.avoid_s * 2)
+        return True
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -359,14 +359,13 @@
 
     def _list_unreachable(self, now: float) -> frozenset[str]:
         """Returns the instances that must not be chosen as relays."""
-        ends = {
-            instance: outage.until for instance, outage in self._outages.items()
+        silent = {
+            name for name, outage in self._outages.items() if now < outage.until
         }
-        return frozenset(
-            instance
-            for instance, until in (*ends.items(), *self._draining.items())
-            if now < until
-        )
+        draining = {
+            name for name, until in self._draining.items() if now < until
+        }
+        return frozenset(silent | draining)
 
     def _update_plan(self, now: float) -> None:
         inputs = self._zones, self._list_unreachable(now)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -248,14 +248,15 @@
         ]
         for entry in entries:
             self._views.apply_entry(entry, anyio.current_time())
-        for name in changed - state.upstreams.keys():
+        removed = changed - state.upstreams.keys()
+        for name in removed:
             self._views.forget(name)
         services = dict(state.table.document.services) if state.table else {}
         self._engine_controller.update(state.upstreams, services)
         self._crashes.check(state.upstreams)
         self._apply_instances()
         for cell in self._cells.values():
-            cell.remove_upstreams(changed - state.upstreams.keys())
+            cell.remove_upstreams(removed)
         applied = (state.table, dict(state.versions))
         if applied != self._applied:
             self._applied = applied
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -280,9 +280,7 @@
         if not report.results:
             return
         results = self._group_results.setdefault(peer.instance, {})
-        for upstream, observed in report.results.items():
-            known = results.get(upstream, upstream_health.Results())
-            results[upstream] = known + observed
+        upstream_health.add_results(results, report.results)
         self._dependencies.apply_results(report.results)
 
     def apply_engines(
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -328,7 +328,8 @@
         if not changed:
             return
         self._entries.update(changed)
-        events = self._make_events(changed.values(), anyio.current_time())
+        entries = changed.values()
+        events = self._make_events(entries, self._find_orderable(entries))
         self._handle(cell_events.EventBatch(tuple(events)))
 
     def remove_upstreams(self, upstreams: Collection[str]) -> None:
@@ -362,7 +363,8 @@
 
     def refresh_orderable(self) -> None:
         """Applies whether loads may be ordered, where that has changed."""
-        previous, self._orderable = self._orderable, self._find_orderable()
+        previous = self._orderable
+        self._orderable = self._find_orderable(self._entries.values())
         self.refresh_upstreams(
             [
                 entry
@@ -371,13 +373,15 @@
             ]
         )
 
-    def _find_orderable(self) -> dict[str, bool]:
+    def _find_orderable(
+        self, entries: Collection[upstream_entries.UpstreamEntry]
+    ) -> dict[str, bool]:
         """Returns whether loads may be ordered, by availability zone."""
         return {
             zone: self._dependencies.upstreams.is_orderable(
                 self.service.name, zone
             )
-            for zone in {entry.zone for entry in self._entries.values()}
+            for zone in {entry.zone for entry in entries}
         }
 
     def _refresh_ready(self) -> None:
@@ -412,19 +416,17 @@
             self._ready_timer.schedule(min(self._ready_at.values()))
 
     def _make_events(
-        self, entries: Iterable[upstream_entries.UpstreamEntry], now: float
+        self,
+        entries: Iterable[upstream_entries.UpstreamEntry],
+        orderable: Mapping[str, bool],
     ) -> list[cell_events.CellEvent]:
         """Returns snapshots of upstreams, and whether they get new requests."""
+        now = anyio.current_time()
         avoided, on_trial = self._list_limited(now)
-        accepts_loads: dict[str, bool] = {}
         events: list[cell_events.CellEvent] = []
         for entry in entries:
-            zone = entry.zone
-            if zone not in accepts_loads:
-                accepts_loads[zone] = self._dependencies.upstreams.is_orderable(
-                    self.service.name, zone
-                )
-            events.append(self._make_snapshot(entry, now, accepts_loads[zone]))
+            accepts_loads = orderable[entry.zone]
+            events.append(self._make_snapshot(entry, now, accepts_loads))
             events.extend(self._set_leaving(entry, avoided, on_trial))
         return events
 
@@ -444,7 +446,7 @@
     ) -> cell_events.UpstreamSnapshot:
         """Returns a snapshot of an upstream.
 
-        The next snapshot is due when an adapter that is loading gets ready.
+        Also records when the next loading adapter of an engine is ready.
         """
         snapshot_builder, name = self._dependencies.upstreams, entry.upstream
         if self.service.engine is not None:
@@ -473,7 +475,6 @@
 
     def refresh(self) -> None:
         """Passes snapshots of all upstreams of the service to the cell."""
-        now = anyio.current_time()
         entries = {
             entry.upstream: entry
             for entry in self._dependencies.upstreams.list_entries(
@@ -482,9 +483,10 @@
         }
         events = self._remove(self._entries.keys() - entries.keys())
         self._entries = entries
-        self._orderable = self._find_orderable()
-        events.extend(self._make_events(entries.values(), now))
+        self._orderable = self._find_orderable(entries.values())
+        events.extend(self._make_events(entries.values(), self._orderable))
         self._handle(cell_events.EventBatch(tuple(events)))
+        now = anyio.current_time()
         self._trial_timer.schedule(self.health.find_next_trial(now))
 
     def _set_leaving(
--- a/src/tamaracktide/entry/upstream_snapshots.py
+++ b/src/tamaracktide/entry/upstream_snapshots.py
@@ -1,7 +1,6 @@
 """Builds snapshots of the tracked state of upstreams for the cells."""
 
 from collections.abc import Callable
-import dataclasses
 import functools
 import math
 
@@ -15,9 +14,8 @@
 """Cost of an upstream in another zone: the network round trip takes 3 ms, and
 the traffic costs as much as a hundredth of a response."""
 
-
-MAX_CACHED_NAMES = 16_384
-"""Names of adapters that are kept; more than all engines of a service hold."""
+MAX_CACHED_KEYS = 16_384
+"""Keys of adapters that are kept; more than all engines of a service hold."""
 
 
 class SnapshotBuilder:
@@ -121,31 +119,31 @@
         for model, adapters in view.models.items():
             loaded.append(_make_resident(model, counts.get(model, 0)))
             for adapter, adapter_view in adapters.items():
-                names = self._find_names(model, adapter, adapter_view)
+                key = self._find_key(model, adapter, adapter_view)
                 loaded.append(
                     cell_events.LoadedAdapter(
-                        lora_name=names.lora_name,
-                        key=names.key,
-                        running=counts.get(names.key.adapter, 0),
+                        lora_name=key.text,
+                        key=key,
+                        running=counts.get(key.adapter, 0),
                         ready=adapter_view.ready_at <= now,
                     )
                 )
         return loaded
 
-    def _find_names(
+    def _find_key(
         self,
         model: str,
         adapter: str,
         adapter_view: engine_views.AdapterView,
-    ) -> "_Names":
+    ) -> rows.AdapterKey:
         announced = self._find_version(model, adapter)
         version = _name_version(adapter_view.version, announced)
-        return _make_names(model, adapter, version)
+        return _make_key(model, adapter, version)
 
     def list_ready(self, upstream: str, now: float) -> list[str]:
         """Returns the slots of an engine whose load has ended by now."""
         return [
-            self._find_names(model, adapter, adapter_view).lora_name
+            self._find_key(model, adapter, adapter_view).text
             for model, adapters in self._views.find(upstream).models.items()
             for adapter, adapter_view in adapters.items()
             if 0.0 < adapter_view.ready_at <= now
@@ -164,23 +162,9 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Names:
-    """Names of a loaded adapter.
-
-    Attributes:
-        key: Adapter, with its model, and version.
-        lora_name: Name of its slot.
-    """
-
-    key: rows.AdapterKey
-    lora_name: str
-
-
-@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
-def _make_names(model: str, adapter: str, version: str) -> _Names:
-    key = rows.AdapterKey(f"{model}/{adapter}", version)
-    return _Names(key, key.text)
+@functools.lru_cache(maxsize=MAX_CACHED_KEYS)
+def _make_key(model: str, adapter: str, version: str) -> rows.AdapterKey:
+    return rows.AdapterKey(f"{model}/{adapter}", version)
 
 
 def _make_resident(name: str, running: int) -> cell_events.LoadedAdapter:
--- a/src/tamaracktide/http_server.py
+++ b/src/tamaracktide/http_server.py
@@ -12,7 +12,19 @@
 from tamaracktide.observability import logs
 
 
-class Server(uvicorn.Server):
+class CancellableServer(uvicorn.Server):
+    """A server that closes its listening sockets when it is cancelled."""
+
+    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
+        """Serves; also closes the listening sockets when cancelled."""
+        try:
+            await super().serve(sockets)
+        finally:
+            for server in getattr(self, "servers", ()):
+                server.close()
+
+
+class Server(CancellableServer):
     """A uvicorn server without signal handlers and without periodic wake-ups.
 
     Its main loop waits for `should_exit` instead of checking it ten times a
@@ -45,14 +57,6 @@
         """Captures no signals."""
         yield
 
-    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
-        """Serves; also closes the listening sockets when cancelled."""
-        try:
-            await super().serve(sockets)
-        finally:
-            for server in getattr(self, "servers", ()):
-                server.close()
-
 
 def make_server(
     app: asgi.App, host: str, port: int, keep_alive_s: float
--- a/src/tamaracktide/protocol/codec.py
+++ b/src/tamaracktide/protocol/codec.py
@@ -51,18 +51,6 @@
     return cbor2.dumps([_NUMBER_BY_TYPE[type(message)], fields])
 
 
-def _list_omittable(message_type: type[messages.Message]) -> tuple[str, ...]:
-    """Returns the fields that are empty by default."""
-    names = []
-    for field in dataclasses.fields(message_type):
-        default = field.default
-        if field.default_factory is not dataclasses.MISSING:
-            default = field.default_factory()
-        if default in ((), "", b"", False, 0) or default == {}:
-            names.append(field.name)
-    return tuple(names)
-
-
 def decode_message(data: bytes) -> messages.Message | None:
     """Decodes a message; returns None if its number is unknown.
 
@@ -128,6 +116,18 @@
     )
 
 
+def _list_omittable(message_type: type[messages.Message]) -> tuple[str, ...]:
+    """Returns the fields that are empty by default."""
+    names = []
+    for field in dataclasses.fields(message_type):
+        default = field.default
+        if field.default_factory is not dataclasses.MISSING:
+            default = field.default_factory()
+        if default is not None and not default:
+            names.append(field.name)
+    return tuple(names)
+
+
 _OMITTABLE = {
     message_type: _list_omittable(message_type)
     for message_type in messages.NUMBERS.values()
--- a/src/tamaracktide/standins/service/server.py
+++ b/src/tamaracktide/standins/service/server.py
@@ -14,6 +14,8 @@
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
 
+from tamaracktide import http_server
+
 KEEP_ALIVE_S = 300
 CANCEL_GRACE_S = 1
 EMBEDDED_STOP_TIMEOUT_S = 0.1
@@ -61,7 +63,7 @@
     return host, int(port)
 
 
-class _Server(uvicorn.Server):
+class _Server(http_server.CancellableServer):
     """A server that aborts connections still open at the stop timeout."""
 
     def __init__(self, app: App, stop_timeout_s: float) -> None:
@@ -80,14 +82,6 @@
         super().__init__(config)
         self._stop_timeout_s = stop_timeout_s
 
-    async def serve(self, sockets: list[socket.socket] | None = None) -> None:
-        """Serves; also closes the listening sockets when cancelled."""
-        try:
-            await super().serve(sockets)
-        finally:
-            for server in getattr(self, "servers", ()):
-                server.close()
-
     async def shutdown(
         self, sockets: list[socket.socket] | None = None
     ) -> None:
--- a/src/tamaracktide/upstreams/calls.py
+++ b/src/tamaracktide/upstreams/calls.py
@@ -3,6 +3,7 @@
 Failures are classified by whether the upstream may have run the request.
 """
 
+import abc
 from collections.abc import AsyncGenerator
 import dataclasses
 import enum
@@ -130,7 +131,7 @@
     return headers
 
 
-class OpenResponse:
+class PartialResponse(abc.ABC):
     """A response whose body is still arriving; it must be closed after use.
 
     Attributes:
@@ -138,7 +139,49 @@
         headers: Pairs of lower-case header name and value.
     """
 
-    __slots__ = ("_body", "_own_pool", "_response", "headers", "status")
+    __slots__ = ("headers", "status")
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+
+    @abc.abstractmethod
+    async def receive(self) -> bytes | Failure:
+        """Returns the next body bytes, empty at the end, or the failure."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Makes the connection available, or closes it if data is unread."""
+
+    async def read(self, max_bytes: int) -> Response | Failure:
+        """Reads the body; returns the complete response or the failure."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            part = await self.receive()
+            if isinstance(part, Failure):
+                return part
+            if not part:
+                return Response(self.status, self.headers, b"".join(parts))
+            size += len(part)
+            if size > max_bytes:
+                return Failure(
+                    FailureKind.TOO_LARGE,
+                    f"response body exceeds {max_bytes} bytes",
+                )
+            parts.append(part)
+
+    async def read_and_close(self, max_bytes: int) -> Response | Failure:
+        """Reads the body as `read` and closes the response."""
+        try:
+            return await self.read(max_bytes)
+        finally:
+            await self.close()
+
+
+class OpenResponse(PartialResponse):
+    """A response that httpcore receives."""
+
+    __slots__ = ("_body", "_own_pool", "_response")
 
     def __init__(
         self,
@@ -171,24 +214,6 @@
         ) as error:
             return classify_failure(error)
 
-    async def read(self, max_bytes: int) -> Response | Failure:
-        """Reads the body; returns the complete response or the failure."""
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await self.receive()
-            if isinstance(part, Failure):
-                return part
-            if not part:
-                return Response(self.status, self.headers, b"".join(parts))
-            size += len(part)
-            if size > max_bytes:
-                return Failure(
-                    FailureKind.TOO_LARGE,
-                    f"response body exceeds {max_bytes} bytes",
-                )
-            parts.append(part)
-
     async def close(self) -> None:
         """Returns the connection to its pool; closes it if data is unread."""
         with anyio.CancelScope(shield=True):
@@ -249,10 +274,7 @@
         response = await self.open(call, fresh=fresh)
         if isinstance(response, Failure):
             return response
-        try:
-            return await response.read(self._settings.max_answer_bytes)
-        finally:
-            await response.close()
+        return await response.read_and_close(self._settings.max_answer_bytes)
 
     async def close_idle(self, address: str) -> None:
         """Closes the idle connections to an address; they may be unresponsive.
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -140,7 +140,7 @@
                 f"request not taken within {timeout_s:g} s",
             )
         except httpcore.WriteError:
-            return None
+            pass
         return None
 
     async def receive(self, timeout_s: float) -> calls.Failure | None:
@@ -180,15 +180,10 @@
         )
 
 
-class StreamedResponse:
-    """A response whose body is still arriving; it must be closed after use.
-
-    Attributes:
-        status: HTTP status code.
-        headers: Pairs of lower-case header name and value.
-    """
+class StreamedResponse(calls.PartialResponse):
+    """A response that httptools parses."""
 
-    __slots__ = ("_client", "_connection", "_timeout_s", "headers", "status")
+    __slots__ = ("_client", "_connection", "_timeout_s")
 
     def __init__(
         self, client: "StreamClient", connection: _Connection, timeout_s: float
@@ -210,26 +205,6 @@
             if failure is not None:
                 return failure
 
-    async def read(self, max_bytes: int) -> calls.Response | calls.Failure:
-        """Reads the body; returns the complete response or the failure."""
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await self.receive()
-            if isinstance(part, calls.Failure):
-                return part
-            if not part:
-                return calls.Response(
-                    self.status, self.headers, b"".join(parts)
-                )
-            size += len(part)
-            if size > max_bytes:
-                return calls.Failure(
-                    calls.FailureKind.TOO_LARGE,
-                    f"response body exceeds {max_bytes} bytes",
-                )
-            parts.append(part)
-
     async def close(self) -> None:
         """Makes the connection idle, or closes it if the body is incomplete."""
         connection = self._connection
@@ -288,10 +263,7 @@
         response = await self.open(call)
         if isinstance(response, calls.Failure):
             return response
-        try:
-            return await response.read(self._settings.max_answer_bytes)
-        finally:
-            await response.close()
+        return await response.read_and_close(self._settings.max_answer_bytes)
 
     def count_idle(self, address: str) -> int:
         """Returns the number of idle connections to an address."""
