Log how much of a response was sent and what limited its attempts

The end of a request that failed was logged without its upstreams and events, so a response that was cut looked like one that got its 504, and nothing told an exhausted retry budget from an upstream that could not be found. No change of behaviour.

--- a/src/tamaracktide/core/attempts.py
+++ b/src/tamaracktide/core/attempts.py
@@ -56,6 +56,13 @@
     ENDED = "ended"
 
 
+class RetryLimit(enum.Enum):
+    """What prevented another attempt."""
+
+    ATTEMPTS = "attempts"
+    BUDGET = "budget"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Granted:
     """A scheduler granted a batch slot on an upstream."""
@@ -197,10 +204,12 @@
     Attributes:
         code: Result code; its meaning states whether the request ran.
         retry_after_s: Time after which the client may retry.
+        limit: What prevented another attempt; None if none was wanted.
     """
 
     code: result_codes.ResultCode
     retry_after_s: float
+    limit: RetryLimit | None = None
 
 
 Action = Proceed | Retry | Resume | Abort
@@ -433,15 +442,18 @@
         """Retries if limits and budget permit, otherwise aborts with `code`."""
         self._cause = code
         if self._attempts >= self._settings.max_attempts:
-            return self._abort(code, retry_after_s)
+            return self._abort(code, retry_after_s, RetryLimit.ATTEMPTS)
         if not self._budget.take():
-            return self._abort(code, retry_after_s)
+            return self._abort(code, retry_after_s, RetryLimit.BUDGET)
         wait_s = self._compute_backoff_s(self._attempts - 1)
         self._attempts += 1
         return Retry(wait_s, self._avoid, self._suspect)
 
     def _abort(
-        self, code: result_codes.ResultCode, retry_after_s: float
+        self,
+        code: result_codes.ResultCode,
+        retry_after_s: float,
+        limit: RetryLimit | None = None,
     ) -> Action:
         self.phase = Phase.ENDED
         if code in _INTERNAL_CODES:
@@ -453,7 +465,9 @@
             f"{code.name} reports a request that may have run as not run",
         )
         base_retry_after_s = retry_after_s or self._settings.retry_after_s
-        return Abort(code, base_retry_after_s * self._rng.uniform(1.0, 1.5))
+        return Abort(
+            code, base_retry_after_s * self._rng.uniform(1.0, 1.5), limit
+        )
 
     def _compute_backoff_s(self, retries: int) -> float:
         backoff_s = min(
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -122,6 +122,7 @@
                     fields.request_id,
                     errors.OutcomeUnknownError(outcome.code, "internal error"),
                 )
+        outcome.response = responder.state
         self._log_outcome(fields.request_id, outcome, started_at)
 
     async def _serve_until_disconnect(
@@ -132,14 +133,16 @@
         outcome: "_Outcome",
     ) -> None:
         """Serves a request until it completes or its client disconnects."""
+        progress = results.Progress(request.resume_after)
+        outcome.progress = progress
         error_to_raise: errors.TamaracktideError | None = None
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
                 asgi.cancel_on_disconnect, receive, tasks.cancel_scope
             )
             try:
-                outcome.code, outcome.progress = await self._forwarder.serve(
-                    request, responder
+                outcome.code = await self._forwarder.serve(
+                    request, responder, progress
                 )
             except errors.TamaracktideError as error:
                 error_to_raise = error
@@ -230,6 +233,8 @@
             route=outcome.route,
             upstreams=progress.upstreams if progress else [],
             events=progress.events if progress else 0,
+            response=outcome.response,
+            limit=progress.limit.value if progress and progress.limit else "",
             code=outcome.code.value,
             seconds=round(seconds, 4),
         ).info("request finished: {} {}", outcome.code.name, outcome.detail)
@@ -238,12 +243,13 @@
 class _Outcome:
     """Outcome of a request, for its log record."""
 
-    __slots__ = ("code", "detail", "progress", "route")
+    __slots__ = ("code", "detail", "progress", "response", "route")
 
     def __init__(self) -> None:
         self.code = Codes.OK
         self.detail = ""
         self.progress: results.Progress | None = None
+        self.response = ""
         self.route = ""
 
 
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -100,15 +100,22 @@
         self._rng = random.Random()
 
     async def serve(
-        self, request: requests.ClientRequest, responder: responses.Responder
-    ) -> tuple[result_codes.ResultCode, results.Progress]:
+        self,
+        request: requests.ClientRequest,
+        responder: responses.Responder,
+        progress: results.Progress,
+    ) -> result_codes.ResultCode:
         """Forwards a request and writes its response.
 
+        Args:
+            request: The request.
+            responder: Writes the response.
+            progress: Is updated, also if the request is aborted.
+
         Raises:
             errors.TamaracktideError: The request was aborted; the error has
                 not been sent to the client.
         """
-        progress = results.Progress(request.resume_after)
         if self._crashes.is_refused(request.fingerprint):
             raise errors.RefusalError(
                 Codes.QUARANTINED,
@@ -132,7 +139,7 @@
             code = await self._run_attempts(request, responder, tries, progress)
         if scope.cancelled_caught:
             self._raise_final_error(request, tries.handle(attempts.Expired()))
-        return code, progress
+        return code
 
     def _find_budget(self, service: str) -> _RetryBudget:
         window = self._retry_windows.get(service)
@@ -164,7 +171,8 @@
                         }
                     )
                     await anyio.sleep(wait_s)
-                case attempts.Abort():
+                case attempts.Abort(limit=limit):
+                    progress.limit = limit
                     upstream_response = (
                         isinstance(result, results.LostResponse)
                         and result.response
--- a/src/tamaracktide/entry/responses.py
+++ b/src/tamaracktide/entry/responses.py
@@ -35,6 +35,13 @@
         self.started = False
         self.finished = False
 
+    @property
+    def state(self) -> str:
+        """How much was sent: `none`, `partial` or `complete`."""
+        if not self.started:
+            return "none"
+        return "complete" if self.finished else "partial"
+
     async def start(self, status: int, headers: requests.Headers) -> None:
         """Sends the status and headers."""
         self.started = True
--- a/src/tamaracktide/entry/results.py
+++ b/src/tamaracktide/entry/results.py
@@ -4,6 +4,7 @@
 from typing import TypeAlias
 
 from tamaracktide import result_codes
+from tamaracktide.core import attempts
 from tamaracktide.upstreams import calls
 
 
@@ -55,8 +56,10 @@
         last_id: Id of the last event that was forwarded.
         events: Number of events that this instance forwarded.
         upstreams: Upstreams that the request was sent to.
+        limit: What prevented another attempt, None if none was wanted.
     """
 
     last_id: int | None
     events: int = 0
     upstreams: list[str] = dataclasses.field(default_factory=list)
+    limit: attempts.RetryLimit | None = None
