--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -97,6 +97,7 @@
     peer_port: int = 0,
     store_address: str = "",
     zone: str = "z1",
+    bounds: entry_settings.Bounds | None = None,
 ) -> AsyncIterator[Instance]:
     """Runs an instance and waits until the cell's lease is held."""
     ports = [deployment.find_port() for _ in range(4)]
@@ -109,6 +110,7 @@
         peer_port=peer_port or ports[2],
         metrics_port=ports[3],
         platform_address=store_address or cluster.address,
+        bounds=bounds or entry_settings.Bounds(),
     )
     fleet_adapter = adapter.FleetAdapter()
     store = fleet_adapter.open_store(settings.platform_address)
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -255,6 +255,12 @@
         drop_response: Whether responses are cut before their end.
         event_interval_s: Time between events.
         events: Number of events in a complete stream.
+        silent_after: Events after which a stream pauses for `silence_s`; None
+            pauses before the headers of every response.
+        silence_s: Duration of that pause.
+        refuses: Whether every request gets 421, as without its adapter.
+        abandoned: Ids of the requests whose connection was closed during the
+            pause, in order.
     """
 
     name: str
@@ -270,6 +276,10 @@
     drop_response: bool = False
     event_interval_s: float = 0.002
     events: int = 10
+    silent_after: int | None = 0
+    silence_s: float = 0.0
+    refuses: bool = False
+    abandoned: list[str] = dataclasses.field(default_factory=list)
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -281,7 +291,7 @@
         elif scope["path"] == "/report":
             await reply(send, 200, json.dumps(self._make_report()).encode())
         else:
-            await self._handle_request(_make_headers(scope), send)
+            await self._handle_request(_make_headers(scope), receive, send)
 
     def _make_report(self) -> dict[str, Any]:
         return {
@@ -319,12 +329,12 @@
         await reply(send, 202)
 
     async def _handle_request(
-        self, head: dict[str, str], send: asgi.Send
+        self, head: dict[str, str], receive: asgi.Receive, send: asgi.Send
     ) -> None:
         request_id = head["x-request-id"]
         request_id_header = (b"x-request-id", request_id.encode())
         refusal = ((b"x-not-executed", b"1"), request_id_header)
-        if head.get("x-expect-instance") != self.name:
+        if self.refuses or head.get("x-expect-instance") != self.name:
             await reply(send, 421, headers=refusal)
             return
         adapter = head.get("x-model", "").partition("/")[2]
@@ -333,22 +343,31 @@
             return
         self.runs.append(request_id)
         self.headers_by_request[request_id] = head
+        if self.silent_after is None:
+            await self._pause(request_id, receive)
         signed = ((b"x-response-signature", b"1.2.3"), request_id_header)
         if self.drop_response:
             await _abort_response(signed, send)
         if not self.slots:
             await reply(send, 200, b"done by " + self.name.encode(), signed)
             return
-        await self._send_stream(
-            int(head.get("last-event-id", "0")), signed, send
-        )
+        await self._send_stream(head, signed, receive, send)
+
+    async def _pause(self, request_id: str, receive: asgi.Receive) -> None:
+        """Sends nothing for a while, until the connection is closed."""
+        with anyio.move_on_after(self.silence_s):
+            await receive()
+            self.abandoned.append(request_id)
+            raise ConnectionError("connection closed by the client")
 
     async def _send_stream(
         self,
-        after: int,
+        head: dict[str, str],
         headers: tuple[tuple[bytes, bytes], ...],
+        receive: asgi.Receive,
         send: asgi.Send,
     ) -> None:
+        after = int(head.get("last-event-id", "0"))
         kind = (b"content-type", b"text/event-stream")
         await send(
             {
@@ -358,6 +377,8 @@
             }
         )
         for number in range(after + 1, self.events + 1):
+            if self.silence_s and number - after - 1 == self.silent_after:
+                await self._pause(head["x-request-id"], receive)
             if self.break_after and number > after + self.break_after:
                 await send(
                     {
--- /dev/null
+++ b/tests/fleet/test_silent_upstreams.py
@@ -0,0 +1,214 @@
+"""Tests of upstreams that fall silent and go on.
+
+Load pattern: every stream of an engine pauses at once, for longer than the time
+after which another engine is sought, while the others have no room for them.
+"""
+
+import anyio
+import entry_instances
+import fleet_cluster
+import httpcore
+import pytest
+
+from tamaracktide.entry import settings as entry_settings
+
+pytestmark = pytest.mark.anyio
+
+SILENCE_S = 2.0
+"""Longer than the silence after which another upstream is sought, 1.5 s for a
+stream, and shorter than the deadline of the requests, 4 s."""
+
+LONG_SILENCE_S = 30.0
+NO_RETRIES = entry_settings.Bounds(retry_fraction=0.0, retry_extra=0.0)
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Entry instances run on asyncio."""
+    return "asyncio"
+
+
+def list_event_ids(response: httpcore.Response) -> list[int]:
+    """Returns the ids of the events of a response."""
+    return [
+        int(event.split(b"\n")[0][4:])
+        for event in response.content.split(b"\n\n")
+        if event
+    ]
+
+
+async def add_engine(
+    cluster: fleet_cluster.Cluster,
+    name: str,
+    *,
+    silent_after: int | None = 3,
+    silence_s: float = SILENCE_S,
+) -> fleet_cluster.Server:
+    """Adds an engine that pauses in each response and has the adapter."""
+    return await cluster.add_server(
+        fleet_cluster.Server(
+            name,
+            slots=3,
+            adapters={"a1": 1},
+            silent_after=silent_after,
+            silence_s=silence_s,
+        )
+    )
+
+
+def check_complete(response: httpcore.Response) -> None:
+    """Checks that a response has every event once."""
+    assert response.status == 200
+    assert list_event_ids(response) == list(range(1, 11))
+
+
+@pytest.mark.parametrize("silent_after", [3, None])
+async def test_silent_response_is_not_cut_if_no_other_upstream_can_take_over(
+    silent_after: int | None,
+) -> None:
+    """Guards against a response cut beside a sound upstream (incident LOST).
+
+    The only engine pauses, within the response or before it, and goes on.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engine = await add_engine(cluster, "e1", silent_after=silent_after)
+        async with entry_instances.run_instance(cluster) as instance:
+            check_complete(await instance.generate("r1"))
+            assert engine.runs == ["r1"]
+            assert engine.abandoned == []
+
+
+async def test_silent_response_is_not_cut_by_an_empty_retry_budget() -> None:
+    """Guards against a response cut beside a sound upstream (incident LOST).
+
+    Another engine has room, but no retry may be sent.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [await add_engine(cluster, name) for name in ("e1", "e2")]
+        async with entry_instances.run_instance(
+            cluster, bounds=NO_RETRIES
+        ) as instance:
+            check_complete(await instance.generate("r1"))
+            assert sum(len(engine.runs) for engine in engines) == 1
+
+
+async def test_silent_response_is_not_cut_by_the_limit_of_attempts() -> None:
+    """Guards against a response cut beside a sound upstream (incident LOST).
+
+    Both engines pause, one after the other, and the route allows two attempts.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [await add_engine(cluster, name) for name in ("e1", "e2")]
+        async with entry_instances.run_instance(cluster) as instance:
+            response = await instance.send(
+                "/stream/x",
+                "r1",
+                X_Model=f"{fleet_cluster.MODEL}/a1",
+                X_Token_Count="100,30",
+                X_Deadline_Ms="9000",
+            )
+            check_complete(response)
+            assert [len(engine.runs) for engine in engines] == [1, 1]
+
+
+async def test_silent_response_is_not_cut_if_the_other_upstream_refuses() -> (
+    None
+):
+    """Guards against a response cut beside a sound upstream (incident LOST).
+
+    The engine that is to take over says that it did not run the request.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [await add_engine(cluster, name) for name in ("e1", "e2")]
+        async with entry_instances.run_instance(cluster) as instance:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_refuse_elsewhere, engines)
+                check_complete(await instance.generate("r1"))
+            assert sum(len(engine.runs) for engine in engines) == 1
+
+
+async def _refuse_elsewhere(engines: list[fleet_cluster.Server]) -> None:
+    """Has the engines that do not run a request refuse every one."""
+    while not any(engine.runs for engine in engines):
+        await anyio.sleep(0.01)
+    for engine in engines:
+        engine.refuses = not engine.runs
+
+
+async def test_idempotent_call_to_a_silent_server_gets_its_response() -> None:
+    """Guards against 504 beside a sound server (incident LOST)."""
+    async with fleet_cluster.run_cluster() as cluster:
+        server = await cluster.add_server(
+            fleet_cluster.Server("p1", silent_after=None, silence_s=3.0)
+        )
+        async with entry_instances.run_instance(cluster) as instance:
+            response = await instance.send("/safe/x", "r1")
+            assert response.status == 200
+            assert server.runs == ["r1"]
+
+
+async def test_upstream_that_goes_on_wins_over_one_that_has_not_begun() -> None:
+    """The response has no event twice, and the other one is given up."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [
+            await add_engine(cluster, name, silence_s=LONG_SILENCE_S)
+            for name in ("e1", "e2")
+        ]
+        async with entry_instances.run_instance(cluster) as instance:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_pause_the_other_before_headers, engines)
+                check_complete(await instance.generate("r1"))
+            first, other = sorted(engines, key=lambda e: e.silence_s)
+            assert first.abandoned == []
+            assert other.abandoned == ["r1"]
+
+
+async def _pause_the_other_before_headers(
+    engines: list[fleet_cluster.Server],
+) -> None:
+    """Shortens the pause of the first engine and delays the other one."""
+    for engine in engines:
+        engine.silence_s = SILENCE_S
+    while not any(engine.runs for engine in engines):
+        await anyio.sleep(0.01)
+    for engine in engines:
+        if not engine.runs:
+            engine.silent_after = None
+            engine.silence_s = LONG_SILENCE_S
+
+
+async def test_other_upstream_takes_over_from_one_that_stays_silent() -> None:
+    """The stream goes on after its last event; the silent one is abandoned."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [
+            await add_engine(cluster, name, silence_s=LONG_SILENCE_S)
+            for name in ("e1", "e2")
+        ]
+        async with entry_instances.run_instance(cluster) as instance:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_end_pauses_elsewhere, engines)
+                check_complete(await instance.generate("r1"))
+            assert [len(engine.runs) for engine in engines] == [1, 1]
+            await anyio.sleep(0.1)
+            assert [len(engine.abandoned) for engine in engines].count(1) == 1
+
+
+async def _end_pauses_elsewhere(engines: list[fleet_cluster.Server]) -> None:
+    """Has only the first engine that runs a request pause."""
+    while not any(engine.runs for engine in engines):
+        await anyio.sleep(0.01)
+    for engine in engines:
+        if not engine.runs:
+            engine.silence_s = 0.0
+
+
+async def test_silence_for_good_ends_at_the_deadline() -> None:
+    """A response that never goes on ends before its client gives up."""
+    async with fleet_cluster.run_cluster() as cluster:
+        await add_engine(
+            cluster, "e1", silent_after=None, silence_s=LONG_SILENCE_S
+        )
+        async with entry_instances.run_instance(cluster) as instance:
+            with anyio.fail_after(4.0):
+                response = await instance.generate("r1")
+            assert response.status == 504
