Keep the response of a silent upstream until another one answers

Cause: a resumable stream (and an idempotent call) was ended at its upstream after a fixed silence, before it was known whether another upstream could go on. Without an attempt, a retry in the budget, an adapter or a batch slot elsewhere the request ended, though its upstream was sound. Class of fault: a time-out taken for a failure, and the only working path given up before its replacement exists.

Ruled out: that applying a document ends requests (config-only,: no request ended without a response); that the client's connection is closed beside it (the idle limit is used nowhere).

Change: a silent upstream is recorded as such and its request is hedged within the same limits; the response changes upstream once the other one has answered, and the first one to go on wins. Before the headers and within the body alike, for streams and idempotent calls. Health is told at once, as before.

--- a/src/tamaracktide/core/attempts.py
+++ b/src/tamaracktide/core/attempts.py
@@ -143,6 +143,29 @@
     gone: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgeGranted:
+    """Another upstream has a batch slot while the current one is silent."""
+
+    upstream: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgeEnded:
+    """The hedged request was refused, lost or no longer needed.
+
+    Attributes:
+        ran: Whether it may have run.
+    """
+
+    ran: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HedgeAnswered:
+    """The other upstream has begun to answer and takes over."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Expired:
     """The deadline of the request passed."""
@@ -163,6 +186,9 @@
     | Progressed
     | Interrupted
     | ResumeFailed
+    | HedgeGranted
+    | HedgeEnded
+    | HedgeAnswered
     | Expired
     | Completed
 )
@@ -212,7 +238,14 @@
     limit: RetryLimit | None = None
 
 
-Action = Proceed | Retry | Resume | Abort
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Wait for the current upstream; no hedged request may be sent."""
+
+    limit: RetryLimit
+
+
+Action = Proceed | Retry | Resume | Abort | Wait
 
 _PROCEED = Proceed()
 _RETRYABLE_CODES = frozenset(
@@ -242,6 +275,7 @@
         "_cause",
         "_continuable",
         "_delivered",
+        "_hedge",
         "_idempotent",
         "_lost_code",
         "_may_have_run",
@@ -286,6 +320,7 @@
         self._resumes = 0
         self._avoid: tuple[str, ...] = ()
         self._upstream = ""
+        self._hedge = ""
         self._offset = 0
         self._delivered = False
         self._silent = False
@@ -310,6 +345,20 @@
         """Whether any attempt may have run on an upstream."""
         return self._may_have_run or self._lost_code is not None
 
+    @property
+    def avoid(self) -> tuple[str, ...]:
+        """Upstreams that must not run the request."""
+        return self._avoid
+
+    @property
+    def allows_hedge(self) -> bool:
+        """Whether another upstream may take over from a silent one."""
+        return (
+            self._idempotent
+            and (self._continuable or not self._delivered)
+            and self._attempts < self._settings.max_attempts
+        )
+
     def handle(self, event: Event) -> Action:
         """Applies an event and returns the resulting action."""
         invariants.check(
@@ -331,6 +380,8 @@
                 return self._handle_interruption(event)
             case ResumeFailed(gone):
                 return self._handle_failed_resume(gone)
+            case HedgeGranted() | HedgeEnded() | HedgeAnswered():
+                return self._handle_hedge(event)
             case Expired():
                 return self._handle_expiry()
             case Completed():
@@ -409,6 +460,55 @@
         self._suspect = gone or not self._silent
         return self._handle_lost_response()
 
+    def _handle_hedge(
+        self, event: HedgeGranted | HedgeEnded | HedgeAnswered
+    ) -> Action:
+        invariants.check(
+            self.phase in (Phase.DISPATCHED, Phase.STARTED),
+            f"received {event} in phase {self.phase}",
+        )
+        match event:
+            case HedgeGranted(upstream):
+                return self._start_hedge(upstream)
+            case HedgeEnded(ran):
+                self._end_hedge(ran)
+            case HedgeAnswered():
+                self._switch_to_hedge()
+        return _PROCEED
+
+    def _start_hedge(self, upstream: str) -> Action:
+        invariants.check(
+            not self._hedge,
+            f"{upstream} is hedged while {self._hedge} has not answered",
+        )
+        if not self.allows_hedge:
+            return Wait(RetryLimit.ATTEMPTS)
+        if not self._budget.take():
+            return Wait(RetryLimit.BUDGET)
+        self._attempts += 1
+        self._hedge = upstream
+        return _PROCEED
+
+    def _end_hedge(self, ran: bool) -> None:
+        """Goes on with the current upstream alone."""
+        self._avoid = (*self._avoid, self._hedge)
+        self._hedge = ""
+        if ran:
+            self._lost_code = Codes.PROGRESS_TIMEOUT
+        elif self._unrun_attempts < self._settings.max_unrun:
+            self._unrun_attempts += 1
+            self._attempts -= 1
+
+    def _switch_to_hedge(self) -> None:
+        invariants.check(bool(self._hedge), "no hedged request was sent")
+        self._avoid = (*self._avoid, self._upstream)
+        self._upstream, self._hedge = self._hedge, ""
+        self._silent = True
+        self._lost_code = Codes.PROGRESS_TIMEOUT
+        self._cause = Codes.PROGRESS_TIMEOUT
+        self._resumes = 0
+        self.phase = Phase.DISPATCHED
+
     def _handle_expiry(self) -> Action:
         if self._delivered:
             return self._abort(Codes.STREAM_BROKEN, 0.0)
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -12,27 +12,21 @@
 from tamaracktide.core import retry_window
 from tamaracktide.core import routing_document
 from tamaracktide.entry import crashes as entry_crashes
+from tamaracktide.entry import hedging
+from tamaracktide.entry import outcomes
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
 from tamaracktide.entry import results
+from tamaracktide.entry import runs
+from tamaracktide.entry import sending
 from tamaracktide.entry import service_cell
-from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import streams
 
 Codes = result_codes.ResultCode
 
-STREAM_IDLE_TIMEOUT_S = 1.5
-"""Idle time after which a resumable stream is resumed on another upstream.
-Clients disconnect after 2 s or more without data. Events arrive every 30 ms, or
-every 250 ms while the engine also processes long prompts."""
-
-RETRY_TIMEOUT_FACTOR = 2.0
-"""Target latencies without data after which an idempotent call is retried."""
-
-MIN_RETRY_TIMEOUT_S = 0.3
 ADAPTER_RETRY_WAIT_S = 0.03
 """Wait after an engine first reports a missing adapter; grows linearly with
 each retry."""
@@ -42,10 +36,6 @@
 """Additional upstreams tried, beyond `max_attempts`, after ones that certainly
 did not run the request."""
 
-MIN_SEND_TIME_S = 0.03
-"""A request with less time left is not sent."""
-
-MAX_RESPONSE_BYTES = 8 << 20
 EVENT_STREAM_TYPE = b"text/event-stream"
 
 
@@ -89,10 +79,11 @@
     ) -> None:
         """Builds a forwarder for all services."""
         self._adapter = adapter
-        self._upstream_client = upstream_client
         self._find_cell = find_cell
-        self._find_version = find_version
         self._crashes = crashes
+        self._outcomes = outcomes.OutcomeRecorder(crashes)
+        self._sender = sending.Sender(adapter, upstream_client, find_version)
+        self._hedger = hedging.Hedger(self._sender, self._outcomes, metrics)
         self._retries = retries
         self._count_instances = count_instances
         self._metrics = metrics
@@ -135,8 +126,10 @@
             idempotent=request.route.safe_to_retry,
             continuable=request.route.resumable,
         )
+        cell = self._find_cell(request.service)
+        run = runs.Run(request, responder, progress, tries, cell)
         with anyio.CancelScope(deadline=request.expires_at) as scope:
-            code = await self._run_attempts(request, responder, tries, progress)
+            code = await self._run_attempts(run)
         if scope.cancelled_caught:
             self._raise_final_error(request, tries.handle(attempts.Expired()))
         return code
@@ -148,41 +141,33 @@
             self._retry_windows[service] = window
         return _RetryBudget(window, self._count_instances)
 
-    async def _run_attempts(
-        self,
-        request: requests.ClientRequest,
-        responder: responses.Responder,
-        tries: attempts.Attempts,
-        progress: results.Progress,
-    ) -> result_codes.ResultCode:
+    async def _run_attempts(self, run: runs.Run) -> result_codes.ResultCode:
         avoid: tuple[str, ...] = ()
         while True:
-            action, result = await self._run_attempt(
-                request, responder, tries, progress, avoid
-            )
+            action, result = await self._run_attempt(run, avoid)
             if isinstance(result, results.Completed):
                 return result.code
             match action:
                 case attempts.Retry(wait_s, avoid, _):
                     self._metrics.retries.inc(
                         {
-                            "pool": request.service.name,
-                            "cause": tries.last_cause,
+                            "pool": run.request.service.name,
+                            "cause": run.tries.last_cause,
                         }
                     )
                     await anyio.sleep(wait_s)
                 case attempts.Abort(limit=limit):
-                    progress.limit = limit
+                    run.progress.limit = limit
                     upstream_response = (
                         isinstance(result, results.LostResponse)
                         and result.response
                     )
-                    if upstream_response and not responder.started:
+                    if upstream_response and not run.responder.started:
                         await self._forward_response(
-                            upstream_response, responder
+                            upstream_response, run.responder
                         )
                         return Codes.OK
-                    self._raise_final_error(request, action)
+                    self._raise_final_error(run.request, action)
 
     def _raise_final_error(
         self, request: requests.ClientRequest, action: attempts.Action
@@ -202,216 +187,108 @@
                 )
 
     async def _run_attempt(
-        self,
-        request: requests.ClientRequest,
-        responder: responses.Responder,
-        tries: attempts.Attempts,
-        progress: results.Progress,
-        avoid: tuple[str, ...],
+        self, run: runs.Run, avoid: tuple[str, ...]
     ) -> tuple[attempts.Action, results.Result | None]:
-        cell = self._find_cell(request.service)
+        """Runs an attempt, and those that take over while it is silent."""
         try:
-            placement = await cell.acquire_placement(request, avoid)
+            placement = await run.cell.acquire_placement(run.request, avoid)
         except errors.RefusalError as error:
             refused = attempts.GrantRefused(
                 error.code, error.retry_after_s or 0.5, final=True
             )
-            return tries.handle(refused), None
-        tries.handle(attempts.Granted(placement.entry.upstream))
-        result: results.Result | None = None
-        try:
-            result = await self._send_with_retries(
-                request, responder, tries, progress, placement
-            )
-        finally:
-            self._finish_attempt(cell, request, placement, result, progress)
+            return run.tries.handle(refused), None
+        run.tries.handle(attempts.Granted(placement.entry.upstream))
+        run.tries.handle(attempts.Dispatched())
+        attempt = runs.Attempt(placement)
+        result = await self._finish(run, attempt)
+        while attempt.successor is not None:
+            attempt = attempt.successor
+            result = await self._finish(run, attempt)
         match result:
             case results.Completed():
-                return tries.handle(attempts.Completed()), result
+                return run.tries.handle(attempts.Completed()), result
             case results.NotRun():
-                return tries.handle(attempts.NotRun()), result
+                return run.tries.handle(attempts.NotRun()), result
             case results.LostResponse(timed_out=timed_out):
-                if progress.events:
-                    tries.handle(attempts.Progressed(progress.events))
+                if run.progress.events:
+                    progressed = attempts.Progressed(run.progress.events)
+                    run.tries.handle(progressed)
                 interrupted = attempts.Interrupted(timed_out, resumable=False)
-                return tries.handle(interrupted), result
+                return run.tries.handle(interrupted), result
 
-    def _finish_attempt(
-        self,
-        cell: service_cell.ServiceCell,
-        request: requests.ClientRequest,
-        placement: service_cell.Placement,
-        result: results.Result | None,
-        progress: results.Progress,
-    ) -> None:
-        """Releases the placement and records the result of the attempt."""
-        upstream = placement.entry.upstream
-        missing = isinstance(result, results.NotRun) and result.missing
-        tokens = 0
-        match result:
-            case results.Completed():
-                if cell.health.record_success(upstream):
-                    cell.refresh_health()
-                self._crashes.record_completion(request.fingerprint)
-                tokens = 1
-                engine = request.service.engine
-                if engine is not None:
-                    tokens = progress.events * engine.event_tokens
-            case results.NotRun(unreachable=True):
-                cell.reachability.record_unreachable(placement.entry)
-            case results.LostResponse():
-                self._record_loss(cell, request, placement, result)
-        if result is not None and not isinstance(result, results.Completed):
-            logs.bind(
-                request_id=request.request_id,
-                upstream=upstream,
-                adapter=placement.key.text,
-                waited_s=round(placement.waited_s, 4),
-            ).info("attempt failed: {}", result.detail)
-        cell.release(placement, tokens, missing=missing)
-
-    def _record_loss(
-        self,
-        cell: service_cell.ServiceCell,
-        request: requests.ClientRequest,
-        placement: service_cell.Placement,
-        lost: results.LostResponse,
-    ) -> None:
-        """Records a lost response against its upstream and its request."""
-        now = anyio.current_time()
-        changed = cell.health.record_failure(placement.entry.upstream, now)
-        if lost.response is None:
-            cell.reachability.check_reachable(placement.entry)
-            if not lost.timed_out:
-                self._crashes.record_loss(request.fingerprint, placement.entry)
-        if changed:
-            cell.refresh_health()
+    async def _finish(
+        self, run: runs.Run, attempt: runs.Attempt
+    ) -> results.Result:
+        """Forwards the response of an attempt; returns the result."""
+        result: results.Result | None = None
+        try:
+            if attempt.response is None:
+                result = await self._send_with_retries(run, attempt)
+            else:
+                result = await self._handle_response(run, attempt.response)
+            return result
+        finally:
+            self._outcomes.finish(run, attempt, result)
+            if result is None and attempt.successor is not None:
+                await self._abandon(run, attempt.successor)
+
+    async def _abandon(self, run: runs.Run, attempt: runs.Attempt) -> None:
+        """Ends an attempt that was to take over from one that is cancelled."""
+        self._outcomes.finish(run, attempt, None)
+        if attempt.response is not None:
+            await attempt.response.close()
 
     async def _send_with_retries(
-        self,
-        request: requests.ClientRequest,
-        responder: responses.Responder,
-        tries: attempts.Attempts,
-        progress: results.Progress,
-        placement: service_cell.Placement,
+        self, run: runs.Run, attempt: runs.Attempt
     ) -> results.Result:
         """Sends a request, with retries while its adapter is loading."""
-        tries.handle(attempts.Dispatched())
-        budget = self._find_budget(request.service.name)
+        budget = self._find_budget(run.request.service.name)
         for retry in range(MAX_ADAPTER_RETRIES + 1):
-            result = await self._send(request, responder, progress, placement)
+            result = await self._send(run, attempt)
             if not isinstance(result, results.NotRun) or not result.missing:
                 return result
-            if retry == MAX_ADAPTER_RETRIES or placement.waited_s == 0:
-                return result
-            if not budget.take():
+            if (
+                retry == MAX_ADAPTER_RETRIES
+                or attempt.placement.waited_s == 0
+                or not budget.take()
+            ):
                 return result
             await anyio.sleep(ADAPTER_RETRY_WAIT_S * (retry + 1))
         return result
 
     async def _send(
-        self,
-        request: requests.ClientRequest,
-        responder: responses.Responder,
-        progress: results.Progress,
-        placement: service_cell.Placement,
+        self, run: runs.Run, attempt: runs.Attempt
     ) -> results.Result:
-        remaining_s = request.expires_at - anyio.current_time()
-        if remaining_s < MIN_SEND_TIME_S:
-            return results.NotRun("too little time left to send the request")
-        generation = request.generation
-        version = 0
-        if generation is not None and generation.adapter:
-            version = self._find_version(generation.model, generation.adapter)
-        options = entry_adapter.CallOptions(
-            upstream=placement.entry.upstream,
-            address=placement.entry.address,
-            time_left_s=remaining_s,
-            priority=request.route.priority,
-            version=version,
-            resume_after=progress.last_id,
+        opened = await self._sender.open(
+            run.request,
+            run.progress,
+            attempt.placement,
+            self._hedger.watch(run, attempt),
         )
-        progress.upstreams.append(placement.entry.upstream)
-        open_response = await self._upstream_client.open(
-            calls.Call(
-                method=request.method,
-                address=placement.entry.address,
-                target=request.target,
-                headers=self._adapter.make_headers(request, options),
-                body=request.body,
-                timeout_s=self._find_idle_timeout_s(request, remaining_s),
-            )
-        )
-        if isinstance(open_response, calls.Failure):
-            if not open_response.may_have_run:
-                return results.NotRun(open_response.detail, unreachable=True)
-            timed_out = open_response.kind is calls.FailureKind.TIMEOUT
-            return results.LostResponse(
-                open_response.detail, timed_out=timed_out
-            )
-        try:
-            return await self._handle_response(
-                request, responder, progress, open_response
-            )
-        finally:
-            await open_response.close()
-
-    def _find_idle_timeout_s(
-        self, request: requests.ClientRequest, remaining_s: float
-    ) -> float:
-        """Returns the idle time after which another upstream is tried."""
-        route = request.route
-        match route.kind:
-            case routing_document.RequestKind.STREAMING if route.resumable:
-                return min(remaining_s, STREAM_IDLE_TIMEOUT_S)
-            case routing_document.RequestKind.IDEMPOTENT:
-                if route.max_attempts < 2:
-                    return remaining_s
-                idle_timeout_s = RETRY_TIMEOUT_FACTOR * route.target_latency_s
-                return min(
-                    remaining_s, max(MIN_RETRY_TIMEOUT_S, idle_timeout_s)
-                )
-            case _:
-                return remaining_s
+        if isinstance(opened, streams.StreamedResponse):
+            return await self._handle_response(run, opened)
+        return opened
 
     async def _handle_response(
-        self,
-        request: requests.ClientRequest,
-        responder: responses.Responder,
-        progress: results.Progress,
-        open_response: streams.StreamedResponse,
+        self, run: runs.Run, opened: streams.StreamedResponse
     ) -> results.Result:
-        fields = self._adapter.parse_response_headers(
-            open_response.status, open_response.headers
-        )
-        if fields.request_id and fields.request_id != request.request_id:
-            return results.LostResponse(
-                f"response belongs to another request: {fields.request_id!r}"
-            )
-        if fields.not_run:
-            await open_response.read(MAX_RESPONSE_BYTES)
-            return results.NotRun(
-                f"status {open_response.status}", missing=fields.misdirected
-            )
-        is_success = 200 <= open_response.status < 300
-        if is_success and not (fields.signed and fields.request_id):
-            return results.LostResponse(
-                "successful response without a signature or request id"
-            )
-        if is_success and _is_event_stream(open_response):
-            return await self._forward_stream(
-                request, responder, progress, open_response
-            )
-        response = await open_response.read(MAX_RESPONSE_BYTES)
-        if isinstance(response, calls.Failure):
-            timed_out = response.kind is calls.FailureKind.TIMEOUT
-            return results.LostResponse(response.detail, timed_out=timed_out)
-        if open_response.status >= 500 or responder.started:
-            return results.LostResponse(
-                f"status {open_response.status}", response=response
-            )
-        await self._forward_response(response, responder)
-        return results.Completed(Codes.OK)
+        """Forwards a response whose headers fit the request, and closes it."""
+        try:
+            if 200 <= opened.status < 300 and _is_event_stream(opened):
+                return await self._forward_stream(
+                    run.responder, run.progress, opened
+                )
+            response = await opened.read(sending.MAX_RESPONSE_BYTES)
+            if isinstance(response, calls.Failure):
+                return results.make_lost_response(response)
+            if opened.status >= 500 or run.responder.started:
+                return results.LostResponse(
+                    f"status {opened.status}", response=response
+                )
+            await self._forward_response(response, run.responder)
+            return results.Completed(Codes.OK)
+        finally:
+            await opened.close()
 
     async def _forward_response(
         self, response: calls.Response, responder: responses.Responder
@@ -421,23 +298,19 @@
 
     async def _forward_stream(
         self,
-        request: requests.ClientRequest,
         responder: responses.Responder,
         progress: results.Progress,
-        open_response: streams.StreamedResponse,
+        opened: streams.StreamedResponse,
     ) -> results.Result:
         """Forwards complete events as they arrive."""
         splitter = event_stream.EventSplitter(progress.last_id or 0)
         if not responder.started:
-            headers = self._adapter.filter_response_headers(
-                open_response.headers
-            )
-            await responder.start(open_response.status, headers)
+            headers = self._adapter.filter_response_headers(opened.headers)
+            await responder.start(opened.status, headers)
         while True:
-            chunk = await open_response.receive()
+            chunk = await opened.receive()
             if isinstance(chunk, calls.Failure):
-                timed_out = chunk.kind is calls.FailureKind.TIMEOUT
-                return results.LostResponse(chunk.detail, timed_out=timed_out)
+                return results.make_lost_response(chunk)
             if not chunk:
                 break
             block = splitter.feed(chunk)
@@ -456,8 +329,8 @@
         return results.Completed(Codes.OK)
 
 
-def _is_event_stream(open_response: streams.StreamedResponse) -> bool:
-    for name, value in open_response.headers:
+def _is_event_stream(opened: streams.StreamedResponse) -> bool:
+    for name, value in opened.headers:
         if name == b"content-type":
             return value.startswith(EVENT_STREAM_TYPE)
     return False
--- /dev/null
+++ b/src/tamaracktide/entry/hedging.py
@@ -0,0 +1,177 @@
+"""Hedges requests whose upstream is silent.
+
+A sound upstream may pause and go on, and another one may be unable to take
+over. So the response of a silent upstream is given up only once another one
+has begun to answer.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import functools
+
+import anyio
+
+from tamaracktide import errors
+from tamaracktide.core import attempts
+from tamaracktide.entry import outcomes as entry_outcomes
+from tamaracktide.entry import results
+from tamaracktide.entry import runs
+from tamaracktide.entry import sending
+from tamaracktide.observability import logs
+from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.upstreams import streams
+
+HEDGE_RETRY_S = 0.5
+"""Pause after a hedged request was refused."""
+
+
+class Hedger:
+    """Finds other upstreams for requests whose upstream is silent."""
+
+    __slots__ = ("_metrics", "_outcomes", "_sender")
+
+    def __init__(
+        self,
+        sender: sending.Sender,
+        outcomes: entry_outcomes.OutcomeRecorder,
+        metrics: metrics_module.Metrics,
+    ) -> None:
+        """Builds a hedger.
+
+        Args:
+            sender: Sends the hedged requests.
+            outcomes: Records silent upstreams and failed hedged requests.
+            metrics: Counts the hedged requests.
+        """
+        self._sender = sender
+        self._outcomes = outcomes
+        self._metrics = metrics
+
+    def watch(
+        self, run: runs.Run, attempt: runs.Attempt
+    ) -> streams.OnSilence | None:
+        """Returns what to call when the upstream of an attempt is silent.
+
+        None if the request must run only once. If another upstream takes over,
+        the attempt has a `successor`.
+        """
+        if not run.request.route.safe_to_retry:
+            return None
+        return functools.partial(self._handle_silence, run, attempt)
+
+    async def _handle_silence(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        wait_readable: Callable[[], Awaitable[None]],
+    ) -> bool:
+        """Hedges a request until its upstream goes on.
+
+        Returns:
+            Whether to go on waiting for that upstream.
+        """
+        self._outcomes.record_silence(run, attempt)
+        if run.progress.events:
+            run.tries.handle(attempts.Progressed(run.progress.events))
+        if not run.tries.allows_hedge:
+            return True
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                self._hedge_until_answered, run, attempt, tasks.cancel_scope
+            )
+            await wait_readable()
+            tasks.cancel_scope.cancel()
+        return attempt.successor is None
+
+    async def _hedge_until_answered(
+        self, run: runs.Run, attempt: runs.Attempt, scope: anyio.CancelScope
+    ) -> None:
+        while run.tries.allows_hedge:
+            await self._hedge(run, attempt)
+            if attempt.successor is not None:
+                scope.cancel()
+                return
+            await anyio.sleep(HEDGE_RETRY_S)
+
+    async def _hedge(self, run: runs.Run, attempt: runs.Attempt) -> None:
+        """Sends a hedged request, if a batch slot is granted to it."""
+        avoid = (*run.tries.avoid, attempt.upstream)
+        try:
+            placement = await run.cell.acquire_placement(
+                run.request, avoid, is_hedge=True
+            )
+        except errors.RefusalError as error:
+            _log(run, attempt, "hedged request refused: {}", error)
+            return
+        hedge = runs.Attempt(placement)
+        result: results.Result | None = None
+        try:
+            result = await self._send(run, attempt, hedge)
+        finally:
+            if attempt.successor is None:
+                self._outcomes.finish(run, hedge, result)
+
+    async def _send(
+        self, run: runs.Run, attempt: runs.Attempt, hedge: runs.Attempt
+    ) -> results.Result | None:
+        """Sends a hedged request; it takes over when it is answered."""
+        action = run.tries.handle(attempts.HedgeGranted(hedge.upstream))
+        if isinstance(action, attempts.Wait):
+            limit = action.limit.value
+            _log(run, attempt, "hedged request not sent: limit of {}", limit)
+            return None
+        self._metrics.retries.inc(
+            {"pool": run.request.service.name, "cause": "SILENT"}
+        )
+        result: results.Result | None = None
+        try:
+            opened = await self._sender.open(
+                run.request, run.progress, hedge.placement, None
+            )
+            if isinstance(opened, streams.StreamedResponse):
+                result = await self._check(run, opened)
+            else:
+                result = opened
+            if result is None and isinstance(opened, streams.StreamedResponse):
+                self._take_over(run, attempt, hedge, opened)
+        finally:
+            if attempt.successor is None:
+                ran = not isinstance(result, results.NotRun)
+                run.tries.handle(attempts.HedgeEnded(ran))
+        return result
+
+    async def _check(
+        self, run: runs.Run, opened: streams.StreamedResponse
+    ) -> results.LostResponse | None:
+        """Returns why a response cannot take over, or None."""
+        is_success = 200 <= opened.status < 300
+        if is_success or (opened.status < 500 and not run.responder.started):
+            return None
+        await opened.close()
+        return results.LostResponse(f"status {opened.status}")
+
+    def _take_over(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        hedge: runs.Attempt,
+        opened: streams.StreamedResponse,
+    ) -> None:
+        run.tries.handle(attempts.HedgeAnswered())
+        opened.set_timeout(
+            sending.find_idle_timeout_s(
+                run.request, run.request.expires_at - anyio.current_time()
+            ),
+            self.watch(run, hedge),
+        )
+        hedge.response = opened
+        attempt.successor = hedge
+        _log(run, attempt, "{} takes over", hedge.upstream)
+
+
+def _log(
+    run: runs.Run, attempt: runs.Attempt, message: str, *values: object
+) -> None:
+    logs.bind(
+        request_id=run.request.request_id, upstream=attempt.upstream
+    ).info(message, *values)
--- /dev/null
+++ b/src/tamaracktide/entry/outcomes.py
@@ -0,0 +1,90 @@
+"""Records how attempts ended: health, crashes, batch slots and logs."""
+
+import anyio
+
+from tamaracktide.entry import crashes as entry_crashes
+from tamaracktide.entry import results
+from tamaracktide.entry import runs
+from tamaracktide.observability import logs
+
+
+class OutcomeRecorder:
+    """Records the outcomes of attempts."""
+
+    __slots__ = ("_crashes",)
+
+    def __init__(self, crashes: entry_crashes.CrashTracker) -> None:
+        """Records lost responses in a crash tracker."""
+        self._crashes = crashes
+
+    def finish(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        result: results.Result | None,
+    ) -> None:
+        """Releases the batch slot of an attempt and records its result.
+
+        Args:
+            run: The request.
+            attempt: The attempt that ended.
+            result: Its result, None if it was abandoned.
+        """
+        upstream, cell = attempt.upstream, run.cell
+        missing = isinstance(result, results.NotRun) and result.missing
+        tokens = 0
+        match result:
+            case results.Completed():
+                if cell.health.record_success(upstream):
+                    cell.refresh_health()
+                self._crashes.record_completion(run.request.fingerprint)
+                tokens = 1
+                engine = run.request.service.engine
+                if engine is not None:
+                    tokens = run.progress.events * engine.event_tokens
+            case results.NotRun(unreachable=True):
+                cell.reachability.record_unreachable(attempt.placement.entry)
+            case results.LostResponse():
+                self._record_loss(run, attempt, result)
+        if result is not None and not isinstance(result, results.Completed):
+            logs.bind(
+                request_id=run.request.request_id,
+                upstream=upstream,
+                adapter=attempt.placement.key.text,
+                waited_s=round(attempt.placement.waited_s, 4),
+            ).info("attempt failed: {}", result.detail)
+        cell.release(attempt.placement, tokens, missing=missing)
+
+    def record_silence(self, run: runs.Run, attempt: runs.Attempt) -> None:
+        """Records once that the upstream of an attempt is silent."""
+        if attempt.is_silent:
+            return
+        attempt.is_silent = True
+        logs.bind(
+            request_id=run.request.request_id,
+            upstream=attempt.upstream,
+            events=run.progress.events,
+            time_left_s=round(run.request.expires_at - anyio.current_time(), 3),
+        ).info("upstream silent")
+        self._record_failure(run, attempt)
+        run.cell.reachability.check_reachable(attempt.placement.entry)
+
+    def _record_loss(
+        self, run: runs.Run, attempt: runs.Attempt, lost: results.LostResponse
+    ) -> None:
+        if attempt.successor is not None:
+            # `record_silence` has recorded it.
+            return
+        self._record_failure(run, attempt)
+        if lost.response is not None:
+            return
+        run.cell.reachability.check_reachable(attempt.placement.entry)
+        if not lost.timed_out:
+            self._crashes.record_loss(
+                run.request.fingerprint, attempt.placement.entry
+            )
+
+    def _record_failure(self, run: runs.Run, attempt: runs.Attempt) -> None:
+        now = anyio.current_time()
+        if run.cell.health.record_failure(attempt.upstream, now):
+            run.cell.refresh_health()
--- a/src/tamaracktide/entry/results.py
+++ b/src/tamaracktide/entry/results.py
@@ -48,6 +48,14 @@
 Result: TypeAlias = Completed | NotRun | LostResponse
 
 
+def make_lost_response(failure: calls.Failure) -> LostResponse:
+    """Returns the result of a response that was not received completely."""
+    return LostResponse(
+        failure.detail,
+        timed_out=failure.kind is calls.FailureKind.TIMEOUT,
+    )
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """How much of a response the client has received.
--- /dev/null
+++ b/src/tamaracktide/entry/runs.py
@@ -0,0 +1,51 @@
+"""State of a request while it is forwarded, and of its attempts."""
+
+import dataclasses
+
+from tamaracktide.core import attempts
+from tamaracktide.entry import requests
+from tamaracktide.entry import responses
+from tamaracktide.entry import results
+from tamaracktide.entry import service_cell
+from tamaracktide.upstreams import streams
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Run:
+    """A request that is being forwarded.
+
+    Attributes:
+        request: The request.
+        responder: Writes its response.
+        progress: How much of the response the client has received.
+        tries: State machine of its attempts.
+        cell: Grants its batch slots.
+    """
+
+    request: requests.ClientRequest
+    responder: responses.Responder
+    progress: results.Progress
+    tries: attempts.Attempts
+    cell: service_cell.ServiceCell
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """An attempt to run a request on an upstream.
+
+    Attributes:
+        placement: The granted batch slot.
+        response: The upstream's response; None until its headers are checked.
+        is_silent: Whether the upstream was found silent.
+        successor: The attempt that takes over; None while there is none.
+    """
+
+    placement: service_cell.Placement
+    response: streams.StreamedResponse | None = None
+    is_silent: bool = False
+    successor: "Attempt | None" = None
+
+    @property
+    def upstream(self) -> str:
+        """Instance id of the upstream."""
+        return self.placement.entry.upstream
--- /dev/null
+++ b/src/tamaracktide/entry/sending.py
@@ -0,0 +1,149 @@
+"""Sends requests to upstreams and checks the headers of their responses."""
+
+from collections.abc import Callable
+
+import anyio
+
+from tamaracktide.core import routing_document
+from tamaracktide.entry import platform_adapter as entry_adapter
+from tamaracktide.entry import requests
+from tamaracktide.entry import results
+from tamaracktide.entry import service_cell
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import streams
+
+STREAM_IDLE_TIMEOUT_S = 1.5
+"""Silence of a resumable stream after which another upstream is sought. Clients
+disconnect after 2 s or more without data. Events arrive every 30 ms, or every
+250 ms while the engine also processes long prompts."""
+
+HEDGE_DELAY_FACTOR = 2.0
+"""Target latencies without data after which an idempotent call is hedged."""
+
+MIN_HEDGE_DELAY_S = 0.3
+MIN_SEND_TIME_S = 0.03
+"""A request with less time left is not sent."""
+
+MAX_RESPONSE_BYTES = 8 << 20
+
+OpenResult = streams.StreamedResponse | results.NotRun | results.LostResponse
+
+
+class Sender:
+    """Sends requests to the upstreams that were granted to them."""
+
+    def __init__(
+        self,
+        adapter: entry_adapter.PlatformAdapter,
+        upstream_client: streams.StreamClient,
+        find_version: Callable[[str, str], int],
+    ) -> None:
+        """Builds a sender.
+
+        Args:
+            adapter: Translates headers.
+            upstream_client: Sends the requests.
+            find_version: Returns the announced version of an adapter, 0 if
+                none.
+        """
+        self._adapter = adapter
+        self._upstream_client = upstream_client
+        self._find_version = find_version
+
+    async def open(
+        self,
+        request: requests.ClientRequest,
+        progress: results.Progress,
+        placement: service_cell.Placement,
+        on_silence: streams.OnSilence | None,
+    ) -> OpenResult:
+        """Sends a request and returns its response, whose headers fit it.
+
+        Args:
+            request: The request.
+            progress: Names the event to resume after; is updated.
+            placement: The granted batch slot.
+            on_silence: Called when the upstream is silent; None waits until
+                the request expires.
+        """
+        remaining_s = request.expires_at - anyio.current_time()
+        if remaining_s < MIN_SEND_TIME_S:
+            return results.NotRun("too little time left to send the request")
+        options = entry_adapter.CallOptions(
+            upstream=placement.entry.upstream,
+            address=placement.entry.address,
+            time_left_s=remaining_s,
+            priority=request.route.priority,
+            version=self._find_required_version(request),
+            resume_after=progress.last_id,
+        )
+        timeout_s = remaining_s
+        if on_silence is not None:
+            timeout_s = find_idle_timeout_s(request, remaining_s)
+        progress.upstreams.append(placement.entry.upstream)
+        opened = await self._upstream_client.open(
+            calls.Call(
+                method=request.method,
+                address=placement.entry.address,
+                target=request.target,
+                headers=self._adapter.make_headers(request, options),
+                body=request.body,
+                timeout_s=timeout_s,
+            ),
+            on_silence=on_silence,
+        )
+        if isinstance(opened, calls.Failure):
+            if not opened.may_have_run:
+                return results.NotRun(opened.detail, unreachable=True)
+            return results.make_lost_response(opened)
+        failure = await self._check(request, opened)
+        if failure is None:
+            return opened
+        await opened.close()
+        return failure
+
+    def _find_required_version(self, request: requests.ClientRequest) -> int:
+        generation = request.generation
+        if generation is None or not generation.adapter:
+            return 0
+        return self._find_version(generation.model, generation.adapter)
+
+    async def _check(
+        self,
+        request: requests.ClientRequest,
+        opened: streams.StreamedResponse,
+    ) -> results.NotRun | results.LostResponse | None:
+        """Returns why a response must not be forwarded, or None."""
+        fields = self._adapter.parse_response_headers(
+            opened.status, opened.headers
+        )
+        if fields.request_id and fields.request_id != request.request_id:
+            return results.LostResponse(
+                f"response belongs to another request: {fields.request_id!r}"
+            )
+        if fields.not_run:
+            await opened.read(MAX_RESPONSE_BYTES)
+            return results.NotRun(
+                f"status {opened.status}", missing=fields.misdirected
+            )
+        is_success = 200 <= opened.status < 300
+        if is_success and not (fields.signed and fields.request_id):
+            return results.LostResponse(
+                "successful response without a signature or request id"
+            )
+        return None
+
+
+def find_idle_timeout_s(
+    request: requests.ClientRequest, remaining_s: float
+) -> float:
+    """Returns the time without data after which an upstream is silent."""
+    route = request.route
+    match route.kind:
+        case routing_document.RequestKind.STREAMING if route.resumable:
+            return min(remaining_s, STREAM_IDLE_TIMEOUT_S)
+        case routing_document.RequestKind.IDEMPOTENT if route.max_attempts > 1:
+            delay_s = HEDGE_DELAY_FACTOR * route.target_latency_s
+            return min(remaining_s, max(MIN_HEDGE_DELAY_S, delay_s))
+        case _:
+            return remaining_s
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -15,6 +15,7 @@
 import dataclasses
 import math
 import random
+import uuid
 
 import anyio
 import anyio.abc
@@ -194,19 +195,32 @@
         self,
         request: requests.ClientRequest,
         avoid: tuple[str, ...] = (),
+        *,
+        is_hedge: bool = False,
     ) -> Placement:
         """Waits until a request is granted a batch slot and returns it.
 
+        Args:
+            request: The request.
+            avoid: Upstreams that must not run it.
+            is_hedge: Whether it keeps a batch slot that it already has.
+
         Raises:
             errors.RefusalError: No batch slot becomes free in time.
         """
         now = anyio.current_time()
         queued_request = _QueuedRequest(anyio.Event(), now)
-        request_id = request.request_id
+        submit = self._make_submit(request, avoid)
+        if is_hedge:
+            # A cell grants one batch slot for an id.
+            submit = dataclasses.replace(
+                submit, request_id=f"{request.request_id}/{uuid.uuid4().hex}"
+            )
+        request_id = submit.request_id
         self._refresh_ready()
         self._waiting[request_id] = queued_request
         try:
-            self._handle(self._make_submit(request, avoid))
+            self._handle(submit)
             if queued_request.result is None:
                 self._schedule_ready()
                 await queued_request.done.wait()
--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -91,6 +91,11 @@
             self.transport.resume_reading()
         return data
 
+    async def wait_readable(self) -> None:
+        """Waits until `read` would not wait."""
+        while not (self.buffer or self.is_ended or self.error):
+            await self._wait_received(None)
+
     async def _wait_received(self, timeout: float | None) -> None:
         self._waiter = self._loop.create_future()
         if timeout is not None:
@@ -161,6 +166,10 @@
         except OSError as error:
             raise httpcore.ReadError(str(error)) from error
 
+    async def wait_readable(self) -> None:
+        """Waits until bytes have arrived or the stream has ended."""
+        await self._receiver.wait_readable()
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends bytes.
 
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -4,6 +4,8 @@
 several layers of Python; here one read processes all chunks that have arrived.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import select
 import time
 from typing import Self
@@ -21,6 +23,10 @@
 FIRST_FINAL_STATUS = 200
 """Lowest status code of a response that no other one follows."""
 
+OnSilence = Callable[[Callable[[], Awaitable[None]]], Awaitable[bool]]
+"""Called when nothing has arrived for the timeout of a call, with a function
+that waits until something arrives. Returns whether to go on waiting."""
+
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 """Headers without which the end of the connection ends a body."""
 
@@ -180,28 +186,56 @@
         )
 
 
+async def _receive(
+    connection: _Connection, timeout_s: float, on_silence: OnSilence | None
+) -> calls.Failure | None:
+    """Reads and parses once, also after a silence that `on_silence` allows."""
+    while True:
+        failure = await connection.receive(timeout_s)
+        if (
+            failure is None
+            or failure.kind is not calls.FailureKind.TIMEOUT
+            or on_silence is None
+            or not await on_silence(connection.stream.wait_readable)
+        ):
+            return failure
+
+
 class StreamedResponse(calls.PartialResponse):
     """A response that httptools parses."""
 
-    __slots__ = ("_client", "_connection", "_timeout_s")
+    __slots__ = ("_client", "_connection", "_on_silence", "_timeout_s")
 
     def __init__(
-        self, client: "StreamClient", connection: _Connection, timeout_s: float
+        self,
+        client: "StreamClient",
+        connection: _Connection,
+        timeout_s: float,
+        on_silence: OnSilence | None,
     ) -> None:
         """Wraps a connection on which the headers have arrived."""
         self._client = client
         self._connection = connection
-        self._timeout_s = timeout_s
+        self.set_timeout(timeout_s, on_silence)
         self.status = connection.parser.get_status_code()
         self.headers = tuple(connection.headers)
 
+    def set_timeout(
+        self, timeout_s: float, on_silence: OnSilence | None
+    ) -> None:
+        """Sets the maximum time without data and what is called after it."""
+        self._timeout_s = timeout_s
+        self._on_silence = on_silence
+
     async def receive(self) -> bytes | calls.Failure:
         """Returns the next body bytes, empty at the end, or the failure."""
         while True:
             body = self._connection.drain_body()
             if body or self._connection.complete:
                 return body
-            failure = await self._connection.receive(self._timeout_s)
+            failure = await _receive(
+                self._connection, self._timeout_s, self._on_silence
+            )
             if failure is not None:
                 return failure
 
@@ -235,7 +269,11 @@
             await self.close_idle(address)
 
     async def open(
-        self, call: calls.Call, *, fresh: bool = False
+        self,
+        call: calls.Call,
+        *,
+        fresh: bool = False,
+        on_silence: OnSilence | None = None,
     ) -> StreamedResponse | calls.Failure:
         """Sends a call and returns when the response headers have arrived.
 
@@ -243,6 +281,8 @@
             call: The request.
             fresh: Whether to use a new connection, which is needed when idle
                 connections may be unresponsive.
+            on_silence: Decides, before and within the response, whether the
+                timeout of the call ends it; None for yes.
         """
         connection = None if fresh else await self._find_idle(call.address)
         if connection is None:
@@ -252,7 +292,7 @@
             connection = connected
         response: StreamedResponse | calls.Failure | None = None
         try:
-            response = await self._exchange(connection, call)
+            response = await self._exchange(connection, call, on_silence)
         finally:
             if not isinstance(response, StreamedResponse):
                 await connection.stream.aclose()
@@ -313,7 +353,10 @@
         return _Connection(address, stream)
 
     async def _exchange(
-        self, connection: _Connection, call: calls.Call
+        self,
+        connection: _Connection,
+        call: calls.Call,
+        on_silence: OnSilence | None,
     ) -> StreamedResponse | calls.Failure:
         headers = calls.make_headers(self._settings, call)
         request_line = f"{call.method} {call.target} HTTP/1.1\r\n".encode()
@@ -322,6 +365,11 @@
         failure = await connection.send(
             request_line + header_lines + b"\r\n" + call.body, call.timeout_s
         )
+        if on_silence is not None:
+            # The transport goes on sending while the response is awaited.
+            failure = None
         while failure is None and not connection.headers_complete:
-            failure = await connection.receive(call.timeout_s)
-        return failure or StreamedResponse(self, connection, call.timeout_s)
+            failure = await _receive(connection, call.timeout_s, on_silence)
+        return failure or StreamedResponse(
+            self, connection, call.timeout_s, on_silence
+        )
--- a/tests/core/test_attempts.py
+++ b/tests/core/test_attempts.py
@@ -190,6 +190,49 @@
         make_attempts().handle(attempts.Dispatched())
 
 
+def test_hedge_that_answers_takes_over_and_the_silent_one_is_avoided() -> None:
+    """Another interruption is a retry on a third upstream."""
+    machine = make_attempts()
+    dispatch(machine, "e0")
+    feed(machine, attempts.HedgeGranted("e1"), attempts.HedgeAnswered())
+    assert machine.avoid == ("e0",)
+    action = interrupt(machine)
+    assert isinstance(action, attempts.Retry)
+    assert action.avoid == ("e0", "e1")
+
+
+def test_hedges_count_as_attempts_unless_they_did_not_run() -> None:
+    """The request waits for its upstream once no attempt is left."""
+    machine = _make_entry_attempts(2)
+    dispatch(machine, "e0")
+    feed(machine, attempts.HedgeGranted("e1"), attempts.HedgeEnded(ran=False))
+    assert machine.allows_hedge
+    feed(machine, attempts.HedgeGranted("e2"), attempts.HedgeEnded(ran=True))
+    assert not machine.allows_hedge
+    action = machine.handle(attempts.HedgeGranted("e3"))
+    assert action == attempts.Wait(attempts.RetryLimit.ATTEMPTS)
+    assert machine.may_have_run
+
+
+def test_hedge_waits_while_the_budget_is_empty() -> None:
+    """Hedges are a bounded fraction of all requests, as retries are."""
+    machine = make_attempts(burst=1.0)
+    dispatch(machine, "e0")
+    feed(machine, attempts.HedgeGranted("e1"), attempts.HedgeEnded(ran=False))
+    action = machine.handle(attempts.HedgeGranted("e2"))
+    assert action == attempts.Wait(attempts.RetryLimit.BUDGET)
+
+
+@pytest.mark.parametrize("delivered", [False, True])
+def test_only_what_may_run_twice_is_hedged(delivered: bool) -> None:
+    """Neither a call that must run once nor a stream that cannot go on."""
+    machine = make_attempts(idempotent=delivered)
+    dispatch(machine, "e0")
+    if delivered:
+        machine.handle(attempts.Progressed(1))
+    assert not machine.allows_hedge
+
+
 class FaultSimulation:
     """Drives attempts through random faults and tracks real executions."""
 
@@ -215,13 +258,19 @@
         dispatch(self.machine)
         if self._rng.random() < 0.3:
             return self.machine.handle(attempts.NotRun())
-        self.runs += self._rng.random() < 0.7
+        ran = self._rng.random() < 0.7
+        self.runs += ran
         offset = 0
         while True:
+            if not ran and not offset and self._rng.random() < 0.2:
+                self._hedge()
+                if self.machine.phase is attempts.Phase.DISPATCHED:
+                    return self.machine.handle(attempts.NotRun())
             if self._rng.random() < 0.4:
                 offset += 1
                 self.delivered = self._rng.random() < 0.5
                 self.machine.handle(attempts.Progressed(offset, self.delivered))
+            self._hedge()
             if self._rng.random() < 0.3:
                 return self.machine.handle(attempts.Completed())
             action = self.machine.handle(
@@ -237,6 +286,20 @@
             else:
                 return action
 
+    def _hedge(self) -> None:
+        """Hedges the request, which another upstream refuses or runs."""
+        if not self.machine.allows_hedge or self._rng.random() < 0.5:
+            return
+        granted = self.machine.handle(attempts.HedgeGranted("e9"))
+        if isinstance(granted, attempts.Wait):
+            return
+        ran = self._rng.random() < 0.5
+        self.runs += ran
+        if ran and self._rng.random() < 0.5:
+            self.machine.handle(attempts.HedgeAnswered())
+        else:
+            self.machine.handle(attempts.HedgeEnded(ran))
+
 
 @given(strategies.integers(0, 10**6), strategies.booleans())
 @settings(derandomize=True, deadline=None, max_examples=300)
