Log software versions of upstreams, resumed streams and clients' retries

Decodes the version of an upstream's software and the attempt that a client resumes, and logs both, with the upstream that goes on with a stream and after which event. No change of behaviour, but that an entry whose version is not text is rejected as other malformed entries are.

--- a/src/tamaracktide/core/upstream_entries.py
+++ b/src/tamaracktide/core/upstream_entries.py
@@ -15,6 +15,8 @@
         zone: Availability zone.
         batch_limit: Maximum number of concurrent requests.
         leaving: Whether the upstream accepts no new requests.
+        software: Version of its software; a stream goes on only on upstreams
+            of the version that began it.
         started_ms: Start time, Unix milliseconds; identifies the incarnation.
         orders: Number of orders accepted in this incarnation.
         models: Loaded adapters by base model, with their versions.
@@ -27,6 +29,7 @@
     zone: str
     batch_limit: int
     leaving: bool = False
+    software: str = ""
     started_ms: int = 0
     orders: int = 0
     models: Mapping[str, Mapping[str, int]] = dataclasses.field(
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -123,7 +123,7 @@
                     errors.OutcomeUnknownError(outcome.code, "internal error"),
                 )
         outcome.response = responder.state
-        self._log_outcome(fields.request_id, outcome, started_at)
+        self._log_outcome(fields, outcome, started_at)
 
     async def _serve_until_disconnect(
         self,
@@ -205,6 +205,7 @@
             - RESPONSE_MARGIN_S,
             generation=fields.generation,
             resume_after=fields.resume_after,
+            resumed_request=fields.resumed_request,
             fingerprint=_compute_fingerprint(target, body),
         )
 
@@ -221,7 +222,10 @@
         return route
 
     def _log_outcome(
-        self, request_id: str, outcome: "_Outcome", started_at: float
+        self,
+        fields: entry_adapter.ClientFields,
+        outcome: "_Outcome",
+        started_at: float,
     ) -> None:
         seconds = anyio.current_time() - started_at
         labels = {"kind": "entry"}
@@ -229,8 +233,10 @@
         self._metrics.request_seconds.observe(labels, seconds)
         progress = outcome.progress
         logs.bind(
-            request_id=request_id,
+            request_id=fields.request_id,
             route=outcome.route,
+            resume_after=fields.resume_after,
+            resumed_request=fields.resumed_request,
             upstreams=progress.upstreams if progress else [],
             events=progress.events if progress else 0,
             response=outcome.response,
--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -244,6 +244,7 @@
                 upstream=name,
                 service=entry.service,
                 zone=entry.zone,
+                software=entry.software,
                 leaving=entry.leaving,
             ).info("upstream added or changed")
 
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -21,6 +21,7 @@
 from tamaracktide.entry import runs
 from tamaracktide.entry import sending
 from tamaracktide.entry import service_cell
+from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import streams
@@ -225,7 +226,9 @@
             if attempt.response is None:
                 result = await self._send_with_retries(run, attempt)
             else:
-                result = await self._handle_response(run, attempt.response)
+                result = await self._handle_response(
+                    run, attempt, attempt.response
+                )
             return result
         finally:
             self._outcomes.finish(run, attempt, result)
@@ -266,18 +269,19 @@
             self._hedger.watch(run, attempt),
         )
         if isinstance(opened, streams.StreamedResponse):
-            return await self._handle_response(run, opened)
+            return await self._handle_response(run, attempt, opened)
         return opened
 
     async def _handle_response(
-        self, run: runs.Run, opened: streams.StreamedResponse
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        opened: streams.StreamedResponse,
     ) -> results.Result:
         """Forwards a response whose headers fit the request, and closes it."""
         try:
             if 200 <= opened.status < 300 and _is_event_stream(opened):
-                return await self._forward_stream(
-                    run.responder, run.progress, opened
-                )
+                return await self._forward_stream(run, attempt, opened)
             response = await opened.read(sending.MAX_RESPONSE_BYTES)
             if isinstance(response, calls.Failure):
                 return results.make_lost_response(response)
@@ -298,13 +302,21 @@
 
     async def _forward_stream(
         self,
-        responder: responses.Responder,
-        progress: results.Progress,
+        run: runs.Run,
+        attempt: runs.Attempt,
         opened: streams.StreamedResponse,
     ) -> results.Result:
         """Forwards complete events as they arrive."""
+        responder, progress = run.responder, run.progress
         splitter = event_stream.EventSplitter(progress.last_id or 0)
-        if not responder.started:
+        if responder.started:
+            logs.bind(
+                request_id=run.request.request_id,
+                upstream=attempt.upstream,
+                software=attempt.placement.entry.software,
+                resume_after=progress.last_id,
+            ).info("stream resumed")
+        else:
             headers = self._adapter.filter_response_headers(opened.headers)
             await responder.start(opened.status, headers)
         while True:
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -47,6 +47,8 @@
         time_left_s: Time until the client's deadline; None if missing.
         generation: Parameters for a model engine; None for a plain service.
         resume_after: Id of the last event that the client received, or None.
+        resumed_request: Id of the client's attempt that began the stream which
+            this one resumes; empty if missing.
     """
 
     request_id: str
@@ -54,6 +56,7 @@
     time_left_s: float | None
     generation: requests.Generation | None
     resume_after: int | None
+    resumed_request: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/entry/requests.py
+++ b/src/tamaracktide/entry/requests.py
@@ -48,6 +48,8 @@
             deadline and the route's timeout.
         generation: Parameters for a model engine; None for a plain service.
         resume_after: Id of the event after which the client resumes, or None.
+        resumed_request: Id of the client's attempt that began the stream which
+            this one resumes; empty if unknown.
         fingerprint: Hash of target and body, equal for all attempts.
     """
 
@@ -62,4 +64,5 @@
     expires_at: float
     generation: Generation | None = None
     resume_after: int | None = None
+    resumed_request: str = ""
     fingerprint: str = ""
--- a/tests/fleet/test_documents.py
+++ b/tests/fleet/test_documents.py
@@ -20,6 +20,7 @@
         "Service": "llm",
         "Address": "10.0.0.1:80",
         "Zone": "z1",
+        "Version": "v1.2",
         "Slots": 64,
         "State": "ready",
         "Sequence": 7,
@@ -76,6 +77,7 @@
     entry = documents.decode_upstream("i-1", _encode(_make_entry()))
     assert entry.models == {"m": {"a1": 3, "a2": 1}}
     assert entry.started_ms == 1782045623045
+    assert entry.software == "v1.2"
     assert not entry.leaving
     leaving = _encode(_make_entry(State="draining"))
     entry = documents.decode_upstream("i", leaving)
@@ -87,6 +89,7 @@
     [
         {"State": "ghost"},
         {"Slots": "many"},
+        {"Version": 1.2},
         {"Address": "nowhere"},
         {"Models": [{"Name": "m", "Adapters": ["a@b"]}]},
         {"born": 1.5},
--- a/tests/fleet/test_headers.py
+++ b/tests/fleet/test_headers.py
@@ -14,6 +14,7 @@
     (b"x-prompt-prefix", b"f9:95,5c:40,9d:122"),
     (b"x-length-hint", b"70"),
     (b"last-event-id", b"12"),
+    (b"resumes", b"r0"),
 )
 
 
@@ -59,6 +60,7 @@
     fields = headers.parse_client_headers(CLIENT_HEADERS)
     assert fields.time_left_s == 7.981
     assert fields.resume_after == 12
+    assert fields.resumed_request == "r0"
     generation = fields.generation
     assert generation is not None
     assert (generation.model, generation.adapter) == ("m", "a1923")
