--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -246,6 +246,7 @@
     Attributes:
         name: Instance id.
         slots: Number of adapter slots; 0 for a plain server.
+        software: Version of its software.
         port: Port on loopback.
         adapters: Versions of loaded adapters, by adapter name.
         runs: Ids of the executed requests, in order.
@@ -265,6 +266,7 @@
 
     name: str
     slots: int = 0
+    software: str = "v1"
     port: int = 0
     adapters: dict[str, int] = dataclasses.field(default_factory=dict)
     runs: list[str] = dataclasses.field(default_factory=list)
@@ -485,6 +487,7 @@
                 "Service": "llm" if server.slots else "plain",
                 "Address": f"{HOST}:{server.port}",
                 "Zone": zone,
+                "Version": server.software,
                 "Slots": 8,
                 "State": state,
                 "Sequence": 1,
--- /dev/null
+++ b/tests/fleet/test_software_versions.py
@@ -0,0 +1,356 @@
+"""Tests of streams beside upstreams of several software versions.
+
+Load pattern: a release replaces engines one after the other while streams run
+that break off, and their clients take them up again at any instance.
+"""
+
+from collections.abc import AsyncIterator
+import contextlib
+
+import anyio
+import entry_instances
+import fleet_cluster
+import httpcore
+import pytest
+
+import deployment
+from tamaracktide.core import relays
+
+pytestmark = pytest.mark.anyio
+
+EVENTS = 8
+"""Events of a complete stream of the tests."""
+
+PROPAGATION_S = 0.6
+"""Time after which the other instances know of a stream."""
+
+BREAK_S = 1.2
+"""Pause of an engine before it breaks off a stream; too short for a hedge."""
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Entry instances run on asyncio."""
+    return "asyncio"
+
+
+async def add_engine(
+    cluster: fleet_cluster.Cluster, name: str, software: str, zone: str = "z1"
+) -> fleet_cluster.Server:
+    """Adds an engine of a software version that has the adapter."""
+    return await cluster.add_server(
+        fleet_cluster.Server(
+            name,
+            slots=3,
+            software=software,
+            adapters={"a1": 1},
+            events=EVENTS,
+            event_interval_s=0.03,
+        ),
+        zone,
+    )
+
+
+async def add_versions(
+    cluster: fleet_cluster.Cluster, *versions: str
+) -> list[fleet_cluster.Server]:
+    """Adds an engine for each software version, in zone after zone."""
+    return [
+        await add_engine(cluster, f"e{index}", software, f"z{1 + index}")
+        for index, software in enumerate(versions)
+    ]
+
+
+async def prefer_last(
+    cluster: fleet_cluster.Cluster, engines: list[fleet_cluster.Server]
+) -> None:
+    """Exchanges the zones, so that the last engine is the closest one."""
+    for index, engine in enumerate(reversed(engines)):
+        cluster.register(engine, f"z{1 + index}")
+    await anyio.sleep(PROPAGATION_S)
+
+
+async def resume(
+    instance: entry_instances.Instance,
+    request_id: str,
+    begun_as: str,
+    after: int = 4,
+) -> httpcore.Response:
+    """Takes a stream up again after an event."""
+    return await instance.send(
+        "/stream/x",
+        request_id,
+        X_Model=f"{fleet_cluster.MODEL}/a1",
+        X_Token_Count="100,30",
+        Last_Event_Id=str(after),
+        Resumes=begun_as,
+    )
+
+
+def find_versions(
+    engines: list[fleet_cluster.Server], *request_ids: str
+) -> set[str]:
+    """Returns the software versions that ran any of the requests."""
+    return {
+        engine.software
+        for engine in engines
+        for request_id in request_ids
+        if request_id in engine.runs
+    }
+
+
+async def begin_stream(
+    instance: entry_instances.Instance, request_id: str
+) -> int:
+    """Begins a stream and leaves within it.
+
+    Returns:
+        The number of events that arrived.
+    """
+    events = 0
+    async with instance.pool.stream(
+        "POST",
+        f"http://{instance.settings.caller_address}/stream/x",
+        headers={
+            "Host": "h.example",
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "4000",
+            "X-Model": f"{fleet_cluster.MODEL}/a1",
+            "X-Token-Count": "100,30",
+        },
+        content=b"body",
+    ) as response:
+        assert response.status == 200
+        async for part in response.aiter_stream():
+            events += part.count(b"\n\n")
+            if events >= EVENTS // 2:
+                break
+    return events
+
+
+async def check_resumed(
+    engines: list[fleet_cluster.Server],
+    instance: entry_instances.Instance,
+    events: list[int],
+) -> None:
+    """Takes streams up again, each of which must go on at its version."""
+    for index, after in enumerate(events):
+        retry = await resume(instance, f"s{index}", f"r{index}", after)
+        assert retry.status == 200
+        assert retry.content.count(b"\n\n") == EVENTS - after
+        assert len(find_versions(engines, f"r{index}", f"s{index}")) == 1
+
+
+@contextlib.asynccontextmanager
+async def run_pair(
+    cluster: fleet_cluster.Cluster,
+) -> AsyncIterator[tuple[entry_instances.Instance, entry_instances.Instance]]:
+    """Runs two instances with a link to each other."""
+    port = deployment.find_port()
+    async with (
+        entry_instances.run_instance(cluster, peer_port=port) as first,
+        entry_instances.run_instance(
+            cluster, name="n2", host="127.0.0.2", peer_port=port
+        ) as second,
+    ):
+        await anyio.sleep(1.5)
+        yield first, second
+
+
+async def _add_during_break(
+    cluster: fleet_cluster.Cluster, engine: fleet_cluster.Server
+) -> None:
+    """Adds engines of both versions, that of the engine further away."""
+    while not engine.runs:
+        await anyio.sleep(0.01)
+    await add_engine(cluster, "new", "v2")
+    await add_engine(cluster, "old", "v1", "z2")
+
+
+async def test_broken_stream_goes_on_at_the_version_that_began_it() -> None:
+    """Guards against events of two software versions in a response (ORDER).
+
+    An instance resumes the stream itself.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        (engine,) = await add_versions(cluster, "v1")
+        engine.silent_after, engine.silence_s = 3, BREAK_S
+        engine.break_after = 4
+        async with entry_instances.run_instance(cluster) as instance:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_add_during_break, cluster, engine)
+                response = await instance.generate("r1")
+            assert response.content.count(b"\n\n") == EVENTS
+            assert cluster.servers["old"].runs == ["r1"]
+            assert cluster.servers["new"].runs == []
+
+
+async def test_broken_stream_ends_if_its_version_has_no_other_upstream() -> (
+    None
+):
+    """Guards against events of two software versions in a response (ORDER)."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v2")
+        for engine in engines:
+            engine.break_after = 4
+        async with entry_instances.run_instance(cluster) as instance:
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await instance.generate("r1")
+            assert len(find_versions(engines, "r1")) == 1
+
+
+async def test_silent_stream_is_taken_over_by_its_version_only() -> None:
+    """Guards against events of two software versions in a response (ORDER)."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v2")
+        for engine in engines:
+            engine.silent_after, engine.silence_s = 4, 2.0
+        async with entry_instances.run_instance(cluster) as instance:
+            response = await instance.generate("r1")
+            assert response.content.count(b"\n\n") == EVENTS
+            assert len(find_versions(engines, "r1")) == 1
+
+
+@pytest.mark.parametrize("same_instance", [True, False])
+async def test_client_resumes_at_the_version_that_began_the_stream(
+    same_instance: bool,
+) -> None:
+    """Guards against a stream resumed at another software version (ORDER).
+
+    The client's retry reaches the instance that began the stream or another.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v2")
+        async with run_pair(cluster) as (first, second):
+            events = [await begin_stream(first, f"r{i}") for i in range(2)]
+            await prefer_last(cluster, engines)
+            await check_resumed(
+                engines, first if same_instance else second, events
+            )
+
+
+async def test_client_resumes_after_its_instance_was_killed() -> None:
+    """Guards against a stream resumed at another software version (ORDER).
+
+    The instance that began the stream is gone when the client retries.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v2")
+        port = deployment.find_port()
+        async with entry_instances.run_instance(
+            cluster, name="n2", host="127.0.0.2", peer_port=port
+        ) as second:
+            async with entry_instances.run_instance(
+                cluster, peer_port=port
+            ) as first:
+                await anyio.sleep(1.5)
+                events = [await begin_stream(first, f"r{i}") for i in range(2)]
+            await prefer_last(cluster, engines)
+            await check_resumed(engines, second, events)
+
+
+async def test_client_resumes_at_an_instance_that_has_just_started() -> None:
+    """Guards against a stream resumed at another software version (ORDER).
+
+    The instance learns what the others began when it links to them.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v2")
+        port = deployment.find_port()
+        async with entry_instances.run_instance(
+            cluster, peer_port=port
+        ) as first:
+            events = [await begin_stream(first, f"r{i}") for i in range(2)]
+            async with entry_instances.run_instance(
+                cluster, name="n2", host="127.0.0.2", peer_port=port
+            ) as second:
+                await anyio.sleep(1.5)
+                await prefer_last(cluster, engines)
+                await check_resumed(engines, second, events)
+
+
+async def test_stream_that_began_before_a_release_resumes_at_its_version() -> (
+    None
+):
+    """Guards against a stream resumed at another software version (ORDER).
+
+    There was one version when the stream began, and two when it goes on.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        old = await add_engine(cluster, "old", "v1", "z2")
+        async with run_pair(cluster) as (first, second):
+            events = [await begin_stream(first, "r0")]
+            new = await add_engine(cluster, "new", "v2")
+            await anyio.sleep(1.0)
+            await check_resumed([old, new], second, events)
+
+
+async def test_resumption_is_refused_while_its_version_is_unknown() -> None:
+    """The request has not run, and the client may come back."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v2")
+        async with entry_instances.run_instance(cluster) as instance:
+            response = await resume(instance, "s1", "unknown")
+            assert response.status == 503
+            headers = {name.lower() for name, _ in response.headers}
+            assert b"retry-after" in headers
+            assert find_versions(engines, "s1") == set()
+
+
+async def test_unknown_stream_resumes_while_there_is_one_version() -> None:
+    """It cannot have begun at any other, as after a restart of everything."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v1")
+        async with entry_instances.run_instance(cluster) as instance:
+            response = await resume(instance, "s1", "unknown")
+            assert response.status == 200
+            assert find_versions(engines, "s1") == {"v1"}
+
+
+async def test_stream_without_an_event_may_begin_anew_at_any_version() -> None:
+    """A client that has received nothing names no event."""
+    async with fleet_cluster.run_cluster() as cluster:
+        await add_versions(cluster, "v1", "v2")
+        async with entry_instances.run_instance(cluster) as instance:
+            response = await instance.send(
+                "/stream/x",
+                "s1",
+                X_Model=f"{fleet_cluster.MODEL}/a1",
+                X_Token_Count="100,30",
+                Resumes="unknown",
+            )
+            assert response.status == 200
+            assert response.content.count(b"\n\n") == EVENTS
+
+
+async def test_member_resumes_what_another_member_began(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: hundreds of instances, which link to few relays only."""
+    monkeypatch.setattr(relays, "MAX_FLAT_INSTANCES", 1)
+    zones = {"n1": "z1", "n2": "z1", "n3": "z1"}
+    relay = relays.make_plan("n1", "z1", zones, ()).relay
+    port = deployment.find_port()
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await add_versions(cluster, "v1", "v2")
+        async with contextlib.AsyncExitStack() as stack:
+            instances = [
+                await stack.enter_async_context(
+                    entry_instances.run_instance(
+                        cluster,
+                        name=name,
+                        host=f"127.0.0.{1 + index}",
+                        peer_port=port,
+                    )
+                )
+                for index, name in enumerate(zones)
+            ]
+            members = [
+                instance
+                for instance in instances
+                if instance.settings.instance != relay
+            ]
+            await anyio.sleep(2.5)
+            events = [await begin_stream(members[0], f"r{i}") for i in range(2)]
+            await prefer_last(cluster, engines)
+            await check_resumed(engines, members[1], events)
