Continue a stream only at the software version that began it

Cause: the version of an upstream's software was not read, so both ways in which a stream goes on, by the instance itself within a response and by the client's retry at any instance, were placed like new streams. Class of fault: a property that binds later work to its beginning is kept nowhere, and what an instance knows of its streams dies with it.

Ruled out: a wrong record (there was none). Change: the version that writes a stream's first event binds every later batch slot of it; instances announce their streams while a service has several versions, and answer for each other; a stream that nobody knows goes on only if there is one version.

--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -18,6 +18,7 @@
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
 from tamaracktide.entry import results
+from tamaracktide.entry import resumption as entry_resumption
 from tamaracktide.entry import runs
 from tamaracktide.entry import sending
 from tamaracktide.entry import service_cell
@@ -76,6 +77,7 @@
         crashes: entry_crashes.CrashTracker,
         retries: retry_window.RetryWindowSettings,
         count_instances: Callable[[], int],
+        resumption: entry_resumption.Resumption,
         metrics: metrics_module.Metrics,
     ) -> None:
         """Builds a forwarder for all services."""
@@ -85,6 +87,7 @@
         self._outcomes = outcomes.OutcomeRecorder(crashes)
         self._sender = sending.Sender(adapter, upstream_client, find_version)
         self._hedger = hedging.Hedger(self._sender, self._outcomes, metrics)
+        self._resumption = resumption
         self._retries = retries
         self._count_instances = count_instances
         self._metrics = metrics
@@ -130,6 +133,7 @@
         cell = self._find_cell(request.service)
         run = runs.Run(request, responder, progress, tries, cell)
         with anyio.CancelScope(deadline=request.expires_at) as scope:
+            progress.software = await self._resumption.find_software(request)
             code = await self._run_attempts(run)
         if scope.cancelled_caught:
             self._raise_final_error(request, tries.handle(attempts.Expired()))
@@ -192,7 +196,9 @@
     ) -> tuple[attempts.Action, results.Result | None]:
         """Runs an attempt, and those that take over while it is silent."""
         try:
-            placement = await run.cell.acquire_placement(run.request, avoid)
+            placement = await run.cell.acquire_placement(
+                run.request, avoid, software=run.progress.software
+            )
         except errors.RefusalError as error:
             refused = attempts.GrantRefused(
                 error.code, error.retry_after_s or 0.5, final=True
@@ -332,12 +338,16 @@
                 return results.LostResponse(
                     f"event {block.last_id} is out of order"
                 )
+            if progress.software is None:
+                progress.software = attempt.placement.entry.software
+                self._resumption.record_begin(run.request, progress.software)
             progress.events += block.data.count(event_stream.EVENT_END)
             progress.last_id = block.last_id
             await responder.write(block.data)
         if splitter.pending or progress.last_id is None:
             return results.LostResponse("stream ended within an event")
         await responder.finish()
+        self._resumption.record_end(run.request)
         return results.Completed(Codes.OK)
 
 
--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -98,7 +98,10 @@
         avoid = (*run.tries.avoid, attempt.upstream)
         try:
             placement = await run.cell.acquire_placement(
-                run.request, avoid, is_hedge=True
+                run.request,
+                avoid,
+                software=run.progress.software,
+                is_hedge=True,
             )
         except errors.RefusalError as error:
             _log(run, attempt, "hedged request refused: {}", error)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -27,6 +27,7 @@
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import report_exchange
 from tamaracktide.entry import requests
+from tamaracktide.entry import resumption as entry_resumption
 from tamaracktide.entry import service_cell
 from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
@@ -53,6 +54,10 @@
 TASK_RESTART_DELAY_S = 0.5
 """Delay before a failed task is restarted."""
 
+MAX_STORE_SILENCE_S = 2.0
+"""Time without the store after which an instance without links may have missed
+changes of the upstreams."""
+
 CONNECT_TIMEOUT_S = 0.4
 """A hundred times the latency between zones, and half the target for a first
 token."""
@@ -89,12 +94,15 @@
             routing_document.RouteTable | None, dict[tuple[str, str], int]
         ] = (None, {})
         self._exchange = self._make_exchange()
+        self._resumption = entry_resumption.Resumption(
+            settings.instance, self._is_view_current
+        )
         self._peers = entry_peers.Peers(
             settings,
             uuid.uuid4().hex[:12],
             entry_peers.Callbacks(
                 handle=self._handle_message,
-                handle_open=self._exchange.handle_open,
+                handle_open=self._handle_open,
                 send_reports=self._send_reports,
                 handle_loss=self._exchange.handle_loss,
                 holds_lease=lambda: self._leases.holds_any,
@@ -102,6 +110,7 @@
             tasks,
         )
         self._exchange.peers = self._peers
+        self._resumption.peers = self._peers
         self._objects = object_exchange.ObjectExchange(
             settings,
             adapter.collections,
@@ -198,6 +207,7 @@
                 extra=bounds.retry_extra,
             ),
             self._count_instances,
+            self._resumption,
             self._metrics,
         )
 
@@ -238,6 +248,18 @@
     def _send_reports(self) -> None:
         self._objects.update()
         self._exchange.send_reports()
+        self._resumption.send_unsent()
+
+    def _handle_open(
+        self, peer: entry_peers.Peer, link: entry_peers.Link
+    ) -> None:
+        self._exchange.handle_open(peer, link)
+        self._resumption.handle_open(link)
+
+    def _is_view_current(self) -> bool:
+        """Whether changes of the upstreams reach this instance."""
+        silent_s = self._store_health.unreachable_s
+        return silent_s < MAX_STORE_SILENCE_S or bool(self._peers.list_linked())
 
     def _apply_state_change(self) -> None:
         """Applies changes of the cluster state to every part."""
@@ -251,6 +273,7 @@
         removed = changed - state.upstreams.keys()
         for name in removed:
             self._views.forget(name)
+        self._resumption.apply_upstreams(entries, removed)
         services = dict(state.table.document.services) if state.table else {}
         self._engine_controller.update(state.upstreams, services)
         self._crashes.check(state.upstreams)
@@ -498,6 +521,12 @@
                 self._relay.apply_reply(message)
             case entry_messages.ObjectsNotice():
                 self._objects.apply(peer.instance, message)
+            case entry_messages.StreamsNotice():
+                self._resumption.apply_notice(message)
+            case entry_messages.StreamQuery():
+                self._resumption.handle_query(peer, message)
+            case entry_messages.StreamReply():
+                self._resumption.apply_reply(message)
             case entry_messages.ObjectsRequest():
                 self._objects.send_newer(peer, message)
             case _:
--- a/src/tamaracktide/entry/results.py
+++ b/src/tamaracktide/entry/results.py
@@ -64,10 +64,13 @@
         last_id: Id of the last event that was forwarded.
         events: Number of events that this instance forwarded.
         upstreams: Upstreams that the request was sent to.
+        software: Software version that wrote the stream's first event; None
+            before it.
         limit: What prevented another attempt, None if none was wanted.
     """
 
     last_id: int | None
     events: int = 0
     upstreams: list[str] = dataclasses.field(default_factory=list)
+    software: str | None = None
     limit: attempts.RetryLimit | None = None
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -196,6 +196,7 @@
         request: requests.ClientRequest,
         avoid: tuple[str, ...] = (),
         *,
+        software: str | None = None,
         is_hedge: bool = False,
     ) -> Placement:
         """Waits until a request is granted a batch slot and returns it.
@@ -203,6 +204,7 @@
         Args:
             request: The request.
             avoid: Upstreams that must not run it.
+            software: Software version that must run it; None for any.
             is_hedge: Whether it keeps a batch slot that it already has.
 
         Raises:
@@ -210,7 +212,9 @@
         """
         now = anyio.current_time()
         queued_request = _QueuedRequest(anyio.Event(), now)
-        submit = self._make_submit(request, avoid)
+        submit = self._make_submit(
+            request, (*avoid, *self._list_other_versions(software))
+        )
         if is_hedge:
             # A cell grants one batch slot for an id.
             submit = dataclasses.replace(
@@ -238,6 +242,16 @@
             case None:
                 raise errors.InvariantError(f"{request_id}: no result")
 
+    def _list_other_versions(self, software: str | None) -> list[str]:
+        """Returns the upstreams of other software versions."""
+        if software is None:
+            return []
+        return [
+            name
+            for name, entry in self._entries.items()
+            if entry.software != software
+        ]
+
     def _describe_refusal(self, code: result_codes.ResultCode) -> str:
         usable = len(self._entries) - len(self._leaving)
         utilization = self._cell.measure_utilization()
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -150,6 +150,45 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StreamsNotice:
+    """Announces which software version of an upstream began which stream.
+
+    Attributes:
+        streams: Ids of the requests that began streams, by software version.
+    """
+
+    streams: dict[str, tuple[str, ...]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StreamQuery:
+    """Asks which software version began a stream.
+
+    Attributes:
+        request_id: Id of the request that began it.
+        asker: Instance that needs to know.
+    """
+
+    request_id: str
+    asker: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StreamReply:
+    """Replies to a query; nothing is sent for an unknown stream.
+
+    Attributes:
+        request_id: Id of the request that began the stream.
+        software: Software version that began it.
+        asker: Instance that needs to know.
+    """
+
+    request_id: str
+    software: str
+    asker: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LoadRequest:
     """Requests the load of an adapter from the lease holder of a cell.
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -393,6 +393,9 @@
     | entry_messages.ObjectsNotice
     | entry_messages.ObjectsRequest
     | entry_messages.PromptNotice
+    | entry_messages.StreamsNotice
+    | entry_messages.StreamQuery
+    | entry_messages.StreamReply
     | entry_messages.WriteRequest
     | entry_messages.WriteReply
 )
@@ -428,4 +431,7 @@
     30: entry_messages.ClusterReport,
     31: entry_messages.EngineNotice,
     32: entry_messages.ObjectsRequest,
+    33: entry_messages.StreamsNotice,
+    34: entry_messages.StreamQuery,
+    35: entry_messages.StreamReply,
 }
--- a/src/tamaracktide/result_codes.py
+++ b/src/tamaracktide/result_codes.py
@@ -42,6 +42,7 @@
     TABLES_NOT_LOADED = 2111
     RETRIES_EXHAUSTED = 2112
     UPSTREAM_REFUSED = 2113
+    SOFTWARE_UNKNOWN = 2114
 
     OUTCOME_UNKNOWN = 3000
     UPSTREAM_LOST = 3001
@@ -149,6 +150,12 @@
     ResultCode.UPSTREAM_REFUSED: Meaning(
         502, _NOT_RUN, True, "The upstream refused the request unrun."
     ),
+    ResultCode.SOFTWARE_UNKNOWN: Meaning(
+        503,
+        _NOT_RUN,
+        True,
+        "The upstream version that began the stream is not known.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: Meaning(
         504, _UNKNOWN, False, "A request with this key may have run."
     ),
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -277,9 +277,10 @@
     There was one version when the stream began, and two when it goes on.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        old = await add_engine(cluster, "old", "v1", "z2")
+        old = await add_engine(cluster, "old", "v1")
         async with run_pair(cluster) as (first, second):
             events = [await begin_stream(first, "r0")]
+            cluster.register(old, "z2")
             new = await add_engine(cluster, "new", "v2")
             await anyio.sleep(1.0)
             await check_resumed([old, new], second, events)
