Tell a connection that timed out from a silent one

Cause: a connection whose peer acknowledges nothing ends with ETIMEDOUT, which Python raises as TimeoutError, the class of a read's own time-out. It was so reported as silence, and since a silent connection is read again if its request may not be hedged: the read fails at once, without a pause, and each raise lengthens the traceback of the same exception. Trace:, three reads with time-outs of 17.8, 17.7 and 2.0 s end in one millisecond at 36.501 s at front-ee-north-c-1, nothing is written after 36.515 s, memory over the limit at 39.05 s.

Change: the error of a lost connection is never a TimeoutError. The new test failed before (ReadTimeout instead of ReadError).

--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -58,6 +58,9 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_ended = True
         self.error = exc
+        if isinstance(exc, TimeoutError):
+            # ETIMEDOUT; the time-outs of reads and writes are the same class.
+            self.error = ConnectionAbortedError(*exc.args)
         self._wake_reader()
         self._writable.set()
         if self._timer is not None:
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -9,6 +9,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import errno
 import socket
 import struct
 
@@ -190,3 +191,24 @@
         with anyio.move_on_after(0.05):
             await stream.read(10, 0.1)
         assert await stream.read(10, None) == b"late"
+
+
+async def test_connection_that_timed_out_is_broken_and_not_silent() -> None:
+    """Guards against a request that spins on a dead connection (incident LOST).
+
+    The kernel reports a peer that acknowledges nothing as ETIMEDOUT, which is
+    a `TimeoutError` as well.
+    """
+
+    async def wait(stream: anyio.abc.SocketStream) -> None:
+        await anyio.sleep_forever()
+
+    async with connect(wait) as stream:
+        stream._receiver.connection_lost(
+            TimeoutError(errno.ETIMEDOUT, "timed out")
+        )
+        for _ in range(2):
+            with pytest.raises(httpcore.ReadError):
+                await stream.read(1000, 1.0)
+        with pytest.raises(httpcore.WriteError):
+            await stream.write(b"late", 1.0)
