Let a hedged request outlive the silent connection

Cause: the end of the silent connection woke the wait for its bytes and cancelled the hedged request in progress, with no attempt left. Now only bytes cancel it; after the end of the connection the hedged request that was sent may still be answered. An error in it is logged and does not end the response that it was to replace. The new test failed before: RemoteProtocolError, cut within the response.

--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -5,8 +5,6 @@
 has begun to answer.
 """
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 import functools
 
 import anyio
@@ -63,10 +61,13 @@
         self,
         run: runs.Run,
         attempt: runs.Attempt,
-        wait_readable: Callable[[], Awaitable[None]],
+        wait_readable: streams.WaitReadable,
     ) -> bool:
         """Hedges a request until its upstream goes on.
 
+        If the connection to that upstream ends, a hedged request that was sent
+        may still be answered.
+
         Returns:
             Whether to go on waiting for that upstream.
         """
@@ -79,19 +80,28 @@
             tasks.start_soon(
                 self._hedge_until_answered, run, attempt, tasks.cancel_scope
             )
-            await wait_readable()
-            tasks.cancel_scope.cancel()
+            attempt.is_lost = not await wait_readable()
+            if not (attempt.is_lost and attempt.is_hedged):
+                tasks.cancel_scope.cancel()
         return attempt.successor is None
 
     async def _hedge_until_answered(
         self, run: runs.Run, attempt: runs.Attempt, scope: anyio.CancelScope
     ) -> None:
-        while run.tries.allows_hedge:
-            await self._hedge(run, attempt)
+        while run.tries.allows_hedge and not attempt.is_lost:
+            try:
+                await self._hedge(run, attempt)
+            except Exception as error:
+                # The response of the silent upstream must not end with it.
+                logs.bind(request_id=run.request.request_id).opt(
+                    exception=True
+                ).error("hedged request failed: {!r}", error)
+                return
             if attempt.successor is not None:
                 scope.cancel()
                 return
-            await anyio.sleep(HEDGE_RETRY_S)
+            if not attempt.is_lost:
+                await anyio.sleep(HEDGE_RETRY_S)
 
     async def _hedge(self, run: runs.Run, attempt: runs.Attempt) -> None:
         """Sends a hedged request, if a batch slot is granted to it."""
@@ -127,6 +137,7 @@
             {"pool": run.request.service.name, "cause": "SILENT"}
         )
         result: results.Result | None = None
+        attempt.is_hedged = True
         try:
             opened = await self._sender.open(
                 run.request, run.progress, hedge.placement, None
@@ -138,6 +149,7 @@
             if result is None and isinstance(opened, streams.StreamedResponse):
                 self._take_over(run, attempt, hedge, opened)
         finally:
+            attempt.is_hedged = False
             if attempt.successor is None:
                 ran = not isinstance(result, results.NotRun)
                 run.tries.handle(attempts.HedgeEnded(ran))
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -38,6 +38,8 @@
         response: The upstream's response; None until its headers are checked.
         has_delivered: Whether an event of it was sent to the client.
         is_silent: Whether the upstream was found silent.
+        is_hedged: Whether another upstream may answer instead.
+        is_lost: Whether its connection has ended while it was silent.
         successor: The attempt that takes over; None while there is none.
     """
 
@@ -45,6 +47,8 @@
     response: streams.StreamedResponse | None = None
     has_delivered: bool = False
     is_silent: bool = False
+    is_hedged: bool = False
+    is_lost: bool = False
     successor: "Attempt | None" = None
 
     @property
--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -94,10 +94,11 @@
             self.transport.resume_reading()
         return data
 
-    async def wait_readable(self) -> None:
-        """Waits until `read` would not wait."""
+    async def wait_readable(self) -> bool:
+        """Waits until `read` would not wait; returns whether bytes arrived."""
         while not (self.buffer or self.is_ended or self.error):
             await self._wait_received(None)
+        return bool(self.buffer)
 
     async def _wait_received(self, timeout: float | None) -> None:
         self._waiter = self._loop.create_future()
@@ -169,9 +170,13 @@
         except OSError as error:
             raise httpcore.ReadError(str(error)) from error
 
-    async def wait_readable(self) -> None:
-        """Waits until bytes have arrived or the stream has ended."""
-        await self._receiver.wait_readable()
+    async def wait_readable(self) -> bool:
+        """Waits until bytes have arrived or the stream has ended.
+
+        Returns:
+            Whether bytes have arrived.
+        """
+        return await self._receiver.wait_readable()
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends bytes.
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -23,9 +23,13 @@
 FIRST_FINAL_STATUS = 200
 """Lowest status code of a response that no other one follows."""
 
-OnSilence = Callable[[Callable[[], Awaitable[None]]], Awaitable[bool]]
+WaitReadable = Callable[[], Awaitable[bool]]
+"""Waits until bytes have arrived or the connection has ended; returns whether
+bytes have arrived."""
+
+OnSilence = Callable[[WaitReadable], Awaitable[bool]]
 """Called when nothing has arrived for the timeout of a call, with a function
-that waits until something arrives. Returns whether to go on waiting."""
+that waits for it. Returns whether to go on waiting."""
 
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 """Headers without which the end of the connection ends a body."""
--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -203,6 +203,55 @@
             engine.silence_s = 0.0
 
 
+class CrashingServer(fleet_cluster.Server):
+    """Breaks off its connection at the end of its pause."""
+
+    __slots__ = ()
+
+    async def _pause(self, request_id: str, receive: asgi.Receive) -> None:
+        await super()._pause(request_id, receive)
+        if self.break_after:
+            raise ConnectionError("crashed")
+
+
+async def test_hedged_request_outlives_the_silent_connection() -> None:
+    """Guards against a response cut as its upstream crashes (incident LOST).
+
+    An engine is suspended and crashes while the other one, which was asked
+    meanwhile, has not answered yet.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [
+            await cluster.add_server(
+                CrashingServer(
+                    name,
+                    slots=3,
+                    adapters={"a1": 1},
+                    silent_after=3,
+                    silence_s=SILENCE_S,
+                    break_after=100,
+                )
+            )
+            for name in ("e1", "e2")
+        ]
+        async with (
+            entry_instances.run_instance(cluster) as instance,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(_delay_the_other, engines)
+            check_complete(await instance.generate("r1"))
+
+
+async def _delay_the_other(engines: list[fleet_cluster.Server]) -> None:
+    """Has the engine that does not run the request answer after a second."""
+    while not any(engine.runs for engine in engines):
+        await anyio.sleep(0.01)
+    for engine in engines:
+        if not engine.runs:
+            engine.break_after = 0
+            engine.silent_after, engine.silence_s = None, 1.0
+
+
 class RefusingServer(fleet_cluster.Server):
     """Refuses requests, the first one after a pause, if `refuses` is set."""
 
