Close the connection of a refusal that stalls, and do not hedge it

What would be seen: a connection that stays open after its request, and a request that two upstreams run, the second one's events after the first one's.

Cause: the body of a refusal was read with the handling of silence in force and without closing the connection if the request ended meanwhile. A refusal is known from its headers; the rest is awaited for 0.2 s, so that the connection can be used again, and the connection is closed in any case.

--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -24,6 +24,9 @@
 MIN_SEND_TIME_S = 0.03
 """A request with less time left is not sent."""
 
+REFUSAL_TIMEOUT_S = 0.2
+"""Time without data after which the rest of a refusal is not awaited."""
+
 MAX_RESPONSE_BYTES = 8 << 20
 
 OpenResult = streams.StreamedResponse | results.NotRun | results.LostResponse
@@ -96,10 +99,16 @@
             if not opened.may_have_run:
                 return results.NotRun(opened.detail, unreachable=True)
             return results.make_lost_response(opened)
-        failure = await self._check(request, opened)
+        failure = self._check(request, opened)
         if failure is None:
             return opened
-        await opened.close()
+        try:
+            if isinstance(failure, results.NotRun):
+                # The connection can be used again once the refusal is read.
+                opened.set_timeout(REFUSAL_TIMEOUT_S, None)
+                await opened.read(MAX_RESPONSE_BYTES)
+        finally:
+            await opened.close()
         return failure
 
     def _find_required_version(self, request: requests.ClientRequest) -> int:
@@ -108,7 +117,7 @@
             return 0
         return self._find_version(generation.model, generation.adapter)
 
-    async def _check(
+    def _check(
         self,
         request: requests.ClientRequest,
         opened: streams.StreamedResponse,
@@ -122,7 +131,6 @@
                 f"response belongs to another request: {fields.request_id!r}"
             )
         if fields.not_run:
-            await opened.read(MAX_RESPONSE_BYTES)
             return results.NotRun(
                 f"status {opened.status}", missing=fields.misdirected
             )
--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -303,6 +303,72 @@
     )
 
 
+class StalledRefusal(fleet_cluster.Server):
+    """Sends the headers of a refusal without its body, if `refuses` is set.
+
+    Requests that are refused so are listed in `orders`.
+    """
+
+    __slots__ = ()
+
+    async def _handle_request(
+        self, head: dict[str, str], receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        if not self.refuses:
+            await super()._handle_request(head, receive, send)
+            return
+        self.orders.append({"Adapter": "", "Id": head["x-request-id"]})
+        await send(
+            {
+                "type": "http.response.start",
+                "status": 421,
+                "headers": [
+                    (b"x-not-executed", b"1"),
+                    (b"x-request-id", head["x-request-id"].encode()),
+                    (b"content-length", b"5"),
+                ],
+            }
+        )
+        with anyio.move_on_after(LONG_SILENCE_S):
+            await receive()
+            self.abandoned.append(head["x-request-id"])
+
+
+async def test_connection_of_a_stalled_refusal_is_closed() -> None:
+    """Guards against a connection that stays open after its request."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engine = await cluster.add_server(
+            StalledRefusal("e1", slots=3, adapters={"a1": 1}, refuses=True)
+        )
+        async with entry_instances.run_instance(cluster) as instance:
+            await instance.generate("r1")
+            await anyio.sleep(0.2)
+            assert engine.abandoned == ["r1"] * len(engine.orders)
+
+
+async def test_stalled_refusal_is_not_hedged() -> None:
+    """Guards against two upstreams that run a request one after the other."""
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [
+            await cluster.add_server(
+                StalledRefusal(name, slots=3, adapters={"a1": 1}, refuses=True)
+            )
+            for name in ("e1", "e2")
+        ]
+        async with entry_instances.run_instance(cluster) as instance:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(_accept_after_a_refusal, engines)
+                check_complete(await instance.generate("r1"))
+            assert sum(len(engine.runs) for engine in engines) == 1
+
+
+async def _accept_after_a_refusal(engines: list[fleet_cluster.Server]) -> None:
+    while not any(engine.orders for engine in engines):
+        await anyio.sleep(0.005)
+    for engine in engines:
+        engine.refuses = False
+
+
 async def test_silence_for_good_ends_at_the_deadline() -> None:
     """A response that never goes on ends before its client gives up."""
     async with fleet_cluster.run_cluster() as cluster:
