Submit a request again whose upstream left as it was granted

What a client would see: 500 or, within a stream, a cut, in the moment in which an upstream is removed. Found by a review of the wait for a batch slot.

Cause: the entry of the granted upstream was read when the waiting task went on, one iteration of the loop after the grant; removed in between, it was a KeyError. The cell has ended the grant by then, so the request is submitted again. The new test failed before (500 by KeyError) and gets its refusal now.

--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -94,7 +94,6 @@
 @dataclasses.dataclass(slots=True)
 class _QueuedRequest:
     done: anyio.Event
-    submitted_at: float
     result: cell_actions.Grant | cell_actions.Refuse | None = None
 
 
@@ -210,16 +209,27 @@
         Raises:
             errors.RefusalError: No batch slot becomes free in time.
         """
-        now = anyio.current_time()
-        queued_request = _QueuedRequest(anyio.Event(), now)
-        submit = self._make_submit(
-            request, (*avoid, *self._list_other_versions(software))
-        )
-        if is_hedge:
-            # A cell grants one batch slot for an id.
-            submit = dataclasses.replace(
-                submit, request_id=f"{request.request_id}/{uuid.uuid4().hex}"
+        submitted_at = anyio.current_time()
+        while True:
+            submit = self._make_submit(
+                request, (*avoid, *self._list_other_versions(software))
             )
+            if is_hedge:
+                # A cell grants one batch slot for an id.
+                submit = dataclasses.replace(
+                    submit,
+                    request_id=f"{request.request_id}/{uuid.uuid4().hex}",
+                )
+            grant = await self._acquire_grant(submit)
+            entry = self._entries.get(grant.upstream)
+            if entry is not None:
+                return self._make_placement(request, grant, entry, submitted_at)
+
+    async def _acquire_grant(
+        self, submit: cell_events.Submit
+    ) -> cell_actions.Grant:
+        """Waits until a request is granted a batch slot."""
+        queued_request = _QueuedRequest(anyio.Event())
         request_id = submit.request_id
         self._refresh_ready()
         self._waiting[request_id] = queued_request
@@ -234,7 +244,7 @@
                 self._handle(cell_events.Withdraw(request_id))
         match queued_request.result:
             case cell_actions.Grant() as grant:
-                return self._make_placement(request, grant, now)
+                return grant
             case cell_actions.Refuse(code=code, retry_after_s=retry_after_s):
                 raise errors.RefusalError(
                     code, self._describe_refusal(code), retry_after_s
@@ -290,9 +300,9 @@
         self,
         request: requests.ClientRequest,
         grant: cell_actions.Grant,
-        now: float,
+        entry: upstream_entries.UpstreamEntry,
+        submitted_at: float,
     ) -> Placement:
-        entry = self._entries[grant.upstream]
         key = self.find_key(request)
         counts = self.running.setdefault(grant.upstream, {})
         counts[key.adapter] = counts.get(key.adapter, 0) + 1
@@ -304,7 +314,7 @@
             grant_id=grant.grant_id,
             entry=entry,
             key=key,
-            waited_s=anyio.current_time() - now,
+            waited_s=anyio.current_time() - submitted_at,
         )
 
     def record_prompt(self, upstream: str, tokens: int) -> None:
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -9,6 +9,8 @@
 import httpcore
 import pytest
 
+from tamaracktide.core import cell_actions
+from tamaracktide.entry import service_cell
 from tamaracktide.entry import serving
 
 pytestmark = pytest.mark.anyio
@@ -221,3 +223,28 @@
                 with pytest.raises(httpcore.ConnectError):
                     await instance.send("/safe/x", "r3")
             assert responses[0].content.count(b"\n\n") == slow_server.events
+
+
+async def test_upstream_removed_as_it_is_granted_is_not_an_internal_error(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against 500 or a cut stream as an upstream leaves (KeyError)."""
+    set_result = service_cell.ServiceCell._set_result
+
+    def remove_upstream(
+        cell: service_cell.ServiceCell,
+        result: cell_actions.Grant | cell_actions.Refuse,
+    ) -> None:
+        set_result(cell, result)
+        if isinstance(result, cell_actions.Grant):
+            cell.remove_upstreams({result.upstream})
+
+    async with fleet_cluster.run_cluster() as cluster:
+        await cluster.add_server(fleet_cluster.Server("p1"))
+        async with entry_instances.run_instance(cluster) as instance:
+            monkeypatch.setattr(
+                service_cell.ServiceCell, "_set_result", remove_upstream
+            )
+            response = await instance.send("/safe/x", "r1")
+            assert response.status == 503
+            assert cluster.servers["p1"].runs == []
