Bind a queued resumption to its software version also when others appear

A resumed stream that waits for a batch slot excluded the upstreams of other versions that were known when it was submitted; one that appeared meanwhile could be granted to it (ORDER). The grant is released and the request submitted again. The new test failed before: a placement at the new version.

--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -222,8 +222,10 @@
                 )
             grant = await self._acquire_grant(submit)
             entry = self._entries.get(grant.upstream)
-            if entry is not None:
+            if entry is not None and software in (None, entry.software):
                 return self._make_placement(request, grant, entry, submitted_at)
+            # The upstream left or appeared while the request waited.
+            self._handle(cell_events.GrantEnded(grant_id=grant.grant_id))
 
     async def _acquire_grant(
         self, submit: cell_events.Submit
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -96,7 +96,11 @@
         return cell
 
     def add_engine(
-        self, name: str, zone: str = "z1", **ready_in_ms: int
+        self,
+        name: str,
+        zone: str = "z1",
+        software: str = "v1",
+        **ready_in_ms: int,
     ) -> None:
         """Adds an engine; adapters are given with the time to readiness."""
         self.entries[name] = upstream_entries.UpstreamEntry(
@@ -105,6 +109,7 @@
             address="127.0.0.1:1",
             zone=zone,
             batch_limit=BATCH_LIMIT,
+            software=software,
             started_ms=1,
             models={MODEL: {}},
         )
@@ -333,3 +338,42 @@
         placement = await cell.acquire_placement(make_request("r1", "a"))
         assert placement.entry.upstream == "e2"
         assert not harness.snapshots
+
+
+async def test_queued_resumption_gets_no_upstream_of_a_new_version() -> None:
+    """Guards against a stream resumed at another software version (ORDER).
+
+    The first upstream of the other version appears while the request waits.
+    """
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", software="v1", a=0)
+        cell = harness.make_cell()
+        first = [
+            await cell.acquire_placement(make_request(f"r{index}", "a"))
+            for index in range(BATCH_LIMIT)
+        ]
+        placements: list[service_cell.Placement] = []
+
+        async def wait_for_placement() -> None:
+            request = dataclasses.replace(
+                make_request("resumed", "a"),
+                expires_at=anyio.current_time() + 60.0,
+            )
+            placements.append(
+                await cell.acquire_placement(request, software="v1")
+            )
+
+        tasks.start_soon(wait_for_placement)
+        await anyio.wait_all_tasks_blocked()
+        assert cell.count_waiting() == 1
+        harness.add_engine("e2", software="v2", a=0)
+        cell.refresh()
+        await anyio.wait_all_tasks_blocked()
+        assert placements == []
+        cell.release(first.pop(), missing=False)
+        await anyio.wait_all_tasks_blocked()
+        assert [p.entry.upstream for p in placements] == ["e1"]
+        late = await cell.acquire_placement(make_request("late", "a"))
+        assert late.entry.upstream == "e2"
+        tasks.cancel_scope.cancel()
