Reject a settings file that is not UTF-8 as any other malformed one

What a client would see: its request ends with the process.

Cause: bytes that are not UTF-8 raised UnicodeDecodeError, which is no OSError; the settings' watcher failed and was started again after 0.5 s, in which SIGHUP had its default action and ended the process (the review's probe: two signals 0.15 s apart, exit by SIGHUP). The new test failed before.

--- a/src/tamaracktide/settings/files.py
+++ b/src/tamaracktide/settings/files.py
@@ -63,7 +63,7 @@
     """
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise errors.SettingsError(
             result_codes.ResultCode.SETTINGS_INVALID, f"{path}: {error}"
         ) from error
--- a/tests/entry/test_settings_watch.py
+++ b/tests/entry/test_settings_watch.py
@@ -100,3 +100,20 @@
             os.kill(os.getpid(), signal.SIGHUP)
             await anyio.sleep(0.05)
         assert not seeds.applied
+
+
+async def test_file_that_is_not_text_leaves_the_previous_settings(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a watcher that fails, and with it the signal's handler.
+
+    The next reload signal then ended the process, and its requests.
+    """
+    path = tmp_path / "settings.json"
+    _write_settings(path)
+    async with _run_watcher(path) as seeds:
+        path.write_bytes(b'{"instance": "\xff\xfe"}')
+        await anyio.sleep(2 * settings_watch.POLL_PERIOD_S)
+        _write_settings(path, seeds=["10.0.0.1:7"])
+        os.kill(os.getpid(), signal.SIGHUP)
+        await seeds.wait_for(1)
