Wait for responses to be sent before a planned stop ends

What a client would see: the end of a response missing after SIGTERM, if it reads slowly.

Cause: the stop waited for the application only. A response that was complete there, but not sent, was dropped with its connection. Now the stop waits for the connections as well, up to the end of the grace period as before.

--- a/src/tamaracktide/entry/serving.py
+++ b/src/tamaracktide/entry/serving.py
@@ -100,11 +100,14 @@
         self._app.close_connections = True
         server.should_exit = True
         end_at = started_at + self._settings.bounds.grace_s - KILL_MARGIN_S
-        while self._app.in_progress and anyio.current_time() < end_at:
+        # A response that is complete here may still have to be sent.
+        while (
+            self._app.in_progress or server.open_connections
+        ) and anyio.current_time() < end_at:
             await anyio.sleep(STOP_POLL_PERIOD_S)
-        logs.bind(cut=self._app.in_progress).info(
-            "drain finished; cancelling remaining requests"
-        )
+        logs.bind(
+            cut=self._app.in_progress, connections=server.open_connections
+        ).info("drain finished; cancelling remaining requests")
         self._app.cancel_requests()
         server.force_exit = True
 
--- a/src/tamaracktide/http_server.py
+++ b/src/tamaracktide/http_server.py
@@ -46,6 +46,11 @@
         if value:
             self._exit.set()
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open, or still sending."""
+        return len(self.server_state.connections)
+
     async def main_loop(self) -> None:
         """Waits until the server ends."""
         # Sets the default headers, which contain no date.
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -20,10 +20,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Instance:
-    """An entry instance and a connection pool for calls to it."""
+    """An entry instance and a connection pool for calls to it.
+
+    Attributes:
+        settings: Its settings.
+        pool: The connection pool.
+        stopped: Set once it has ended after a stop signal.
+    """
 
     settings: entry_settings.EntrySettings
     pool: httpcore.AsyncConnectionPool
+    stopped: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     async def send(
         self, path: str, request_id: str, **extra: str
@@ -124,8 +131,13 @@
         entry_instance = program.EntryInstance(
             settings, fleet_adapter, upstream_client, store, tasks
         )
-        tasks.start_soon(entry_instance.run)
         instance = Instance(settings, pool)
+
+        async def run() -> None:
+            await entry_instance.run()
+            instance.stopped.set()
+
+        tasks.start_soon(run)
         await wait_until(instance.is_ready)
 
         async def is_lease_held() -> bool:
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -259,6 +259,7 @@
         silent_after: Events after which a stream pauses for `silence_s`; None
             pauses before the headers of every response.
         silence_s: Duration of that pause.
+        body: Body of the responses of a plain server; its name if empty.
         refuses: Whether every request gets 421, as without its adapter.
         abandoned: Ids of the requests whose connection was closed during the
             pause, in order.
@@ -280,6 +281,7 @@
     events: int = 10
     silent_after: int | None = 0
     silence_s: float = 0.0
+    body: bytes = b""
     refuses: bool = False
     abandoned: list[str] = dataclasses.field(default_factory=list)
 
@@ -351,7 +353,8 @@
         if self.drop_response:
             await _abort_response(signed, send)
         if not self.slots:
-            await reply(send, 200, b"done by " + self.name.encode(), signed)
+            body = self.body or b"done by " + self.name.encode()
+            await reply(send, 200, body, signed)
             return
         await self._send_stream(head, signed, receive, send)
 
--- a/tests/fleet/test_entry_program.py
+++ b/tests/fleet/test_entry_program.py
@@ -248,3 +248,29 @@
             response = await instance.send("/safe/x", "r1")
             assert response.status == 503
             assert cluster.servers["p1"].runs == []
+
+
+async def test_shutdown_waits_until_the_last_response_was_sent() -> None:
+    """Guards against a response cut by a planned stop (incident LOST).
+
+    Load pattern: a client that reads slowly. Its response is complete for the
+    application, and most of it waits to be sent.
+    """
+    body = bytes(6_000_000)
+    async with fleet_cluster.run_cluster() as cluster:
+        await cluster.add_server(fleet_cluster.Server("p1", body=body))
+        async with entry_instances.run_instance(cluster) as instance:
+            host, _, port = instance.settings.caller_address.rpartition(":")
+            async with await anyio.connect_tcp(host, int(port)) as client:
+                await client.send(
+                    b"GET /safe/x HTTP/1.1\r\nHost: h.example\r\n"
+                    b"X-Request-Id: r1\r\n\r\n"
+                )
+                received = len(await client.receive(1000))
+                os.kill(os.getpid(), signal.SIGTERM)
+                await anyio.sleep(serving.CONNECTION_CLOSE_DELAY_S + 1.0)
+                assert not instance.stopped.is_set()
+                with anyio.fail_after(3.0):
+                    while received < len(body):
+                        received += len(await client.receive())
+                    await instance.stopped.wait()
