--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -1,7 +1,5 @@
 """Builds the parts of an entry instance and runs them until shutdown."""
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 from collections.abc import Iterable
 import uuid
 
@@ -27,6 +25,7 @@
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import report_exchange
 from tamaracktide.entry import requests
+from tamaracktide.entry import restarts
 from tamaracktide.entry import resumption as entry_resumption
 from tamaracktide.entry import service_cell
 from tamaracktide.entry import serving
@@ -51,9 +50,6 @@
 """Interval at which upstreams whose entry was not restored are dropped, and
 entries applied that a notice took precedence over."""
 
-TASK_RESTART_DELAY_S = 0.5
-"""Delay before a failed task is restarted."""
-
 MAX_STORE_SILENCE_S = 2.0
 """Time without the store after which an instance without links may have missed
 changes of the upstreams."""
@@ -220,7 +216,7 @@
             ip=settings.ip,
         ).info("instance started")
         for follower in self._objects.make_followers():
-            self._tasks.start_soon(_run_with_restarts, follower.run)
+            self._tasks.start_soon(restarts.run_with_restarts, follower.run)
         self._tasks.start_soon(self._peers.run)
         self._tasks.start_soon(self._dial_seeds_if_undiscovered)
         for run in (
@@ -229,7 +225,7 @@
             self._refresh_all,
             self._apply_lapsed,
         ):
-            self._tasks.start_soon(_run_with_restarts, run)
+            self._tasks.start_soon(restarts.run_with_restarts, run)
         await self._servers.run()
 
     def dial_seeds(self, seeds: tuple[str, ...]) -> None:
@@ -561,20 +557,6 @@
             )
 
 
-async def _run_with_restarts(run: Callable[[], Awaitable[None]]) -> None:
-    """Restarts a task that fails, so that requests continue to be served."""
-    while True:
-        try:
-            await run()
-        except Exception as error:
-            logs.bind(task=run.__qualname__).opt(exception=True).critical(
-                "task failed; restarting: {!r}", error
-            )
-            await anyio.sleep(TASK_RESTART_DELAY_S)
-        else:
-            return
-
-
 async def serve(
     settings: entry_settings.EntrySettings,
     adapter: entry_adapter.PlatformAdapter,
@@ -601,7 +583,7 @@
         watcher = settings_watch.SettingsWatcher(
             path, settings, instance.dial_seeds
         )
-        tasks.start_soon(_run_with_restarts, watcher.run)
+        tasks.start_soon(restarts.run_with_restarts, watcher.run)
         await instance.run()
         # Cancelled requests must end before the parts that they use.
         await anyio.sleep(serving.STOP_POLL_PERIOD_S)
