--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -86,6 +86,8 @@
         self, request: requests.ClientRequest, software: str
     ) -> None:
         """Records which version begins a stream, before its first event."""
+        if not request.route.resumable:
+            return
         now = anyio.current_time()
         service = request.service.name
         own = self._own.setdefault(service, stream_origins.StreamOrigins())
