Check the deadline of a silent response by what the engine was told

So the bound was one on the machine (CONTRIBUTING.md: no timing asserts). Replaced by the deadline that the engine was told, and by what was not checked before: that its connection is closed and that it ran the request once. The second error of that run, in the next test of the same worker, is the other end of the same connection, kept by the failed test's traceback.

--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -10,6 +10,7 @@
 import httpcore
 import pytest
 
+from tamaracktide.entry import app
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.gateway import asgi
 
@@ -370,12 +371,22 @@
 
 
 async def test_silence_for_good_ends_at_the_deadline() -> None:
-    """A response that never goes on ends before its client gives up."""
+    """A response that never goes on ends before its client gives up.
+
+    The deadline in force is the one that the engine was told; when the response
+    arrives depends on the machine.
+    """
     async with fleet_cluster.run_cluster() as cluster:
-        await add_engine(
+        engine = await add_engine(
             cluster, "e1", silent_after=None, silence_s=LONG_SILENCE_S
         )
         async with entry_instances.run_instance(cluster) as instance:
-            with anyio.fail_after(4.0):
+            with anyio.fail_after(LONG_SILENCE_S / 2):
                 response = await instance.generate("r1")
             assert response.status == 504
+            told_ms = int(engine.headers_by_request["r1"]["x-deadline-ms"])
+            assert told_ms <= 4000 - 1000 * app.RESPONSE_MARGIN_S
+            with anyio.fail_after(1.0):
+                while not engine.abandoned:
+                    await anyio.sleep(0.01)
+            assert engine.runs == engine.abandoned == ["r1"]
