--- a/tests/fleet/test_silent_upstreams.py
+++ b/tests/fleet/test_silent_upstreams.py
@@ -58,6 +58,15 @@
     )
 
 
+async def wait_for_others(
+    engines: list[fleet_cluster.Server],
+) -> list[fleet_cluster.Server]:
+    """Waits until an engine runs a request and returns those that do not."""
+    while not any(engine.runs for engine in engines):
+        await anyio.sleep(0.001)
+    return [engine for engine in engines if not engine.runs]
+
+
 def check_complete(response: httpcore.Response) -> None:
     """Checks that a response has every event once."""
     assert response.status == 200
@@ -131,10 +140,8 @@
 
 async def _refuse_elsewhere(engines: list[fleet_cluster.Server]) -> None:
     """Has the engines that do not run a request refuse every one."""
-    while not any(engine.runs for engine in engines):
-        await anyio.sleep(0.01)
-    for engine in engines:
-        engine.refuses = not engine.runs
+    for engine in await wait_for_others(engines):
+        engine.refuses = True
 
 
 async def test_idempotent_call_to_a_silent_server_gets_its_response() -> None:
@@ -171,12 +178,9 @@
     """Shortens the pause of the first engine and delays the other one."""
     for engine in engines:
         engine.silence_s = SILENCE_S
-    while not any(engine.runs for engine in engines):
-        await anyio.sleep(0.01)
-    for engine in engines:
-        if not engine.runs:
-            engine.silent_after = None
-            engine.silence_s = LONG_SILENCE_S
+    for engine in await wait_for_others(engines):
+        engine.silent_after = None
+        engine.silence_s = LONG_SILENCE_S
 
 
 async def test_other_upstream_takes_over_from_one_that_stays_silent() -> None:
@@ -197,11 +201,8 @@
 
 async def _end_pauses_elsewhere(engines: list[fleet_cluster.Server]) -> None:
     """Has only the first engine that runs a request pause."""
-    while not any(engine.runs for engine in engines):
-        await anyio.sleep(0.01)
-    for engine in engines:
-        if not engine.runs:
-            engine.silence_s = 0.0
+    for engine in await wait_for_others(engines):
+        engine.silence_s = 0.0
 
 
 class CrashingServer(fleet_cluster.Server):
@@ -245,12 +246,9 @@
 
 async def _delay_the_other(engines: list[fleet_cluster.Server]) -> None:
     """Has the engine that does not run the request answer after a second."""
-    while not any(engine.runs for engine in engines):
-        await anyio.sleep(0.01)
-    for engine in engines:
-        if not engine.runs:
-            engine.break_after = 0
-            engine.silent_after, engine.silence_s = None, 1.0
+    for engine in await wait_for_others(engines):
+        engine.break_after = 0
+        engine.silent_after, engine.silence_s = None, 1.0
 
 
 class RefusingServer(fleet_cluster.Server):
@@ -293,11 +291,8 @@
     cluster: fleet_cluster.Cluster, engines: list[fleet_cluster.Server]
 ) -> None:
     """Has the other engine refuse late, and adds a third one meanwhile."""
-    while not any(engine.runs for engine in engines):
-        await anyio.sleep(0.001)
-    for engine in engines:
-        if not engine.runs:
-            engine.refuses, engine.silence_s = True, 1.8
+    for engine in await wait_for_others(engines):
+        engine.refuses, engine.silence_s = True, 1.8
     await anyio.sleep(1.0)
     await cluster.add_server(
         fleet_cluster.Server("e3", slots=3, adapters={"a1": 1})
