--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -29,7 +29,8 @@
 
 OnSilence = Callable[[WaitReadable], Awaitable[bool]]
 """Called when nothing has arrived for the timeout of a call, with a function
-that waits for it. Returns whether to go on waiting."""
+that waits until something arrives or the connection ends. Returns whether to go
+on waiting."""
 
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 """Headers without which the end of the connection ends a body."""
