--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -206,7 +206,7 @@
             generation=fields.generation,
             resume_after=fields.resume_after,
             resumed_request=fields.resumed_request,
-            fingerprint=_compute_fingerprint(target, body),
+            fingerprint=compute_fingerprint(target, body),
         )
 
     def _find_route(
@@ -259,7 +259,8 @@
         self.route = ""
 
 
-def _compute_fingerprint(target: str, body: bytes) -> str:
+def compute_fingerprint(target: str, body: bytes) -> str:
+    """Returns the fingerprint of a request, equal for all its attempts."""
     digest = xxhash.xxh64(target.encode("latin-1"))
     digest.update(body)
     return digest.hexdigest()
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -60,7 +60,11 @@
 
 
 class EntryInstance:
-    """An entry instance: builds its parts and connects them."""
+    """An entry instance: builds its parts and connects them.
+
+    Attributes:
+        crashes: Requests that crash upstreams.
+    """
 
     def __init__(
         self,
@@ -79,7 +83,7 @@
         self._cells: dict[str, service_cell.ServiceCell] = {}
         self._views = engine_views.EngineViews()
         self._popularity = popularity.Popularity()
-        self._crashes = entry_crashes.CrashTracker()
+        self.crashes = entry_crashes.CrashTracker()
         self._metrics = metrics_module.Metrics()
         self._cluster_state = cluster_state.ClusterState(
             adapter, anyio.current_time
@@ -168,7 +172,7 @@
                 take_results=self._take_results,
                 apply_results=self._apply_results,
                 apply_engines=self._apply_engines,
-                apply_quarantined=self._crashes.apply_quarantined,
+                apply_quarantined=self.crashes.apply_quarantined,
                 apply_holders=self._refresh,
             )
         )
@@ -196,7 +200,7 @@
             self._upstream_client,
             self._find_cell,
             self._find_version,
-            self._crashes,
+            self.crashes,
             retry_window.RetryWindowSettings(
                 window_s=bounds.retry_window_s,
                 fraction=bounds.retry_fraction,
@@ -272,7 +276,7 @@
         self._resumption.apply_upstreams(entries, removed)
         services = dict(state.table.document.services) if state.table else {}
         self._engine_controller.update(state.upstreams, services)
-        self._crashes.check(state.upstreams)
+        self.crashes.check(state.upstreams)
         self._apply_instances()
         for cell in self._cells.values():
             cell.remove_upstreams(removed)
@@ -479,7 +483,7 @@
             loads=self._engine_controller.count_loads(),
             known=self._cluster_state.find_versions(),
             store_silent_s=self._objects.store_silent_s,
-            quarantined=self._crashes.list_announced(),
+            quarantined=self.crashes.list_announced(),
             draining=self._servers.draining,
         )
 
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -10,12 +10,16 @@
 
 import deployment
 from fleet import adapter
+from tamaracktide.entry import app
+from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import program
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.upstreams import settings as upstream_settings
 from tamaracktide.upstreams import streams
 
 WAIT_TIMEOUT_S = 15.0
+BODY = b"body"
+"""Body of every request of the tests."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -25,11 +29,13 @@
     Attributes:
         settings: Its settings.
         pool: The connection pool.
+        crashes: Its tracker of crashing requests.
         stopped: Set once it has ended after a stop signal.
     """
 
     settings: entry_settings.EntrySettings
     pool: httpcore.AsyncConnectionPool
+    crashes: entry_crashes.CrashTracker
     stopped: anyio.Event = dataclasses.field(default_factory=anyio.Event)
 
     async def send(
@@ -48,7 +54,7 @@
             "POST",
             f"http://{address}{path}",
             headers=headers,
-            content=b"body",
+            content=BODY,
         )
 
     async def send_at_once(self, count: int, prefix: str) -> None:
@@ -78,6 +84,11 @@
             X_Token_Count="100,30",
         )
 
+    def quarantine(self, path: str) -> None:
+        """Has a peer announce that the requests for a path are quarantined."""
+        fingerprint = app.compute_fingerprint(path, BODY)
+        self.crashes.apply_quarantined((fingerprint,))
+
     async def is_ready(self) -> bool:
         """Returns whether the readiness probe succeeds."""
         try:
@@ -131,7 +142,7 @@
         entry_instance = program.EntryInstance(
             settings, fleet_adapter, upstream_client, store, tasks
         )
-        instance = Instance(settings, pool)
+        instance = Instance(settings, pool, entry_instance.crashes)
 
         async def run() -> None:
             await entry_instance.run()
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -4,9 +4,11 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import MutableMapping
 import contextlib
 import dataclasses
+import functools
 import json
 from typing import Any
 import urllib.parse
@@ -263,6 +265,11 @@
         refuses: Whether every request gets 421, as without its adapter.
         abandoned: Ids of the requests whose connection was closed during the
             pause, in order.
+        crashes_on: Path or part of a prompt; a request with it ends the server,
+            whose entry stays in the store. Empty for none.
+        has_crashed: Whether the server has ended in this way.
+        close: Closes its listening socket and its connections; set by
+            `Cluster.add_server`.
     """
 
     name: str
@@ -284,6 +291,9 @@
     body: bytes = b""
     refuses: bool = False
     abandoned: list[str] = dataclasses.field(default_factory=list)
+    crashes_on: str = ""
+    has_crashed: bool = False
+    close: Callable[[], None] = lambda: None
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -295,7 +305,9 @@
         elif scope["path"] == "/report":
             await reply(send, 200, json.dumps(self._make_report()).encode())
         else:
-            await self._handle_request(_make_headers(scope), receive, send)
+            head = _make_headers(scope)
+            head[":path"] = scope["path"]
+            await self._handle_request(head, receive, send)
 
     def _make_report(self) -> dict[str, Any]:
         return {
@@ -347,6 +359,10 @@
             return
         self.runs.append(request_id)
         self.headers_by_request[request_id] = head
+        if self._must_crash(head):
+            self.has_crashed = True
+            self.close()
+            raise ConnectionError("crashed")
         if self.silent_after is None:
             await self._pause(request_id, receive)
         signed = ((b"x-response-signature", b"1.2.3"), request_id_header)
@@ -358,6 +374,13 @@
             return
         await self._send_stream(head, signed, receive, send)
 
+    def _must_crash(self, head: dict[str, str]) -> bool:
+        parts = head.get("x-prompt-prefix", "").split(",")
+        names = [part.partition(":")[0] for part in parts]
+        return bool(self.crashes_on) and (
+            self.crashes_on in (head[":path"], *names)
+        )
+
     async def _pause(self, request_id: str, receive: asgi.Receive) -> None:
         """Sends nothing for a while, until the connection is closed."""
         with anyio.move_on_after(self.silence_s):
@@ -469,12 +492,13 @@
     async def add_store_proxy(self) -> tuple[StoreProxy, str]:
         """Starts a proxy to the store; returns it and its address."""
         store_proxy = StoreProxy(self.store)
-        port = await _serve(store_proxy, self.tasks)
+        port, _ = await _serve(store_proxy, self.tasks)
         return store_proxy, f"{HOST}:{port}"
 
     async def add_server(self, server: Server, zone: str = "z1") -> Server:
         """Starts a server and registers it."""
-        server.port = await _serve(server, self.tasks)
+        server.port, http = await _serve(server, self.tasks)
+        server.close = functools.partial(_crash, http)
         self.servers[server.name] = server
         self.register(server, zone)
         return server
@@ -501,13 +525,24 @@
         )
 
 
-async def _serve(app: asgi.App, tasks: anyio.abc.TaskGroup) -> int:
+def _crash(server: http_server.Server) -> None:
+    """Closes the sockets of a server as the end of its process does."""
+    for listener in server.servers:
+        listener.close()
+    for connection in list(server.server_state.connections):
+        connection.transport.abort()
+
+
+async def _serve(
+    app: asgi.App, tasks: anyio.abc.TaskGroup
+) -> tuple[int, http_server.Server]:
+    """Starts an HTTP server; returns its port and itself."""
     port = deployment.find_port()
     server = http_server.make_server(app, HOST, port, KEEP_ALIVE_S)
     tasks.start_soon(server.serve)
     while not server.started:
         await anyio.sleep(0.005)
-    return port
+    return port, server
 
 
 @contextlib.asynccontextmanager
@@ -516,6 +551,6 @@
     async with anyio.create_task_group() as tasks:
         store = Store()
         store.put("config", "main", make_document())
-        port = await _serve(store, tasks)
+        port, _ = await _serve(store, tasks)
         yield Cluster(store, f"{HOST}:{port}", {}, tasks)
         tasks.cancel_scope.cancel()
