--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -212,6 +212,8 @@
         is_unavailable: Whether every call fails with 503.
         unavailable_kind: Kind of objects whose calls fail with 503.
         is_silent: Whether calls get no response, those in progress included.
+        silent_kind: Kind of objects; calls for it that are received meanwhile
+            never get a response.
         calls: Received calls as `METHOD KIND`.
     """
 
@@ -219,6 +221,7 @@
     is_unavailable: bool = False
     unavailable_kind: str = ""
     is_silent: bool = False
+    silent_kind: str = ""
     calls: list[str] = dataclasses.field(default_factory=list)
 
     async def __call__(
@@ -230,6 +233,8 @@
         if self.is_unavailable or kind == self.unavailable_kind:
             await reply(send, 503)
             return
+        if kind == self.silent_kind:
+            await anyio.sleep_forever()
         await self.store(scope, receive, self._make_send(send))
 
     def _make_send(self, send: asgi.Send) -> asgi.Send:
--- a/tests/fleet/test_entry_outages.py
+++ b/tests/fleet/test_entry_outages.py
@@ -1,6 +1,7 @@
 """Tests of entry instances that lose the store, their relay or their lease."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 import contextlib
 
 import anyio
@@ -301,3 +302,76 @@
 
 async def _has_response(responses: list[httpcore.Response]) -> bool:
     return bool(responses)
+
+
+STABLE_S = 3.0
+"""Time after an outage from when changes must be in force in time."""
+
+IN_FORCE_S = 2.0
+"""Time after a change until it must be in force."""
+
+
+async def _lose_watch(
+    store_proxy: fleet_cluster.StoreProxy, kind: str, change: Callable[[], None]
+) -> None:
+    """Has the store receive the next watch of a kind and never respond to it.
+
+    Ends as soon as the store has been stable for `STABLE_S`.
+    """
+    store_proxy.silent_kind = kind
+    change()
+    await anyio.sleep(1.0)
+    store_proxy.silent_kind = ""
+    await anyio.sleep(STABLE_S)
+
+
+async def test_drain_is_noticed_in_time_after_a_watch_was_lost() -> None:
+    """Guards against requests to an upstream that has left (incident DRAIN).
+
+    The store was silent as the upstreams were watched again; no other call
+    failed. The watch was trusted for 11.5 s.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        leaving = await cluster.add_server(fleet_cluster.Server("p1"))
+        other = await cluster.add_server(fleet_cluster.Server("p2"))
+        store_proxy, address = await cluster.add_store_proxy()
+        async with entry_instances.run_instance(
+            cluster, store_address=address
+        ) as instance:
+            await _lose_watch(
+                store_proxy, "servers", lambda: cluster.register(other, "z2")
+            )
+            cluster.register(leaving, state="draining")
+            await anyio.sleep(IN_FORCE_S)
+            await instance.send_at_once(8, "r")
+            assert not leaving.runs
+
+
+async def test_routes_are_in_force_in_time_after_a_watch_was_lost() -> None:
+    """Guards against routes that stay in force after an outage of the store.
+
+    Same cause as the late drain (incident DRAIN), for the routing document.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        await cluster.add_server(fleet_cluster.Server("p1"))
+        store_proxy, address = await cluster.add_store_proxy()
+        async with entry_instances.run_instance(
+            cluster, store_address=address
+        ) as instance:
+            await _lose_watch(
+                store_proxy,
+                "config",
+                lambda: put_document(cluster, 2, routes=4),
+            )
+            put_document(cluster, 3, routes=1)
+            await anyio.sleep(IN_FORCE_S)
+            assert (await instance.send("/safe/x", "r1")).status == 404
+
+
+def put_document(
+    cluster: fleet_cluster.Cluster, version: int, routes: int
+) -> None:
+    """Writes a routing document with the first routes only."""
+    document = fleet_cluster.make_document(version)
+    document["Routes"] = document["Routes"][:routes]
+    cluster.store.put("config", "main", document)
