Refuse a request everywhere once it has ended three upstreams

Cause: a loss counted once the store showed it, 3.6 s after a crash; each instance counted only its own losses, and clients repeat elsewhere; and the verdict was read on arrival only, not by requests in the queue or between two attempts. Class: evidence that is collected late and locally for a bound that is global.

Now a refused connection shows that an upstream has ended, losses are announced to all instances at once, and each attempt is checked before it is sent.

--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -14,6 +14,7 @@
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import hedging
 from tamaracktide.entry import outcomes
+from tamaracktide.entry import placements
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
@@ -86,7 +87,9 @@
         self._crashes = crashes
         self._outcomes = outcomes.OutcomeRecorder(crashes)
         self._sender = sending.Sender(adapter, upstream_client, find_version)
-        self._hedger = hedging.Hedger(self._sender, self._outcomes, metrics)
+        self._hedger = hedging.Hedger(
+            self._sender, self._outcomes, crashes, metrics
+        )
         self._resumption = resumption
         self._retries = retries
         self._count_instances = count_instances
@@ -111,12 +114,7 @@
             errors.TamaracktideError: The request was aborted; the error has
                 not been sent to the client.
         """
-        if self._crashes.is_refused(request.fingerprint):
-            raise errors.RefusalError(
-                Codes.QUARANTINED,
-                "request has crashed upstreams",
-                5.0,
-            )
+        self._crashes.check_allowed(request)
         tries = attempts.Attempts(
             attempts.RetrySettings(
                 max_attempts=request.route.max_attempts,
@@ -196,9 +194,7 @@
     ) -> tuple[attempts.Action, results.Result | None]:
         """Runs an attempt, and those that take over while it is silent."""
         try:
-            placement = await run.cell.acquire_placement(
-                run.request, avoid, software=run.progress.software
-            )
+            placement = await placements.acquire(run, self._crashes, avoid)
         except errors.RefusalError as error:
             refused = attempts.GrantRefused(
                 error.code, error.retry_after_s or 0.5, final=True
@@ -259,6 +255,7 @@
             if (
                 retry == MAX_ADAPTER_RETRIES
                 or attempt.placement.waited_s == 0
+                or self._crashes.is_refused(run.request)
                 or not budget.take()
             ):
                 return result
@@ -343,6 +340,8 @@
                 self._resumption.record_begin(run.request, progress.software)
             progress.events += block.data.count(event_stream.EVENT_END)
             progress.last_id = block.last_id
+            if attempt.began_at is None:
+                attempt.began_at = anyio.current_time()
             attempt.has_delivered = True
             await responder.write(block.data)
         if splitter.pending or progress.last_id is None:
--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -11,7 +11,9 @@
 
 from tamaracktide import errors
 from tamaracktide.core import attempts
+from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import outcomes as entry_outcomes
+from tamaracktide.entry import placements
 from tamaracktide.entry import results
 from tamaracktide.entry import runs
 from tamaracktide.entry import sending
@@ -26,12 +28,13 @@
 class Hedger:
     """Finds other upstreams for requests whose upstream is silent."""
 
-    __slots__ = ("_metrics", "_outcomes", "_sender")
+    __slots__ = ("_crashes", "_metrics", "_outcomes", "_sender")
 
     def __init__(
         self,
         sender: sending.Sender,
         outcomes: entry_outcomes.OutcomeRecorder,
+        crashes: entry_crashes.CrashTracker,
         metrics: metrics_module.Metrics,
     ) -> None:
         """Builds a hedger.
@@ -39,10 +42,12 @@
         Args:
             sender: Sends the hedged requests.
             outcomes: Records silent upstreams and failed hedged requests.
+            crashes: Refuses requests that crash upstreams.
             metrics: Counts the hedged requests.
         """
         self._sender = sender
         self._outcomes = outcomes
+        self._crashes = crashes
         self._metrics = metrics
 
     def watch(
@@ -107,11 +112,8 @@
         """Sends a hedged request, if a batch slot is granted to it."""
         avoid = (*run.tries.avoid, attempt.upstream)
         try:
-            placement = await run.cell.acquire_placement(
-                run.request,
-                avoid,
-                software=run.progress.software,
-                is_hedge=True,
+            placement = await placements.acquire(
+                run, self._crashes, avoid, is_hedge=True
             )
         except errors.RefusalError as error:
             _log(run, attempt, "hedged request refused: {}", error)
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -37,7 +37,7 @@
             case results.Completed():
                 if cell.health.record_success(upstream):
                     cell.refresh_health()
-                self._crashes.record_completion(run.request.fingerprint)
+                self._crashes.record_completion(run.request)
                 tokens = 1
                 engine = run.request.service.engine
                 if engine is not None:
@@ -79,10 +79,8 @@
         if lost.response is not None:
             return
         run.cell.reachability.check_reachable(attempt.placement.entry)
-        if not lost.timed_out:
-            self._crashes.record_loss(
-                run.request.fingerprint, attempt.placement.entry
-            )
+        if not lost.timed_out and not attempt.is_established:
+            self._crashes.record_loss(run.request, attempt.placement.entry)
 
     def _record_failure(self, run: runs.Run, attempt: runs.Attempt) -> None:
         now = anyio.current_time()
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -37,6 +37,7 @@
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.protocol import codec
 from tamaracktide.protocol import entry_messages
 from tamaracktide.protocol import messages
 from tamaracktide.upstreams import settings as upstream_settings
@@ -83,7 +84,7 @@
         self._cells: dict[str, service_cell.ServiceCell] = {}
         self._views = engine_views.EngineViews()
         self._popularity = popularity.Popularity()
-        self.crashes = entry_crashes.CrashTracker()
+        self.crashes = entry_crashes.CrashTracker(self._send_crash)
         self._metrics = metrics_module.Metrics()
         self._cluster_state = cluster_state.ClusterState(
             adapter, anyio.current_time
@@ -370,6 +371,7 @@
                 find_version=self._find_version,
                 announce_prompt=self._announce_prompt,
                 load=self._loader.load,
+                record_exit=self.crashes.record_exit,
                 tasks=self._tasks,
             ),
         )
@@ -503,6 +505,8 @@
                 self._exchange.apply_engines((message,))
             case entry_messages.PromptNotice():
                 self._apply_prompt(message)
+            case entry_messages.CrashNotice():
+                self._apply_crash(peer, message)
             case _:
                 self._handle_other(peer, message)
 
@@ -535,6 +539,25 @@
                     type(message).__name__,
                 )
 
+    def _send_crash(
+        self, notice: entry_messages.CrashNotice, sender: str = ""
+    ) -> None:
+        """Announces which requests ended an upstream."""
+        encoded = codec.encode_message(notice)
+        for peer in self._peers.list_linked():
+            if peer.instance != sender:
+                peer.send(encoded)
+
+    def _apply_crash(
+        self, peer: entry_peers.Peer, notice: entry_messages.CrashNotice
+    ) -> None:
+        """Applies a notice; a relay passes on what it did not know."""
+        unknown = self.crashes.apply_notice(notice)
+        if unknown is None or self._peers.plan.is_flat:
+            return
+        if self._peers.is_relay:
+            self._send_crash(unknown, peer.instance)
+
     def _announce_engine(self, notice: entry_messages.EngineNotice) -> None:
         self._exchange.record_engine(notice)
         self._apply_engines([notice])
--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -1,6 +1,7 @@
 """Checks by connection attempts whether upstreams are reachable."""
 
 from collections.abc import Callable
+import enum
 import random
 
 import anyio
@@ -15,6 +16,14 @@
 hundred times the network latency between zones."""
 
 
+class Contact(enum.Enum):
+    """Outcome of a connection attempt."""
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 class Reachability:
     """Checks the reachability of the upstreams of one service.
 
@@ -22,13 +31,21 @@
     unreachable upstream from a reachable one without the cost of a request.
     """
 
-    __slots__ = ("_checking", "_health", "_is_known", "_refresh", "_tasks")
+    __slots__ = (
+        "_checking",
+        "_health",
+        "_is_known",
+        "_record_exit",
+        "_refresh",
+        "_tasks",
+    )
 
     def __init__(
         self,
         health: upstream_health.UpstreamHealth,
         is_known: Callable[[str], bool],
         refresh: Callable[[], None],
+        record_exit: Callable[[upstream_entries.UpstreamEntry], None],
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Starts without connection attempts.
@@ -37,11 +54,13 @@
             health: Records the outcomes.
             is_known: Returns whether the service still has an upstream.
             refresh: Called when an outcome changes the set of used upstreams.
+            record_exit: Called when an upstream refuses connections.
             tasks: Task group that runs the connection attempts.
         """
         self._health = health
         self._is_known = is_known
         self._refresh = refresh
+        self._record_exit = record_exit
         self._tasks = tasks
         self._checking: set[str] = set()
 
@@ -64,10 +83,10 @@
 
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
-            reached = await _try_connect(entry.address)
+            contact = await self._try_connect(entry)
         finally:
             self._checking.discard(entry.upstream)
-        if not reached and self._is_known(entry.upstream):
+        if contact is not Contact.REACHED and self._is_known(entry.upstream):
             self.record_unreachable(entry)
 
     async def _wait_until_reachable(
@@ -76,19 +95,30 @@
         """Retries until a connection succeeds, so that no request has to."""
         while self._is_known(entry.upstream):
             await anyio.sleep(CONNECT_PERIOD_S * random.uniform(0.8, 1.2))
-            if await _try_connect(entry.address):
+            if await self._try_connect(entry) is Contact.REACHED:
                 break
         self._health.record_reachable(entry.upstream)
         logs.bind(upstream=entry.upstream).info("upstream reachable again")
         self._refresh()
 
+    async def _try_connect(
+        self, entry: upstream_entries.UpstreamEntry
+    ) -> Contact:
+        contact = await _connect(entry.address)
+        if contact is Contact.REFUSED:
+            self._record_exit(entry)
+        return contact
+
 
-async def _try_connect(address: str) -> bool:
+async def _connect(address: str) -> Contact:
     host, _, port = address.rpartition(":")
     try:
         with anyio.fail_after(CONNECT_PERIOD_S):
             stream = await anyio.connect_tcp(host, int(port))
-    except (OSError, TimeoutError):
-        return False
+    except TimeoutError:
+        return Contact.SILENT
+    except OSError as error:
+        is_refused = isinstance(error.__cause__, ConnectionRefusedError)
+        return Contact.REFUSED if is_refused else Contact.SILENT
     await stream.aclose()
-    return True
+    return Contact.REACHED
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import anyio
+
 from tamaracktide.core import attempts
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
@@ -9,6 +11,9 @@
 from tamaracktide.entry import service_cell
 from tamaracktide.upstreams import streams
 
+ESTABLISHED_S = 1.0
+"""Time after its first event from when a response cannot crash its upstream."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Run:
@@ -37,6 +42,7 @@
         placement: The granted batch slot.
         response: The upstream's response; None until its headers are checked.
         has_delivered: Whether an event of it was sent to the client.
+        began_at: When its first event arrived; None before it.
         is_silent: Whether the upstream was found silent.
         is_hedged: Whether another upstream may answer instead.
         is_lost: Whether its connection has ended while it was silent.
@@ -46,11 +52,23 @@
     placement: service_cell.Placement
     response: streams.StreamedResponse | None = None
     has_delivered: bool = False
+    began_at: float | None = None
     is_silent: bool = False
     is_hedged: bool = False
     is_lost: bool = False
     successor: "Attempt | None" = None
 
+    @property
+    def is_established(self) -> bool:
+        """Whether the upstream would have crashed by now, if it were to.
+
+        An upstream crashes as it begins to run a request that crashes it.
+        """
+        return (
+            self.began_at is not None
+            and anyio.current_time() >= self.began_at + ESTABLISHED_S
+        )
+
     @property
     def upstream(self) -> str:
         """Instance id of the upstream."""
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -71,6 +71,7 @@
         announce_prompt: Announces to the peers that a prompt is sent to an
             engine.
         load: Requests the load of an adapter and waits for its end.
+        record_exit: Called when an upstream refuses connections.
         tasks: Task group that runs the loads and timers.
     """
 
@@ -78,6 +79,7 @@
     find_version: Callable[[str, str], int]
     announce_prompt: Callable[[str, int], None]
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
+    record_exit: Callable[[upstream_entries.UpstreamEntry], None]
     tasks: anyio.abc.TaskGroup
 
 
@@ -120,6 +122,7 @@
             self.health,
             lambda upstream: upstream in self._entries,
             self.refresh_health,
+            dependencies.record_exit,
             dependencies.tasks,
         )
 
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -150,6 +150,21 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashNotice:
+    """Announces which requests were lost as an upstream ended.
+
+    Attributes:
+        upstream: Instance id of the upstream.
+        started_ms: Its start time, which identifies its incarnation.
+        requests: Fingerprints of the requests.
+    """
+
+    upstream: str
+    started_ms: int
+    requests: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StreamsNotice:
     """Announces which software version of an upstream began which stream.
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -385,6 +385,7 @@
     | peer_messages.InstancesFetch
     | peer_messages.InstancesReply
     | peer_messages.ShareRequest
+    | entry_messages.CrashNotice
     | entry_messages.InstanceReport
     | entry_messages.ClusterReport
     | entry_messages.EngineNotice
@@ -434,4 +435,5 @@
     33: entry_messages.StreamsNotice,
     34: entry_messages.StreamQuery,
     35: entry_messages.StreamReply,
+    36: entry_messages.CrashNotice,
 }
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -1,12 +1,18 @@
 """Tests of the detection of requests that crash upstreams.
 
-A request is refused once the upstreams that ran it have restarted.
+A request is refused once the upstreams that ran it have ended.
 """
 
+import anyio
 import pytest
 
+from tamaracktide import errors
+from tamaracktide import result_codes
+from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import crashes
+from tamaracktide.entry import requests
+from tamaracktide.protocol import entry_messages
 
 pytestmark = pytest.mark.anyio
 
@@ -17,6 +23,21 @@
     return "asyncio"
 
 
+class _Instances:
+    """Trackers that announce crashes to each other."""
+
+    def __init__(self, count: int = 1) -> None:
+        self.notices: list[entry_messages.CrashNotice] = []
+        self.trackers = [
+            crashes.CrashTracker(self._announce) for _ in range(count)
+        ]
+
+    def _announce(self, notice: entry_messages.CrashNotice) -> None:
+        self.notices.append(notice)
+        for tracker in self.trackers:
+            tracker.apply_notice(notice)
+
+
 def _make_entry(name: str, started_ms: int) -> upstream_entries.UpstreamEntry:
     return upstream_entries.UpstreamEntry(
         upstream=name,
@@ -28,33 +49,108 @@
     )
 
 
-async def _crash(
-    tracker: crashes.CrashTracker, fingerprint: str, name: str
+def _make_request(fingerprint: str) -> requests.ClientRequest:
+    share = routing_document.Share(service="s")
+    return requests.ClientRequest(
+        request_id="r1",
+        method="POST",
+        target="/x",
+        headers=(),
+        body=b"",
+        route=routing_document.Route(
+            name="r",
+            host="h",
+            path_prefix="/",
+            kind=routing_document.RequestKind.IDEMPOTENT,
+            shares=(share,),
+            timeout_s=5.0,
+        ),
+        service=routing_document.Service(name="s"),
+        deadline=5.0,
+        expires_at=5.0,
+        fingerprint=fingerprint,
+    )
+
+
+BAD = _make_request("bad")
+GOOD = _make_request("good")
+
+
+def _crash(
+    tracker: crashes.CrashTracker, request: requests.ClientRequest, name: str
 ) -> None:
-    tracker.record_loss(fingerprint, _make_entry(name, 1))
+    tracker.record_loss(request, _make_entry(name, 1))
     tracker.check({name: _make_entry(name, 2)})
 
 
 async def test_request_is_quarantined_after_three_lost_upstreams() -> None:
     """The third restart quarantines the request, at peers as well."""
-    tracker, peer = crashes.CrashTracker(), crashes.CrashTracker()
+    tracker, peer = _Instances().trackers[0], _Instances().trackers[0]
     for name in ("a", "b"):
-        await _crash(tracker, "bad", name)
-        assert not tracker.is_refused("bad")
-    await _crash(tracker, "bad", "c")
-    assert tracker.is_refused("bad")
+        _crash(tracker, BAD, name)
+        assert not tracker.is_refused(BAD)
+    _crash(tracker, BAD, "c")
+    assert tracker.is_refused(BAD)
     peer.apply_quarantined(tracker.list_announced())
-    assert peer.is_refused("bad")
+    assert peer.is_refused(BAD)
+
+
+async def test_losses_of_several_instances_are_counted_together() -> None:
+    """Guards against a verdict that waits for three losses at one instance.
+
+    Clients repeat a crashing request at other instances (incident BUDGET).
+    """
+    instances = _Instances(3)
+    for tracker, name in zip(instances.trackers, "abc", strict=True):
+        assert not tracker.is_refused(BAD)
+        _crash(tracker, BAD, name)
+    for tracker in instances.trackers:
+        assert tracker.is_refused(BAD)
+
+
+async def test_upstream_that_refuses_connections_has_ended() -> None:
+    """Guards against a verdict that waits for the store (incident BUDGET)."""
+    (tracker,) = _Instances().trackers
+    for name in "abc":
+        tracker.record_loss(BAD, _make_entry(name, 1))
+        tracker.record_exit(_make_entry(name, 1))
+    assert tracker.is_refused(BAD)
+
+
+async def test_loss_seen_by_two_instances_counts_once() -> None:
+    """A request that runs twice at an upstream that ends is lost once."""
+    instances = _Instances(2)
+    for name in "ab":
+        for tracker in instances.trackers:
+            _crash(tracker, BAD, name)
+    assert not instances.trackers[0].is_refused(BAD)
+    assert len(instances.notices) == 2
+
+
+async def test_notice_is_returned_only_as_far_as_it_is_unknown() -> None:
+    """A relay passes each loss on once."""
+    (tracker,) = _Instances().trackers
+    notice = entry_messages.CrashNotice(
+        upstream="a", started_ms=1, requests=("x", "y")
+    )
+    more = entry_messages.CrashNotice(
+        upstream="a", started_ms=1, requests=("y", "z")
+    )
+    assert tracker.apply_notice(notice) == notice
+    assert tracker.apply_notice(notice) is None
+    unknown = tracker.apply_notice(more)
+    assert unknown is not None
+    assert unknown.requests == ("z",)
 
 
 async def test_lost_responses_without_restart_quarantine_no_request() -> None:
     """Lost responses without a restart of the upstream are no crashes."""
-    tracker = crashes.CrashTracker()
+    (tracker,) = _Instances().trackers
     entries = {name: _make_entry(name, 1) for name in "abcdef"}
     for entry in entries.values():
-        tracker.record_loss("good", entry)
+        tracker.record_loss(GOOD, entry)
         tracker.check(entries)
-    assert not tracker.is_refused("good")
+    assert not tracker.is_refused(GOOD)
 
 
 async def test_refused_request_stays_refused_after_further_losses() -> None:
@@ -62,17 +158,49 @@
 
     Such losses once violated an invariant check.
     """
-    tracker = crashes.CrashTracker()
+    (tracker,) = _Instances().trackers
     for name in "abcde":
-        await _crash(tracker, "bad", name)
-    assert tracker.is_refused("bad")
+        _crash(tracker, BAD, name)
+    assert tracker.is_refused(BAD)
 
 
 async def test_completion_clears_a_request() -> None:
     """A request that ran during a crash and completes later is cleared."""
-    tracker = crashes.CrashTracker()
+    (tracker,) = _Instances().trackers
     for name in ("a", "b"):
-        await _crash(tracker, "good", name)
-    tracker.record_completion("good")
-    await _crash(tracker, "good", "c")
-    assert not tracker.is_refused("good")
+        _crash(tracker, GOOD, name)
+    tracker.record_completion(GOOD)
+    _crash(tracker, GOOD, "c")
+    assert not tracker.is_refused(GOOD)
+
+
+async def test_request_that_completes_elsewhere_outlives_ends_at_once() -> None:
+    """Load pattern: many clients send the same request as a rack is lost."""
+    (tracker,) = _Instances().trackers
+    tracker.record_completion(GOOD)
+    for name in "abcd":
+        _crash(tracker, GOOD, name)
+    assert not tracker.is_refused(GOOD)
+    tracker.apply_quarantined(("good",))
+    assert not tracker.is_refused(GOOD)
+
+
+async def test_waiting_request_is_refused_once_it_is_quarantined() -> None:
+    """Guards against a request that is sent after the verdict."""
+    (tracker,) = _Instances().trackers
+
+    async def wait() -> None:
+        with tracker.refuse_once_quarantined(BAD):
+            await anyio.sleep_forever()
+
+    async with anyio.create_task_group() as tasks:
+
+        async def check() -> None:
+            with pytest.raises(errors.RefusalError) as raised:
+                await wait()
+            assert raised.value.code is result_codes.ResultCode.QUARANTINED
+
+        tasks.start_soon(check)
+        await anyio.wait_all_tasks_blocked()
+        for name in "abc":
+            _crash(tracker, BAD, name)
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -26,6 +26,7 @@
         self.port = 0
         self.health = upstream_health.UpstreamHealth(random.Random(1))
         self.refreshed = anyio.Event()
+        self.exits: list[upstream_entries.UpstreamEntry] = []
 
     @property
     def entry(self) -> upstream_entries.UpstreamEntry:
@@ -77,7 +78,11 @@
 ) -> AsyncIterator[reachability.Reachability]:
     async with anyio.create_task_group() as tasks:
         yield reachability.Reachability(
-            upstream.health, lambda _: True, upstream.refresh, tasks
+            upstream.health,
+            lambda _: True,
+            upstream.refresh,
+            upstream.exits.append,
+            tasks,
         )
         tasks.cancel_scope.cancel()
 
@@ -93,6 +98,7 @@
         checker.check_reachable(upstream.entry)
         await upstream.wait_for_refresh()
         assert upstream.is_avoided()
+        assert upstream.exits == [upstream.entry]
         async with upstream.listen():
             await upstream.wait_for_refresh()
             assert not upstream.is_avoided()
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -88,6 +88,7 @@
                 find_version=lambda model, adapter: 0,
                 announce_prompt=lambda upstream, tokens: None,
                 load=self._load,
+                record_exit=lambda entry: None,
                 tasks=self.tasks,
             ),
         )
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -10,14 +10,15 @@
 import anyio
 import entry_instances
 import fleet_cluster
+import httpcore
 import pytest
 
 import deployment
+from tamaracktide import result_codes
 
 pytestmark = pytest.mark.anyio
 
 CRASH_PATH = "/safe/crash"
-QUARANTINED_STATUS = 422
 LOSSES = 3
 """Upstreams that a request may end before it is refused."""
 
@@ -60,6 +61,15 @@
     )
 
 
+def is_quarantined(response: httpcore.Response) -> bool:
+    """Whether a response refuses a request as quarantined and not run."""
+    code = dict(response.headers).get(b"x-result-code", b"0")
+    return (
+        response.status == 503
+        and int(code) == result_codes.ResultCode.QUARANTINED.value
+    )
+
+
 def count_crashed(cluster: fleet_cluster.Cluster) -> int:
     """Returns the number of servers that have ended."""
     return sum(server.has_crashed for server in cluster.servers.values())
@@ -91,7 +101,7 @@
                 response = await instances[number % 3].send(
                     CRASH_PATH, f"later{number}"
                 )
-                assert response.status == QUARANTINED_STATUS
+                assert is_quarantined(response)
             assert count_runs(cluster, "later") == 0
             assert (await instances[0].send("/safe/x", "sound")).status == 200
 
@@ -115,7 +125,7 @@
 
             async def is_served() -> bool:
                 response = await instance.send("/safe/x", "later")
-                assert response.status != QUARANTINED_STATUS
+                assert not is_quarantined(response)
                 return response.status == 200
 
             await entry_instances.wait_until(is_served)
@@ -138,18 +148,19 @@
                 for number in range(8):
                     tasks.start_soon(instance.generate, f"long{number}")
                 await entry_instances.wait_until(_make_check(engine, 8))
-                statuses: list[int] = []
+                responses: list[httpcore.Response] = []
 
                 async def send() -> None:
-                    response = await instance.generate("queued", path=path)
-                    statuses.append(response.status)
+                    responses.append(
+                        await instance.generate("queued", path=path)
+                    )
 
                 tasks.start_soon(send)
                 await anyio.sleep(0.3)
-                assert not statuses
+                assert not responses
                 instance.quarantine(path)
                 await anyio.sleep(0.3)
-                assert statuses == [QUARANTINED_STATUS]
+                assert is_quarantined(responses[0])
                 tasks.cancel_scope.cancel()
             assert "queued" not in engine.runs
 
