Bound a watch of the store by the time in which changes must be noticed

Cause: a watch that the store receives while it is silent is never answered, and was trusted for 11.5 s. All instances begin theirs within 0.3 s of the same change, so all were blind at once. Ruled out: held back entries, since the server's had not lapsed; a restored store is not needed to explain it.

A watch waits 2 s at most now, adapter versions 4 s. The same cause delayed routes and versions.

--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+import functools
 import random
 
 import anyio
@@ -102,25 +103,31 @@
     def make_followers(self) -> Iterator[store_follower.Follower]:
         """Returns the followers of all collections, which must be run."""
         collections = self._collections
-        for prefix, wait_until_needed, find_watch_pause_s in (
-            (collections.documents, self._store_use.wait, None),
-            (
-                collections.upstreams,
-                self._store_use.wait,
-                self._find_watch_pause_s,
-            ),
-            (collections.versions, self._store_use.wait, None),
-            (collections.instances, self._wait_to_list_instances, None),
-        ):
-            yield store_follower.Follower(
-                prefix,
-                self._store,
-                self._cluster_state,
-                self._store_health,
-                self._forward,
-                wait_until_needed,
-                find_watch_pause_s,
-            )
+        make_follower = functools.partial(
+            store_follower.Follower,
+            store=self._store,
+            state=self._cluster_state,
+            store_health=self._store_health,
+            on_change=self._forward,
+        )
+        yield make_follower(
+            collections.documents, wait_until_needed=self._store_use.wait
+        )
+        yield make_follower(
+            collections.upstreams,
+            wait_until_needed=self._store_use.wait,
+            find_watch_pause_s=self._find_watch_pause_s,
+        )
+        yield make_follower(
+            collections.versions,
+            wait_until_needed=self._store_use.wait,
+            max_wait_s=store_follower.MAX_VERSION_WATCH_WAIT_S,
+        )
+        yield make_follower(
+            collections.instances,
+            wait_until_needed=self._wait_to_list_instances,
+            max_wait_s=store_follower.MAX_INSTANCE_WATCH_WAIT_S,
+        )
 
     def update(self) -> None:
         """Decides once per report period who follows the store."""
--- a/src/tamaracktide/entry/store_follower.py
+++ b/src/tamaracktide/entry/store_follower.py
@@ -11,9 +11,16 @@
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 
-MAX_WATCH_WAIT_S = 10.0
-"""Maximum wait of a watch. Keep-alive probes detect a dead connection; this
-limit covers the cases that they miss."""
+MAX_WATCH_WAIT_S = 2.0
+"""Maximum wait of a watch. The store may have received it and never respond,
+which only the end of the wait shows. Together with the time-out of a call, it
+stays below the time after an outage in which changes may be late."""
+
+MAX_VERSION_WATCH_WAIT_S = 4.0
+"""The same for adapter versions, which may be in force later than routes."""
+
+MAX_INSTANCE_WATCH_WAIT_S = 10.0
+"""The same for instances, which also learn of each other by their links."""
 
 MIN_WATCH_PAUSE_S = 0.3
 """Pause before the next watch of upstreams, so that one call returns several
@@ -146,6 +153,7 @@
         on_change: Callable[[list[object_store.Item]], None],
         wait_until_needed: Callable[[], Awaitable[None]],
         find_watch_pause_s: Callable[[], float] | None = None,
+        max_wait_s: float = MAX_WATCH_WAIT_S,
     ) -> None:
         """Builds a follower; `run` must be running.
 
@@ -159,6 +167,7 @@
                 its relay.
             find_watch_pause_s: Returns the pause before the next watch;
                 None for no pauses.
+            max_wait_s: Maximum wait of a watch.
         """
         self._prefix = prefix
         self._store = store
@@ -167,6 +176,7 @@
         self._on_change = on_change
         self._wait_until_needed = wait_until_needed
         self._find_watch_pause_s = find_watch_pause_s
+        self._max_wait_s = max_wait_s
 
     async def run(self) -> None:
         """Lists and watches until cancelled."""
@@ -201,7 +211,7 @@
             )
             return listing.version
         wait_s = (
-            MAX_WATCH_WAIT_S
+            self._max_wait_s
             if self._store_health.failing_since is None
             else 0.2
         )
