Quarantine parts of prompts that crash upstreams

Cause: losses were counted for a request, known by target and body, and no two of these are alike. Class: the unit that is counted is not the one that fails.

All shared parts of lost prompts are suspects now, and those that sound requests have as well are cleared by them. Four crashes by two requests quarantine a part, one below the number from which the users count. Ruled out: a verdict by the parts of one crash, and by what most crashes share, since the first part is in all of them.

A response that is no success (status 4xx) clears nothing any more.

--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -18,6 +18,7 @@
 from tamaracktide import errors
 from tamaracktide import result_codes
 from tamaracktide.core import catch_up
+from tamaracktide.core import crash_evidence
 from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
@@ -224,7 +225,7 @@
             loads=0,
             known=catch_up.StoreVersions(),
             store_silent_s=0.0,
-            quarantined=(),
+            quarantined=crash_evidence.Quarantined(),
             draining=False,
         )
 
--- a/src/tamaracktide/entry/crashes.py
+++ b/src/tamaracktide/entry/crashes.py
@@ -1,23 +1,27 @@
-"""Detects requests that crash the upstreams that run them.
+"""Detects requests, and parts of prompts, that crash the upstreams.
 
 A lost response has many possible causes. It counts against a request only once
 the upstream that ran it is known to have ended: it refuses connections, has
 started again, or its entry is gone. Instances tell each other at once which
 requests ended an upstream, as clients repeat them at any instance.
+
+What crashes upstreams may be a part that prompts share, so that each request
+with it is another one. All parts of the lost prompts are suspects then; those
+that sound requests have too are cleared by them.
 """
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 from collections.abc import Iterator
 from collections.abc import Mapping
 import contextlib
+import dataclasses
 
 import anyio
 
 from tamaracktide import errors
 from tamaracktide import result_codes
-from tamaracktide.core import quarantine
+from tamaracktide.core import crash_evidence
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import requests
 from tamaracktide.observability import logs
@@ -26,15 +30,14 @@
 RESTART_DETECTION_S = 8.0
 """Time within which the restart of a crashed upstream becomes visible."""
 
-LOSS_THRESHOLD = 3
-"""Number of lost upstreams at which a request is refused. Two can be a
-coincidence while upstreams crash for other reasons."""
+REQUEST_SETTINGS = crash_evidence.EvidenceSettings(crashes=3)
+"""Two lost upstreams can be a coincidence while they end for other reasons."""
 
-COMPLETION_MEMORY_S = 10.0
-"""Time for which a completion clears a request of later losses as well: many
-clients may repeat a sound request while upstreams end for other reasons."""
+PART_SETTINGS = crash_evidence.EvidenceSettings(crashes=4, requests=2)
+"""One crash more, as many parts are lost with each upstream, and one below the
+number from which the platform counts. One request alone is quarantined as such.
+"""
 
-MAX_COMPLETIONS = 2048
 MAX_CRASHES = 1024
 RETRY_AFTER_S = 5.0
 
@@ -42,6 +45,21 @@
 """Instance id of an upstream and its start time, Unix milliseconds."""
 
 
+@dataclasses.dataclass(slots=True)
+class _Losses:
+    """Requests that an upstream was running when its responses broke off.
+
+    Attributes:
+        parts_by_request: Shared parts of their prompts, by fingerprint.
+        last_at: Time of the last loss, seconds of the monotonic clock.
+    """
+
+    parts_by_request: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    last_at: float = 0.0
+
+
 class CrashTracker:
     """Correlates lost responses with the ends of upstreams."""
 
@@ -54,17 +72,13 @@
             announce: Sends a notice to the other instances.
         """
         self._announce = announce
-        self._quarantine = quarantine.Quarantine(
-            quarantine.QuarantineSettings(losses_beside_others=LOSS_THRESHOLD)
-        )
-        self._losses: dict[_Incarnation, dict[str, float]] = {}
+        self._requests = crash_evidence.CrashEvidence(REQUEST_SETTINGS)
+        self._parts = crash_evidence.CrashEvidence(PART_SETTINGS)
+        self._losses: dict[_Incarnation, _Losses] = {}
         self._crashes: collections.OrderedDict[_Incarnation, set[str]] = (
             collections.OrderedDict()
         )
-        self._completions: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
-        self._waiting: dict[str, set[anyio.CancelScope]] = {}
+        self._waiting: dict[anyio.CancelScope, requests.ClientRequest] = {}
 
     def record_loss(
         self,
@@ -73,17 +87,16 @@
     ) -> None:
         """Records that a response was interrupted."""
         incarnation = (entry.upstream, entry.started_ms)
-        losses = self._losses.setdefault(incarnation, {})
-        losses[request.fingerprint] = anyio.current_time()
+        losses = self._losses.setdefault(incarnation, _Losses())
+        losses.parts_by_request[request.fingerprint] = request.parts
+        losses.last_at = anyio.current_time()
 
-    def record_completion(self, request: requests.ClientRequest) -> None:
-        """Records that a request completed and its upstream kept running."""
+    def record_survival(self, request: requests.ClientRequest) -> None:
+        """Records that a request did not crash the upstream that ran it."""
         now = anyio.current_time()
-        self._quarantine.record_completion(request.fingerprint, True, now)
-        self._completions.pop(request.fingerprint, None)
-        self._completions[request.fingerprint] = now
-        if len(self._completions) > MAX_COMPLETIONS:
-            self._completions.popitem(last=False)
+        self._requests.record_survival(request.fingerprint, now)
+        for part in request.parts:
+            self._parts.record_survival(part, now)
 
     def record_exit(self, entry: upstream_entries.UpstreamEntry) -> None:
         """Counts the losses of an upstream that refuses connections."""
@@ -99,7 +112,7 @@
             entry = entries.get(upstream)
             if entry is None or entry.started_ms != started_ms:
                 self._count_losses(incarnation)
-            elif now >= max(losses.values()) + RESTART_DETECTION_S:
+            elif now >= losses.last_at + RESTART_DETECTION_S:
                 del self._losses[incarnation]
 
     def apply_notice(
@@ -110,29 +123,41 @@
         Returns:
             What of it was not known, None for nothing.
         """
-        requests_ = self._count(
+        now = anyio.current_time()
+        for part in notice.survived:
+            self._parts.record_survival(part, now)
+        added = self._count(
             (notice.upstream, notice.started_ms), notice.requests
         )
-        return _make_notice((notice.upstream, notice.started_ms), requests_)
+        if not added:
+            return None
+        return dataclasses.replace(notice, requests=added)
 
-    def apply_quarantined(self, quarantined: tuple[str, ...]) -> None:
-        """Applies the fingerprints that another instance has quarantined."""
-        if not quarantined:
+    def apply_quarantined(
+        self, quarantined: crash_evidence.Quarantined
+    ) -> None:
+        """Applies what another instance has quarantined."""
+        if not (quarantined.requests or quarantined.parts):
             return
         now = anyio.current_time()
-        self._quarantine.apply_quarantined(
-            [name for name in quarantined if not self._is_cleared(name, now)],
-            now,
-        )
+        self._requests.apply_quarantined(quarantined.requests, now)
+        self._parts.apply_quarantined(quarantined.parts, now)
         self._refuse_waiting()
 
-    def list_announced(self) -> tuple[str, ...]:
-        """Returns the fingerprints that other instances should refuse too."""
-        return self._quarantine.list_announced(anyio.current_time())
+    def list_announced(self) -> crash_evidence.Quarantined:
+        """Returns what other instances should refuse too."""
+        now = anyio.current_time()
+        return crash_evidence.Quarantined(
+            requests=self._requests.list_announced(now),
+            parts=self._parts.list_announced(now),
+        )
 
     def is_refused(self, request: requests.ClientRequest) -> bool:
-        """Whether a request is quarantined."""
-        return self._is_quarantined(request.fingerprint)
+        """Whether a request, or a part of its prompt, is quarantined."""
+        now = anyio.current_time()
+        return self._requests.is_quarantined(request.fingerprint, now) or any(
+            self._parts.is_quarantined(part, now) for part in request.parts
+        )
 
     def check_allowed(self, request: requests.ClientRequest) -> None:
         """Raises `errors.RefusalError` if a request is quarantined."""
@@ -149,15 +174,12 @@
             errors.RefusalError: The request is quarantined.
         """
         self.check_allowed(request)
-        scopes = self._waiting.setdefault(request.fingerprint, set())
         with anyio.CancelScope() as scope:
-            scopes.add(scope)
+            self._waiting[scope] = request
             try:
                 yield
             finally:
-                scopes.discard(scope)
-                if not scopes:
-                    self._waiting.pop(request.fingerprint, None)
+                del self._waiting[scope]
         if scope.cancelled_caught:
             raise _make_refusal()
 
@@ -166,66 +188,88 @@
         losses = self._losses.pop(incarnation, None)
         if losses is None:
             return
-        notice = _make_notice(incarnation, self._count(incarnation, losses))
-        if notice is not None:
-            self._announce(notice)
+        now = anyio.current_time()
+        parts = {
+            part for parts in losses.parts_by_request.values() for part in parts
+        }
+        survived = {p for p in parts if self._parts.has_survived(p, now)}
+        added = self._count(
+            incarnation,
+            {
+                fingerprint: tuple(p for p in parts if p not in survived)
+                for fingerprint, parts in losses.parts_by_request.items()
+            },
+        )
+        if not added:
+            return
+        upstream, started_ms = incarnation
+        self._announce(
+            entry_messages.CrashNotice(
+                upstream=upstream,
+                started_ms=started_ms,
+                requests=added,
+                survived=tuple(sorted(survived)),
+            )
+        )
 
     def _count(
-        self, incarnation: _Incarnation, fingerprints: Iterable[str]
-    ) -> tuple[str, ...]:
+        self,
+        incarnation: _Incarnation,
+        parts_by_request: Mapping[str, tuple[str, ...]],
+    ) -> dict[str, tuple[str, ...]]:
         """Counts each loss once; returns those that were not known."""
-        now = anyio.current_time()
         known = self._crashes.setdefault(incarnation, set())
         if len(self._crashes) > MAX_CRASHES:
             self._crashes.popitem(last=False)
-        added = tuple(name for name in fingerprints if name not in known)
+        added = {
+            fingerprint: parts
+            for fingerprint, parts in parts_by_request.items()
+            if fingerprint not in known
+        }
         known.update(added)
-        for fingerprint in added:
-            if not self._is_cleared(fingerprint, now):
-                self._quarantine.record_loss(fingerprint, False, now)
+        now = anyio.current_time()
+        for fingerprint, parts in added.items():
+            self._requests.record_crash(
+                fingerprint, incarnation, fingerprint, now
+            )
+            for part in parts:
+                self._parts.record_crash(part, incarnation, fingerprint, now)
+        self._log_crash(incarnation, added, now)
+        self._refuse_waiting()
+        return added
+
+    def _log_crash(
+        self,
+        incarnation: _Incarnation,
+        added: Mapping[str, tuple[str, ...]],
+        now: float,
+    ) -> None:
         upstream, started_ms = incarnation
+        parts = {part for values in added.values() for part in values}
         logs.bind(
             upstream=upstream,
             started_ms=started_ms,
             requests=list(added),
-            quarantined=[name for name in added if self._is_quarantined(name)],
+            quarantined=[
+                name
+                for name in added
+                if self._requests.is_quarantined(name, now)
+            ],
+            quarantined_parts=sorted(
+                part for part in parts if self._parts.is_quarantined(part, now)
+            ),
         ).info("upstream ended with requests in progress")
-        self._refuse_waiting()
-        return added
 
     def _refuse_waiting(self) -> None:
         """Refuses the waiting requests that are quarantined by now."""
-        for fingerprint, scopes in list(self._waiting.items()):
-            if self._is_quarantined(fingerprint):
-                for scope in list(scopes):
-                    scope.cancel()
-
-    def _is_quarantined(self, fingerprint: str) -> bool:
-        now = anyio.current_time()
-        return self._quarantine.is_quarantined(fingerprint, now)
-
-    def _is_cleared(self, fingerprint: str, now: float) -> bool:
-        completed_at = self._completions.get(fingerprint)
-        return (
-            completed_at is not None
-            and now < completed_at + COMPLETION_MEMORY_S
-        )
-
-
-def _make_notice(
-    incarnation: _Incarnation, fingerprints: tuple[str, ...]
-) -> entry_messages.CrashNotice | None:
-    if not fingerprints:
-        return None
-    upstream, started_ms = incarnation
-    return entry_messages.CrashNotice(
-        upstream=upstream, started_ms=started_ms, requests=fingerprints
-    )
+        for scope, request in list(self._waiting.items()):
+            if self.is_refused(request):
+                scope.cancel()
 
 
 def _make_refusal() -> errors.RefusalError:
     return errors.RefusalError(
         result_codes.ResultCode.QUARANTINED,
-        "request has crashed upstreams",
+        "request or a part of its prompt has crashed upstreams",
         RETRY_AFTER_S,
     )
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -293,7 +293,8 @@
                     f"status {opened.status}", response=response
                 )
             await self._forward_response(response, run.responder)
-            return results.Completed(Codes.OK)
+            is_success = 200 <= opened.status < 300
+            return results.Completed(Codes.OK, is_success=is_success)
         finally:
             await opened.close()
 
@@ -338,7 +339,9 @@
             if progress.software is None:
                 progress.software = attempt.placement.entry.software
                 self._resumption.record_begin(run.request, progress.software)
-            progress.events += block.data.count(event_stream.EVENT_END)
+            events = block.data.count(event_stream.EVENT_END)
+            progress.events += events
+            attempt.events += events
             progress.last_id = block.last_id
             if attempt.began_at is None:
                 attempt.began_at = anyio.current_time()
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -34,10 +34,11 @@
         missing = isinstance(result, results.NotRun) and result.missing
         tokens = 0
         match result:
-            case results.Completed():
+            case results.Completed(is_success=is_success):
                 if cell.health.record_success(upstream):
                     cell.refresh_health()
-                self._crashes.record_completion(run.request)
+                if is_success:
+                    self._crashes.record_survival(run.request)
                 tokens = 1
                 engine = run.request.service.engine
                 if engine is not None:
@@ -79,7 +80,9 @@
         if lost.response is not None:
             return
         run.cell.reachability.check_reachable(attempt.placement.entry)
-        if not lost.timed_out and not attempt.is_established:
+        if attempt.is_established:
+            self._crashes.record_survival(run.request)
+        elif not lost.timed_out:
             self._crashes.record_loss(run.request, attempt.placement.entry)
 
     def _record_failure(self, run: runs.Run, attempt: runs.Attempt) -> None:
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -12,6 +12,7 @@
 import anyio
 
 from tamaracktide.core import catch_up
+from tamaracktide.core import crash_evidence
 from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
@@ -52,7 +53,7 @@
         known: What it knows of the store.
         store_silent_s: Time since the store responded to it; 0 while it
             responds, `NOT_USED_S` if it does not use the store.
-        quarantined: Fingerprints of requests that crash upstreams.
+        quarantined: Requests and parts of prompts that crash upstreams.
         draining: Whether it is shutting down.
     """
 
@@ -61,7 +62,7 @@
     loads: int
     known: catch_up.StoreVersions
     store_silent_s: float
-    quarantined: tuple[str, ...]
+    quarantined: crash_evidence.Quarantined
     draining: bool
 
 
@@ -77,7 +78,7 @@
         apply_counts: Called with the changed counts of other instances.
         apply_demand: Called with an adapter and its requests elsewhere.
         apply_engines: Called with the states of engines.
-        apply_quarantined: Called with the fingerprints of other instances.
+        apply_quarantined: Called with what other instances quarantined.
         apply_holders: Called when the lease holders may have changed.
         take_results: Returns the results of own requests since the last call.
         apply_results: Called with the results of another instance.
@@ -90,7 +91,7 @@
     apply_counts: Callable[[running_counts.Counts], None]
     apply_demand: Callable[[str, int], None]
     apply_engines: Callable[[tuple[entry_messages.EngineNotice, ...]], None]
-    apply_quarantined: Callable[[tuple[str, ...]], None]
+    apply_quarantined: Callable[[crash_evidence.Quarantined], None]
     apply_holders: Callable[[], None]
     take_results: Callable[[], ResultsByUpstream]
     apply_results: Callable[[ResultsByUpstream], None]
@@ -259,7 +260,7 @@
         self._apply_demand(peer, report)
         self._apply_results(peer, report)
         self.apply_engines(report.engines)
-        self._dependencies.apply_quarantined(report.quarantined)
+        self._dependencies.apply_quarantined(_get_quarantined(report))
         self._apply_changes()
         if before is None or _list_cells(before) != _list_cells(report):
             self._dependencies.apply_holders()
@@ -312,7 +313,7 @@
         self._subtract_own(report.acknowledged)
         if report.engines:
             self._dependencies.apply_engines(report.engines)
-        self._dependencies.apply_quarantined(report.quarantined)
+        self._dependencies.apply_quarantined(_get_quarantined(report))
         for instance, results in report.results.items():
             if instance != self._dependencies.instance:
                 self._dependencies.apply_results(results)
@@ -407,7 +408,8 @@
             rights=own.rights,
             loads=own.loads,
             store_silent_s=own.store_silent_s,
-            quarantined=own.quarantined,
+            quarantined=own.quarantined.requests,
+            quarantined_parts=own.quarantined.parts,
             draining=own.draining,
         )
 
@@ -415,13 +417,15 @@
         self, own: OwnState, running: running_counts.Counts, *, is_full: bool
     ) -> entry_messages.InstanceReport:
         report = self._make_member_report(own, running, is_full=is_full)
+        quarantined = self._sum_quarantined(own, members_only=True)
         return dataclasses.replace(
             report,
             is_relay=True,
             known=own.known,
             instances=self._count_group(),
             store_silent_s=self._find_store_silence(own, members_only=True),
-            quarantined=self._list_quarantined(own, members_only=True),
+            quarantined=quarantined.requests,
+            quarantined_parts=quarantined.parts,
         )
 
     def _report_to_relays(self, own: OwnState) -> None:
@@ -489,6 +493,7 @@
         *,
         is_full: bool,
     ) -> entry_messages.ClusterReport:
+        quarantined = self._sum_quarantined(own, members_only=False)
         return entry_messages.ClusterReport(
             is_full=is_full,
             acknowledged={
@@ -500,7 +505,8 @@
             holders=self._list_holders(own),
             instances=self._count_current(),
             store_silent_s=self._find_store_silence(own, members_only=False),
-            quarantined=self._list_quarantined(own, members_only=False),
+            quarantined=quarantined.requests,
+            quarantined_parts=quarantined.parts,
             draining=own.draining,
         )
 
@@ -542,16 +548,29 @@
         used = [value for value in (own.store_silent_s, *silent) if value >= 0]
         return min(used, default=NOT_USED_S)
 
-    def _list_quarantined(
+    def _sum_quarantined(
         self, own: OwnState, *, members_only: bool
-    ) -> tuple[str, ...]:
+    ) -> crash_evidence.Quarantined:
         peers = self._get_peers()
         linked = peers.list_members() if members_only else peers.list_linked()
-        fingerprints = set(own.quarantined)
-        for peer in linked:
-            if peer.report is not None:
-                fingerprints.update(peer.report.quarantined)
-        return tuple(sorted(fingerprints))
+        known = [own.quarantined]
+        known.extend(
+            _get_quarantined(peer.report)
+            for peer in linked
+            if peer.report is not None
+        )
+        return crash_evidence.Quarantined(
+            requests=tuple(sorted({n for q in known for n in q.requests})),
+            parts=tuple(sorted({n for q in known for n in q.parts})),
+        )
+
+
+def _get_quarantined(
+    report: entry_messages.InstanceReport | entry_messages.ClusterReport,
+) -> crash_evidence.Quarantined:
+    return crash_evidence.Quarantined(
+        requests=report.quarantined, parts=report.quarantined_parts
+    )
 
 
 def _list_cells(report: entry_messages.InstanceReport) -> set[str]:
--- a/src/tamaracktide/entry/requests.py
+++ b/src/tamaracktide/entry/requests.py
@@ -19,6 +19,7 @@
         expected_tokens: Number of generated tokens that the client expects.
         prefix: Identifies the shared parts of the prompt; empty for none.
         session: Identifies the last shared part; empty for none.
+        parts: Shared parts of the prompt, in order; at most a few dozen.
     """
 
     model: str
@@ -28,6 +29,7 @@
     expected_tokens: int = 0
     prefix: str = ""
     session: str = ""
+    parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,3 +68,8 @@
     resume_after: int | None = None
     resumed_request: str = ""
     fingerprint: str = ""
+
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Parts of the prompt that other requests may share."""
+        return () if self.generation is None else self.generation.parts
--- a/src/tamaracktide/entry/results.py
+++ b/src/tamaracktide/entry/results.py
@@ -10,9 +10,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Completed:
-    """The complete response was forwarded to the client."""
+    """The complete response was forwarded to the client.
+
+    Attributes:
+        code: Result code.
+        is_success: Whether its status is 2xx, so that the request ran.
+    """
 
     code: result_codes.ResultCode
+    is_success: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -14,6 +14,9 @@
 ESTABLISHED_S = 1.0
 """Time after its first event from when a response cannot crash its upstream."""
 
+ESTABLISHED_EVENTS = 16
+"""Events that it must have had by then: a slow upstream writes few."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Run:
@@ -43,6 +46,7 @@
         response: The upstream's response; None until its headers are checked.
         has_delivered: Whether an event of it was sent to the client.
         began_at: When its first event arrived; None before it.
+        events: Number of its events.
         is_silent: Whether the upstream was found silent.
         is_hedged: Whether another upstream may answer instead.
         is_lost: Whether its connection has ended while it was silent.
@@ -53,6 +57,7 @@
     response: streams.StreamedResponse | None = None
     has_delivered: bool = False
     began_at: float | None = None
+    events: int = 0
     is_silent: bool = False
     is_hedged: bool = False
     is_lost: bool = False
@@ -66,6 +71,7 @@
         """
         return (
             self.began_at is not None
+            and self.events >= ESTABLISHED_EVENTS
             and anyio.current_time() >= self.began_at + ESTABLISHED_S
         )
 
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -77,6 +77,7 @@
         store_silent_s: Time since the store responded to an instance of the
             group; 0 while it responds, -1 if none of them uses it.
         quarantined: Fingerprints of requests that crash upstreams.
+        quarantined_parts: Parts of prompts that crash upstreams.
         draining: Whether the sender is shutting down.
         results: Results of a member's requests since its last report, of
             upstreams that failed some.
@@ -97,6 +98,7 @@
         default_factory=catch_up.StoreVersions
     )
     quarantined: tuple[str, ...] = ()
+    quarantined_parts: tuple[str, ...] = ()
     draining: bool = False
     results: dict[str, upstream_health.Results] = dataclasses.field(
         default_factory=dict
@@ -118,6 +120,7 @@
         store_silent_s: Time since the store responded to any instance; 0
             while it responds.
         quarantined: Fingerprints of requests that crash upstreams.
+        quarantined_parts: Parts of prompts that crash upstreams.
         draining: Whether the relay is shutting down.
         results: Results of the group's requests since the last report, by
             instance and upstream.
@@ -131,6 +134,7 @@
     instances: int
     store_silent_s: float
     quarantined: tuple[str, ...] = ()
+    quarantined_parts: tuple[str, ...] = ()
     draining: bool = False
     results: dict[str, dict[str, upstream_health.Results]] = dataclasses.field(
         default_factory=dict
@@ -157,12 +161,15 @@
     Attributes:
         upstream: Instance id of the upstream.
         started_ms: Its start time, which identifies its incarnation.
-        requests: Fingerprints of the requests.
+        requests: Suspected parts of the prompts of the requests, by
+            fingerprint.
+        survived: Parts of their prompts with which other requests survived.
     """
 
     upstream: str
     started_ms: int
-    requests: tuple[str, ...] = ()
+    requests: dict[str, tuple[str, ...]]
+    survived: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -8,6 +8,7 @@
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.core import crash_evidence
 from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import crashes
@@ -49,7 +50,7 @@
     )
 
 
-def _make_request(fingerprint: str) -> requests.ClientRequest:
+def _make_request(fingerprint: str, *parts: str) -> requests.ClientRequest:
     share = routing_document.Share(service="s")
     return requests.ClientRequest(
         request_id="r1",
@@ -68,6 +69,7 @@
         service=routing_document.Service(name="s"),
         deadline=5.0,
         expires_at=5.0,
+        generation=requests.Generation(model="m", parts=parts),
         fingerprint=fingerprint,
     )
 
@@ -131,16 +133,16 @@
     """A relay passes each loss on once."""
     (tracker,) = _Instances().trackers
     notice = entry_messages.CrashNotice(
-        upstream="a", started_ms=1, requests=("x", "y")
+        upstream="a", started_ms=1, requests={"x": (), "y": ("p",)}
     )
     more = entry_messages.CrashNotice(
-        upstream="a", started_ms=1, requests=("y", "z")
+        upstream="a", started_ms=1, requests={"y": ("p",), "z": ("p",)}
     )
     assert tracker.apply_notice(notice) == notice
     assert tracker.apply_notice(notice) is None
     unknown = tracker.apply_notice(more)
     assert unknown is not None
-    assert unknown.requests == ("z",)
+    assert unknown.requests == {"z": ("p",)}
 
 
 async def test_lost_responses_without_restart_quarantine_no_request() -> None:
@@ -169,7 +171,7 @@
     (tracker,) = _Instances().trackers
     for name in ("a", "b"):
         _crash(tracker, GOOD, name)
-    tracker.record_completion(GOOD)
+    tracker.record_survival(GOOD)
     _crash(tracker, GOOD, "c")
     assert not tracker.is_refused(GOOD)
 
@@ -177,11 +179,11 @@
 async def test_request_that_completes_elsewhere_outlives_ends_at_once() -> None:
     """Load pattern: many clients send the same request as a rack is lost."""
     (tracker,) = _Instances().trackers
-    tracker.record_completion(GOOD)
+    tracker.record_survival(GOOD)
     for name in "abcd":
         _crash(tracker, GOOD, name)
     assert not tracker.is_refused(GOOD)
-    tracker.apply_quarantined(("good",))
+    tracker.apply_quarantined(crash_evidence.Quarantined(requests=("good",)))
     assert not tracker.is_refused(GOOD)
 
 
@@ -204,3 +206,44 @@
         await anyio.wait_all_tasks_blocked()
         for name in "abc":
             _crash(tracker, BAD, name)
+
+
+def _crash_with(tracker: crashes.CrashTracker, number: int) -> None:
+    """Ends an upstream with one more request that has the parts."""
+    _crash(tracker, _make_request(f"r{number}", "first", "bad"), f"e{number}")
+
+
+async def test_part_is_quarantined_before_five_upstreams_ended() -> None:
+    """Guards against requests of one kind that all begin anew (BUDGET)."""
+    instances = _Instances(2)
+    later = _make_request("later", "first", "bad")
+    for number in range(4):
+        assert not instances.trackers[1].is_refused(later)
+        instances.trackers[0].record_survival(_make_request("ok", "first"))
+        _crash_with(instances.trackers[number % 2], number)
+    for tracker in instances.trackers:
+        assert tracker.is_refused(later)
+        assert not tracker.is_refused(_make_request("sound", "first", "good"))
+
+
+async def test_part_that_survived_at_the_announcer_is_no_suspect() -> None:
+    """Guards against a verdict on a part that sound requests share (LOST).
+
+    The instance that gets the notices has had no such requests itself.
+    """
+    instances = _Instances(2)
+    for number in range(6):
+        instances.trackers[0].record_survival(_make_request("ok", "first"))
+        _crash_with(instances.trackers[0], number)
+    sound = _make_request("sound", "first")
+    assert not instances.trackers[1].is_refused(sound)
+
+
+async def test_parts_of_one_request_are_not_quarantined() -> None:
+    """A request that crashes upstreams is refused itself, not its parts."""
+    (tracker,) = _Instances().trackers
+    request = _make_request("bad", "first", "second")
+    for name in "abcdefg":
+        _crash(tracker, request, name)
+    assert tracker.is_refused(request)
+    assert not tracker.is_refused(_make_request("good", "first", "second"))
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -10,6 +10,7 @@
 
 import deployment
 from fleet import adapter
+from tamaracktide.core import crash_evidence
 from tamaracktide.entry import app
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import program
@@ -87,7 +88,9 @@
     def quarantine(self, path: str) -> None:
         """Has a peer announce that the requests for a path are quarantined."""
         fingerprint = app.compute_fingerprint(path, BODY)
-        self.crashes.apply_quarantined((fingerprint,))
+        self.crashes.apply_quarantined(
+            crash_evidence.Quarantined(requests=(fingerprint,))
+        )
 
     async def is_ready(self) -> bool:
         """Returns whether the readiness probe succeeds."""
--- a/tests/fleet/test_crashing_prompts.py
+++ b/tests/fleet/test_crashing_prompts.py
@@ -71,13 +71,16 @@
 ) -> None:
     """Sends requests with the part until it has ended the allowed engines.
 
-    Sound requests with the same first part are answered meanwhile.
+    Ends earlier if they are refused. Sound requests with the same first part
+    are answered meanwhile.
     """
     number = 0
     while test_crashing_requests.count_crashed(cluster) < CRASHES:
         instance = instances[number % len(instances)]
         await generate(instance, f"sound{number}", f"cc{number}")
-        await generate(instance, f"first{number}", CRASH_PART)
+        response = await generate(instance, f"first{number}", CRASH_PART)
+        if test_crashing_requests.is_quarantined(response):
+            return
         number += 1
 
 
