Clear a suspected part at every instance where sound requests had it

An instance that loses requests with a part, but serves no sound ones with it, quarantined what sound requests share, and survivals of others were remembered and announced again, so that instances could have cleared a part for good.

Now an instance answers a notice with the suspected parts that have survived there; such an answer drops the crashes counted so far and is not remembered.

--- a/src/tamaracktide/core/crash_evidence.py
+++ b/src/tamaracktide/core/crash_evidence.py
@@ -119,6 +119,14 @@
         if len(self._survivals) > MAX_SURVIVALS:
             self._survivals.popitem(last=False)
 
+    def clear(self, cause: str) -> None:
+        """Drops the crashes of a cause that survived at another instance.
+
+        It is not remembered, so that instances cannot clear a cause forever by
+        announcing it to each other.
+        """
+        self._suspects.pop(cause, None)
+
     def apply_quarantined(self, causes: Iterable[str], now: float) -> None:
         """Applies causes that another instance has quarantined.
 
--- a/src/tamaracktide/entry/crashes.py
+++ b/src/tamaracktide/entry/crashes.py
@@ -38,7 +38,7 @@
 number from which the platform counts. One request alone is quarantined as such.
 """
 
-MAX_CRASHES = 1024
+MAX_CRASHES = 256
 RETRY_AFTER_S = 5.0
 
 _Incarnation = tuple[str, int]
@@ -120,17 +120,23 @@
     ) -> entry_messages.CrashNotice | None:
         """Counts the losses that another instance observed.
 
+        Announces which of the suspected parts have survived here.
+
         Returns:
             What of it was not known, None for nothing.
         """
-        now = anyio.current_time()
         for part in notice.survived:
-            self._parts.record_survival(part, now)
+            self._parts.clear(part)
         added = self._count(
             (notice.upstream, notice.started_ms), notice.requests
         )
         if not added:
             return None
+        survived = self._list_survived(added)
+        if survived:
+            self._announce(
+                dataclasses.replace(notice, requests={}, survived=survived)
+            )
         return dataclasses.replace(notice, requests=added)
 
     def apply_quarantined(
@@ -188,11 +194,7 @@
         losses = self._losses.pop(incarnation, None)
         if losses is None:
             return
-        now = anyio.current_time()
-        parts = {
-            part for parts in losses.parts_by_request.values() for part in parts
-        }
-        survived = {p for p in parts if self._parts.has_survived(p, now)}
+        survived = self._list_survived(losses.parts_by_request)
         added = self._count(
             incarnation,
             {
@@ -208,10 +210,20 @@
                 upstream=upstream,
                 started_ms=started_ms,
                 requests=added,
-                survived=tuple(sorted(survived)),
+                survived=survived,
             )
         )
 
+    def _list_survived(
+        self, parts_by_request: Mapping[str, tuple[str, ...]]
+    ) -> tuple[str, ...]:
+        """Returns the parts with which requests have survived here."""
+        now = anyio.current_time()
+        parts = {part for parts in parts_by_request.values() for part in parts}
+        return tuple(
+            sorted(p for p in parts if self._parts.has_survived(p, now))
+        )
+
     def _count(
         self,
         incarnation: _Incarnation,
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -239,6 +239,30 @@
     assert not instances.trackers[1].is_refused(sound)
 
 
+async def test_part_that_survived_elsewhere_is_no_suspect() -> None:
+    """Guards against a verdict on a part that sound requests share (LOST).
+
+    The instance that loses the requests has no sound ones itself.
+    """
+    instances = _Instances(2)
+    for number in range(6):
+        instances.trackers[1].record_survival(_make_request("ok", "first"))
+        _crash_with(instances.trackers[0], number)
+    assert not instances.trackers[0].is_refused(_make_request("s", "first"))
+    assert instances.trackers[0].is_refused(_make_request("l", "bad"))
+
+
+async def test_survivals_of_others_are_not_announced_again() -> None:
+    """Two instances cannot clear a part forever by their notices."""
+    instances = _Instances(2)
+    instances.trackers[0].record_survival(_make_request("ok", "first"))
+    _crash_with(instances.trackers[0], 1)
+    assert instances.notices[-1].survived == ("first",)
+    instances.notices.clear()
+    _crash_with(instances.trackers[1], 2)
+    assert instances.notices[0].survived == ()
+
+
 async def test_parts_of_one_request_are_not_quarantined() -> None:
     """A request that crashes upstreams is refused itself, not its parts."""
     (tracker,) = _Instances().trackers
