Wait for ready tasks, not for all to be blocked, beside a cell's timers

The cell looks again each 0.1 s while a request waits, and so does anyio's wait_all_tasks_blocked for blocked tasks: with both in step, a timer's task is always just starting, and the wait lasted until the request expired (117 ticks in a failing run, 1 to 94 in others). The program is as it should be.

--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -5,6 +5,7 @@
 import dataclasses
 
 import anyio
+from anyio import lowlevel
 import anyio.abc
 import pytest
 
@@ -341,6 +342,12 @@
         assert not harness.snapshots
 
 
+async def run_ready_tasks() -> None:
+    """Lets tasks run that can; those of timers may start again and again."""
+    for _ in range(10):
+        await lowlevel.checkpoint()
+
+
 async def test_queued_resumption_gets_no_upstream_of_a_new_version() -> None:
     """Guards against a stream resumed at another software version (ORDER).
 
@@ -366,14 +373,14 @@
             )
 
         tasks.start_soon(wait_for_placement)
-        await anyio.wait_all_tasks_blocked()
+        await run_ready_tasks()
         assert cell.count_waiting() == 1
         harness.add_engine("e2", software="v2", a=0)
         cell.refresh()
-        await anyio.wait_all_tasks_blocked()
+        await run_ready_tasks()
         assert placements == []
         cell.release(first.pop(), missing=False)
-        await anyio.wait_all_tasks_blocked()
+        await run_ready_tasks()
         assert [p.entry.upstream for p in placements] == ["e1"]
         late = await cell.acquire_placement(make_request("late", "a"))
         assert late.entry.upstream == "e2"
