--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -345,7 +345,6 @@
             progress.last_id = block.last_id
             if attempt.began_at is None:
                 attempt.began_at = anyio.current_time()
-            attempt.has_delivered = True
             await responder.write(block.data)
         if splitter.pending or progress.last_id is None:
             return results.LostResponse("stream ended within an event")
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -44,9 +44,8 @@
     Attributes:
         placement: The granted batch slot.
         response: The upstream's response; None until its headers are checked.
-        has_delivered: Whether an event of it was sent to the client.
         began_at: When its first event arrived; None before it.
-        events: Number of its events.
+        events: Number of its events that were forwarded.
         is_silent: Whether the upstream was found silent.
         is_hedged: Whether another upstream may answer instead.
         is_lost: Whether its connection has ended while it was silent.
@@ -55,7 +54,6 @@
 
     placement: service_cell.Placement
     response: streams.StreamedResponse | None = None
-    has_delivered: bool = False
     began_at: float | None = None
     events: int = 0
     is_silent: bool = False
@@ -63,6 +61,11 @@
     is_lost: bool = False
     successor: "Attempt | None" = None
 
+    @property
+    def has_delivered(self) -> bool:
+        """Whether an event of the response was sent to the client."""
+        return self.events > 0
+
     @property
     def is_established(self) -> bool:
         """Whether the upstream would have crashed by now, if it were to.
