--- a/tests/fleet/test_entry_outages.py
+++ b/tests/fleet/test_entry_outages.py
@@ -23,6 +23,15 @@
     return "asyncio"
 
 
+def put_document(
+    cluster: fleet_cluster.Cluster, version: int, routes: int
+) -> None:
+    """Writes a routing document with the first routes only."""
+    document = fleet_cluster.make_document(version)
+    document["Routes"] = document["Routes"][:routes]
+    cluster.store.put("config", "main", document)
+
+
 async def test_store_outage_does_not_affect_loaded_adapters() -> None:
     """While the store is unreachable, loaded adapters are still served."""
     async with fleet_cluster.run_cluster() as cluster:
@@ -118,9 +127,7 @@
             assert engine.runs == ["r1"]
             holder = cluster.store.objects["tamaracktide-leases"]["llm.z1"]
             assert holder["Spec"]["holder"].startswith(relay)
-            document = fleet_cluster.make_document(3)
-            document["Routes"] = document["Routes"][:1]
-            cluster.store.put("config", "main", document)
+            put_document(cluster, 3, routes=1)
 
             async def is_route_removed() -> bool:
                 response = await member.send("/safe/x", "r2")
@@ -162,9 +169,7 @@
                 assert (await instance.send("/safe/x", "r1")).status == 200
                 stop.set()
                 await stopped.wait()
-                document = fleet_cluster.make_document(3)
-                document["Routes"] = document["Routes"][:1]
-                cluster.store.put("config", "main", document)
+                put_document(cluster, 3, routes=1)
 
                 async def is_route_removed() -> bool:
                     response = await instance.send("/safe/x", "r2")
@@ -209,9 +214,7 @@
             assert (await cut_off.send("/safe/x", "r1")).status == 200
             store_proxy.is_unavailable = True
             await anyio.sleep(1.5)
-            document = fleet_cluster.make_document(3)
-            document["Routes"] = document["Routes"][:1]
-            cluster.store.put("config", "main", document)
+            put_document(cluster, 3, routes=1)
 
             async def is_route_removed() -> bool:
                 response = await cut_off.send("/safe/x", "r2")
@@ -366,12 +369,3 @@
             put_document(cluster, 3, routes=1)
             await anyio.sleep(IN_FORCE_S)
             assert (await instance.send("/safe/x", "r1")).status == 404
-
-
-def put_document(
-    cluster: fleet_cluster.Cluster, version: int, routes: int
-) -> None:
-    """Writes a routing document with the first routes only."""
-    document = fleet_cluster.make_document(version)
-    document["Routes"] = document["Routes"][:routes]
-    cluster.store.put("config", "main", document)
