--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -273,6 +273,9 @@
         crashes_on: Path or part of a prompt; a request with it ends the server,
             whose entry stays in the store. Empty for none.
         has_crashed: Whether the server has ended in this way.
+        rate_limit: Requests per second that its responses name as its limit;
+            None for no limit.
+        arrivals: Times at which requests arrived, of the loop's clock.
         close: Closes its listening socket and its connections; set by
             `Cluster.add_server`.
     """
@@ -298,6 +301,8 @@
     abandoned: list[str] = dataclasses.field(default_factory=list)
     crashes_on: str = ""
     has_crashed: bool = False
+    rate_limit: float | None = None
+    arrivals: list[float] = dataclasses.field(default_factory=list)
     close: Callable[[], None] = lambda: None
 
     async def __call__(
@@ -312,7 +317,18 @@
         else:
             head = _make_headers(scope)
             head[":path"] = scope["path"]
-            await self._handle_request(head, receive, send)
+            await self._handle_request(head, receive, self._name_limit(send))
+
+    def _name_limit(self, send: asgi.Send) -> asgi.Send:
+        async def send_with_limit(message: MutableMapping[str, Any]) -> None:
+            if message["type"] == "http.response.start" and (
+                self.rate_limit is not None
+            ):
+                limit = (b"server-limit", str(self.rate_limit).encode())
+                message = {**message, "headers": [*message["headers"], limit]}
+            await send(message)
+
+        return send_with_limit
 
     def _make_report(self) -> dict[str, Any]:
         return {
@@ -352,6 +368,7 @@
     async def _handle_request(
         self, head: dict[str, str], receive: asgi.Receive, send: asgi.Send
     ) -> None:
+        self.arrivals.append(anyio.current_time())
         request_id = head["x-request-id"]
         request_id_header = (b"x-request-id", request_id.encode())
         refusal = ((b"x-not-executed", b"1"), request_id_header)
