Keep the limits that upstreams name over all instances

Cause: the limit was not read. A limit for all instances together is also one that no instance can keep alone, and equal shares starve the busy one.

Change: a response's limit is applied to the upstream's engine in the cell as a token bucket (core.send_limits). Each instance counts its own requests and those that the others announce as they send them, so the rate goes to whoever has requests; a short random delay after an awaited token keeps two instances from using the same one. What the limit does not take goes to other upstreams, which load the adapter if necessary; once all upstreams of a service have limits, a request is refused on arrival if its turn comes too late. A limit ends with the first response without one, or a restart; both are announced. Requests are not sent again for a missing adapter to a limited upstream.

Ruled out: hedged requests and retries (none at these engines in the logs).

--- a/src/tamaracktide/core/admission.py
+++ b/src/tamaracktide/core/admission.py
@@ -81,9 +81,11 @@
         if all(engine.name in submit.avoid for engine in usable):
             return _Code.NO_UPSTREAM
         account = self._queue.get_account(submit.customer)
-        if self._meets_deadlines(
-            account, self.compute_expiry(submit, now), now
-        ):
+        expires_at = self.compute_expiry(submit, now)
+        limit_wait_s = self._predict_limit_wait_s(submit.avoid, now)
+        if now + limit_wait_s >= expires_at:
+            return _Code.DEADLINE_UNREACHABLE
+        if self._meets_deadlines(account, expires_at, now):
             return None
         if self.compute_fair_shares().is_exceeded_by(account):
             return _Code.CUSTOMER_OVER_SHARE
@@ -109,6 +111,24 @@
             for index in range(len(waiting) - 1, position - 1, -step)
         )
 
+    def _predict_limit_wait_s(
+        self, avoid: tuple[str, ...], now: float
+    ) -> float:
+        """Returns the wait behind all waiting requests for engines' limits.
+
+        It is 0 unless all engines limit the rate of their requests.
+        """
+        tokens = rate = 0.0
+        for engine in self._inventory.list_usable():
+            if engine.name in avoid:
+                continue
+            if engine.send_limit is None:
+                return 0.0
+            tokens += max(0.0, engine.send_limit.count_tokens(now))
+            rate += engine.send_limit.own_rate
+        ahead = len(self._queue.waiters) + 1 - tokens
+        return max(0.0, ahead) / rate if rate else 0.0
+
     def compute_expiry(self, submit: cell_events.Submit, now: float) -> float:
         """Returns the time until which a request submitted now may wait."""
         service_s = self._estimates.predict_service_s(submit.max_tokens)
@@ -167,12 +187,13 @@
             available, account.running, self._estimates.service_s
         )
 
-    def find_retry_after_s(self, customer: str) -> float:
+    def find_retry_after_s(self, customer: str, now: float) -> float:
         """Returns the delay before a customer should retry, with jitter."""
         account = self._queue.get_account(customer)
         wait_s = self._estimate_service_rate(account).predict_wait_s(
             account.waiting
         )
+        wait_s = max(wait_s, self._predict_limit_wait_s((), now))
         jitter = self._rng.uniform(1.0, 1.0 + RETRY_JITTER_FRACTION)
         bounded_s = min(MAX_RETRY_AFTER_S, wait_s)
         return max(MIN_RETRY_AFTER_S, bounded_s) * jitter
--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -61,7 +61,11 @@
         """
         self._actions = []
         match event:
-            case cell_events.DemandReported() | cell_events.PromptSent():
+            case (
+                cell_events.DemandReported()
+                | cell_events.PromptSent()
+                | cell_events.RequestsSent()
+            ):
                 # These events never allow a waiting request to proceed.
                 self._apply_remote(event, now)
                 return self._actions
@@ -128,6 +132,8 @@
                 self._granter.end_lost_grants(lost)
             case cell_events.UpstreamLeaving():
                 inventory.set_leaving(event)
+            case cell_events.SendLimitChanged():
+                inventory.set_send_limit(event, self._parts.rng, now)
             case cell_events.EvictionsSuspended():
                 inventory.suspend_evictions(event)
             case cell_events.AdaptersReady():
@@ -152,6 +158,10 @@
                 engine = self._parts.inventory.engines.get(upstream)
                 if engine is not None:
                     placer.record_prompt(engine, tokens, now)
+            case cell_events.RequestsSent(upstream, count):
+                engine = self._parts.inventory.engines.get(upstream)
+                if engine is not None and engine.send_limit is not None:
+                    engine.send_limit.record(count, now)
 
     def _apply_snapshot(
         self, event: cell_events.UpstreamSnapshot, now: float
@@ -248,7 +258,7 @@
             request_id, request_id in self._granter.granted
         )
         retry_after_s = self._parts.admission.find_retry_after_s(
-            submit.customer
+            submit.customer, now
         )
         self._remove_waiter(request_id)
         self._actions.append(
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -186,6 +186,34 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendLimitChanged:
+    """An upstream named the rate of requests that it takes, or no longer does.
+
+    Attributes:
+        upstream: Instance id.
+        rate: Requests per second from all instances together; None for any.
+        own_fraction: Fraction of them that this instance can count on.
+    """
+
+    upstream: str
+    rate: float | None
+    own_fraction: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestsSent:
+    """Other instances sent requests to an upstream that limits their rate.
+
+    Attributes:
+        upstream: Instance id.
+        count: Number of requests.
+    """
+
+    upstream: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EventBatch:
     """Events that are applied together before any decision is made.
@@ -315,6 +343,8 @@
     | Submit
     | DemandReported
     | PromptSent
+    | SendLimitChanged
+    | RequestsSent
     | Withdraw
     | GrantEnded
     | RemoteCountsChanged
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -5,6 +5,7 @@
 
 from tamaracktide.core import cell_events
 from tamaracktide.core import rows
+from tamaracktide.core import send_limits
 
 BATCH_HEADROOM_FRACTION = 0.0625
 """Fraction of a batch that customers over their share leave free."""
@@ -93,6 +94,7 @@
             to end.
         host_cached: Adapters that it can load from its host memory, oldest
             first.
+        send_limit: Rate at which it takes requests; None for any.
     """
 
     name: str
@@ -117,6 +119,13 @@
     host_cached: dict[rows.AdapterKey, None] = dataclasses.field(
         default_factory=dict
     )
+    send_limit: send_limits.SendLimit | None = None
+
+    def find_next_send(self, now: float) -> float:
+        """Returns the time from which its limit allows a request."""
+        return (
+            now if self.send_limit is None else self.send_limit.find_next(now)
+        )
 
     def record_eviction(self, key: rows.AdapterKey) -> None:
         """Records that an adapter was evicted from its slot."""
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -6,7 +6,9 @@
 
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_state
+from tamaracktide.core import randomness
 from tamaracktide.core import rows
+from tamaracktide.core import send_limits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -365,6 +367,26 @@
             engine.leaving = event.leaving
             self._capacity = None
 
+    def set_send_limit(
+        self,
+        event: cell_events.SendLimitChanged,
+        rng: randomness.Random,
+        now: float,
+    ) -> None:
+        """Sets or removes the limit of an engine."""
+        self.changes += 1
+        engine = self.engines.get(event.upstream)
+        if engine is None:
+            return
+        if event.rate is None:
+            engine.send_limit = None
+        elif engine.send_limit is None:
+            engine.send_limit = send_limits.SendLimit(
+                event.rate, event.own_fraction, rng, now
+            )
+        else:
+            engine.send_limit.set_rate(event.rate, event.own_fraction)
+
     def suspend_evictions(self, event: cell_events.EvictionsSuspended) -> None:
         """Suspends or resumes evictions on an engine."""
         self.changes += 1
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -173,6 +173,10 @@
                 )
                 self.recheck_at = min(self.recheck_at, at)
                 continue
+            next_send_at = engine.find_next_send(now)
+            if next_send_at > now:
+                self.recheck_at = min(self.recheck_at, next_send_at)
+                continue
             score = self._score_ready(engine, submit.prefix, now)
             if score > best_score:
                 best, best_score = (engine, slot), score
@@ -274,6 +278,10 @@
         if not self._inventory.count_replicas(group_key.key):
             return True, False
         packed = self._find_packed(group_key.key, group_key.avoid, now)
+        has_unlimited = any(
+            engine.send_limit is None
+            for engine in self._inventory.list_usable()
+        )
         for engine, slot in self._inventory.find_slots(group_key.key):
             if engine.name in group_key.avoid:
                 continue
@@ -283,6 +291,8 @@
                 return False, False
             if engine.exclusive:
                 continue
+            if engine.find_next_send(now) > now and has_unlimited:
+                continue
             replicas += 1
             running += engine.running
         if not replicas:
@@ -332,7 +342,8 @@
         """Returns the engines that may load an adapter, in order of preference.
 
         Engines that have the adapter in their host memory come first. Within
-        both groups, the order is the adapter's rendezvous order.
+        both groups, the order is the adapter's rendezvous order. Engines whose
+        limit allows no request now are used only if that holds for all.
         """
         eligible = {
             engine.name: engine
@@ -344,6 +355,12 @@
             and not self.backoff.blocks(key, engine.name, now)
             and self._inventory.find_slot(engine, key) is None
         }
+        sendable = {
+            name: engine
+            for name, engine in eligible.items()
+            if engine.find_next_send(now) <= now
+        }
+        eligible = sendable or eligible
         ranked = [
             eligible[name]
             for name in rendezvous.sort_members(key.text, eligible)
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -86,7 +86,9 @@
         self._find_cell = find_cell
         self._crashes = crashes
         self._outcomes = outcomes.OutcomeRecorder(crashes)
-        self._sender = sending.Sender(adapter, upstream_client, find_version)
+        self._sender = sending.Sender(
+            adapter, upstream_client, find_version, find_cell
+        )
         self._hedger = hedging.Hedger(
             self._sender, self._outcomes, crashes, metrics
         )
@@ -254,6 +256,7 @@
                 return result
             if (
                 retry == MAX_ADAPTER_RETRIES
+                or run.cell.is_limited(attempt.upstream)
                 or attempt.placement.waited_s == 0
                 or self._crashes.is_refused(run.request)
                 or not budget.take()
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -91,6 +91,8 @@
         misdirected: Whether the request was refused because its upstream,
             adapter or version did not match.
         upstream: Instance id of the sender; empty if missing.
+        rate_limit: Requests per second that the sender takes from all
+            instances together; None if it names no limit.
     """
 
     request_id: str
@@ -98,6 +100,7 @@
     not_run: bool
     misdirected: bool
     upstream: str
+    rate_limit: float | None = None
 
 
 class PlatformAdapter(Protocol):
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -370,6 +370,8 @@
                 ),
                 find_version=self._find_version,
                 announce_prompt=self._announce_prompt,
+                announce_limit=self._send_limit_notice,
+                count_instances=self._count_instances,
                 load=self._loader.load,
                 record_exit=self.crashes.record_exit,
                 tasks=self._tasks,
@@ -505,6 +507,8 @@
                 self._exchange.apply_engines((message,))
             case entry_messages.PromptNotice():
                 self._apply_prompt(message)
+            case entry_messages.SendLimitNotice():
+                self._apply_limit_notice(peer, message)
             case entry_messages.CrashNotice():
                 self._apply_crash(peer, message)
             case _:
@@ -558,6 +562,32 @@
         if self._peers.is_relay:
             self._send_crash(unknown, peer.instance)
 
+    def _send_limit_notice(
+        self, notice: entry_messages.SendLimitNotice
+    ) -> None:
+        """Announces the limit of an upstream and requests sent under it."""
+        encoded = codec.encode_message(notice)
+        for peer in self._peers.list_linked():
+            peer.send(encoded)
+
+    def _apply_limit_notice(
+        self, peer: entry_peers.Peer, notice: entry_messages.SendLimitNotice
+    ) -> None:
+        """Applies a notice; a relay passes it on.
+
+        What comes from another relay goes to its members only.
+        """
+        entry = self._cluster_state.upstreams.get(notice.upstream)
+        if entry is not None and entry.service in self._cells:
+            self._cells[entry.service].apply_limit_notice(notice)
+        peers = self._peers
+        if peers.plan.is_flat or not peers.is_relay:
+            return
+        encoded = codec.encode_message(notice)
+        for other in peers.list_linked():
+            if other is not peer and (peer.is_member or other.is_member):
+                other.send(encoded)
+
     def _announce_engine(self, notice: entry_messages.EngineNotice) -> None:
         self._exchange.record_engine(notice)
         self._apply_engines([notice])
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -40,6 +40,9 @@
         adapter: entry_adapter.PlatformAdapter,
         upstream_client: streams.StreamClient,
         find_version: Callable[[str, str], int],
+        find_cell: Callable[
+            [routing_document.Service], service_cell.ServiceCell
+        ],
     ) -> None:
         """Builds a sender.
 
@@ -48,8 +51,11 @@
             upstream_client: Sends the requests.
             find_version: Returns the announced version of an adapter, 0 if
                 none.
+            find_cell: Returns the cell of a service, which applies the limits
+                that its upstreams name.
         """
         self._adapter = adapter
+        self._find_cell = find_cell
         self._upstream_client = upstream_client
         self._find_version = find_version
 
@@ -99,7 +105,7 @@
             if not opened.may_have_run:
                 return results.NotRun(opened.detail, unreachable=True)
             return results.make_lost_response(opened)
-        failure = self._check(request, opened)
+        failure = self._check(request, placement, opened)
         if failure is None:
             return opened
         try:
@@ -120,6 +126,7 @@
     def _check(
         self,
         request: requests.ClientRequest,
+        placement: service_cell.Placement,
         opened: streams.StreamedResponse,
     ) -> results.NotRun | results.LostResponse | None:
         """Returns why a response must not be forwarded, or None."""
@@ -130,6 +137,10 @@
             return results.LostResponse(
                 f"response belongs to another request: {fields.request_id!r}"
             )
+        if fields.request_id:
+            self._find_cell(request.service).record_send_limit(
+                placement.entry, fields.rate_limit
+            )
         if fields.not_run:
             return results.NotRun(
                 f"status {opened.status}", missing=fields.misdirected
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -36,6 +36,7 @@
 from tamaracktide.entry import timers
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.observability import logs
+from tamaracktide.protocol import entry_messages
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,6 +71,9 @@
         find_version: Returns the announced version of an adapter, 0 if none.
         announce_prompt: Announces to the peers that a prompt is sent to an
             engine.
+        announce_limit: Announces the limit of an upstream, and requests sent
+            under it, to the other instances.
+        count_instances: Returns the number of instances.
         load: Requests the load of an adapter and waits for its end.
         record_exit: Called when an upstream refuses connections.
         tasks: Task group that runs the loads and timers.
@@ -78,6 +82,8 @@
     upstreams: upstream_snapshots.SnapshotBuilder
     find_version: Callable[[str, str], int]
     announce_prompt: Callable[[str, int], None]
+    announce_limit: Callable[[entry_messages.SendLimitNotice], None]
+    count_instances: Callable[[], int]
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
     record_exit: Callable[[upstream_entries.UpstreamEntry], None]
     tasks: anyio.abc.TaskGroup
@@ -106,6 +112,7 @@
         self._entries: dict[str, upstream_entries.UpstreamEntry] = {}
         self._leaving: set[str] = set()
         self._on_trial: set[str] = set()
+        self._send_limits: dict[str, float] = {}
         self._tick_timer = timers.Timer(
             lambda: self._handle(cell_events.Tick()), dependencies.tasks
         )
@@ -260,6 +267,7 @@
         entry: upstream_entries.UpstreamEntry,
         submitted_at: float,
     ) -> Placement:
+        self._announce_limit(entry, sent=1)
         key = self.find_key(request)
         counts = self.running.setdefault(grant.upstream, {})
         counts[key.adapter] = counts.get(key.adapter, 0) + 1
@@ -274,6 +282,71 @@
             waited_s=anyio.current_time() - submitted_at,
         )
 
+    def is_limited(self, upstream: str) -> bool:
+        """Whether an upstream limits the rate of its requests."""
+        return upstream in self._send_limits
+
+    def record_send_limit(
+        self, entry: upstream_entries.UpstreamEntry, rate: float | None
+    ) -> None:
+        """Records the limit that a response of an upstream names, or none."""
+        if self._set_send_limit(entry.upstream, entry.started_ms, rate):
+            self._announce_limit(entry)
+
+    def apply_limit_notice(
+        self, notice: entry_messages.SendLimitNotice
+    ) -> None:
+        """Applies the limit and the requests that an instance announces."""
+        self._set_send_limit(notice.upstream, notice.started_ms, notice.rate)
+        if notice.sent:
+            self._handle(cell_events.RequestsSent(notice.upstream, notice.sent))
+
+    def _announce_limit(
+        self, entry: upstream_entries.UpstreamEntry, sent: int = 0
+    ) -> None:
+        """Announces the limit of an upstream, unless nothing is sent under it.
+
+        Its end is announced as well.
+        """
+        rate = self._send_limits.get(entry.upstream)
+        if sent and rate is None:
+            return
+        self._dependencies.announce_limit(
+            entry_messages.SendLimitNotice(
+                upstream=entry.upstream,
+                started_ms=entry.started_ms,
+                rate=rate,
+                sent=sent,
+            )
+        )
+
+    def _set_send_limit(
+        self, upstream: str, started_ms: int, rate: float | None
+    ) -> bool:
+        """Sets the limit of an upstream; returns whether it has changed."""
+        entry = self._entries.get(upstream)
+        if entry is None or entry.started_ms != started_ms:
+            return False
+        if rate == self._send_limits.get(upstream):
+            return False
+        if rate is None:
+            del self._send_limits[upstream]
+        else:
+            self._send_limits[upstream] = rate
+        logs.bind(upstream=upstream, rate=rate).info(
+            "upstream {} the rate of its requests",
+            "no longer limits" if rate is None else "limits",
+        )
+        self._handle(self._make_limit_event(upstream))
+        return True
+
+    def _make_limit_event(self, upstream: str) -> cell_events.SendLimitChanged:
+        return cell_events.SendLimitChanged(
+            upstream,
+            self._send_limits.get(upstream),
+            1.0 / max(1, self._dependencies.count_instances()),
+        )
+
     def record_prompt(self, upstream: str, tokens: int) -> None:
         """Records that another instance sent a prompt to an engine."""
         self._handle(cell_events.PromptSent(upstream, tokens))
@@ -322,6 +395,7 @@
         changed = {entry.upstream: entry for entry in entries}
         if not changed:
             return
+        self._drop_old_limits(changed)
         self._entries.update(changed)
         entries = changed.values()
         events = self._make_events(entries, self._find_orderable(entries))
@@ -340,9 +414,20 @@
             del self._entries[name]
             self._leaving.discard(name)
             self._on_trial.discard(name)
+            self._send_limits.pop(name, None)
             self._ready_at.pop(name, None)
         return [cell_events.UpstreamLost(name) for name in upstreams]
 
+    def _drop_old_limits(
+        self, entries: Mapping[str, upstream_entries.UpstreamEntry]
+    ) -> None:
+        """Drops the limits of upstreams that have restarted."""
+        for name in list(self._send_limits):
+            entry = entries.get(name)
+            known = self._entries[name]
+            if entry is not None and entry.started_ms != known.started_ms:
+                del self._send_limits[name]
+
     def refresh_health(self) -> None:
         """Stops or resumes new requests to upstreams as their health says."""
         now = anyio.current_time()
@@ -422,6 +507,8 @@
         for entry in entries:
             accepts_loads = orderable[entry.zone]
             events.append(self._make_snapshot(entry, now, accepts_loads))
+            if entry.upstream in self._send_limits:
+                events.append(self._make_limit_event(entry.upstream))
             events.extend(self._set_leaving(entry, avoided, on_trial))
         return events
 
@@ -477,6 +564,7 @@
             )
         }
         events = self._remove(self._entries.keys() - entries.keys())
+        self._drop_old_limits(entries)
         self._entries = entries
         self._orderable = self._find_orderable(entries.values())
         events.extend(self._make_events(entries.values(), self._orderable))
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -154,6 +154,24 @@
     tokens: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SendLimitNotice:
+    """Announces the limit of an upstream, and requests sent under it.
+
+    Attributes:
+        upstream: Instance id of the upstream.
+        started_ms: Its start time, which identifies its incarnation.
+        rate: Requests per second that it takes from all instances together;
+            None if it no longer names a limit.
+        sent: Number of requests that the sender sends to it now.
+    """
+
+    upstream: str
+    started_ms: int
+    rate: float | None
+    sent: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CrashNotice:
     """Announces which requests were lost as an upstream ended.
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -394,6 +394,7 @@
     | entry_messages.ObjectsNotice
     | entry_messages.ObjectsRequest
     | entry_messages.PromptNotice
+    | entry_messages.SendLimitNotice
     | entry_messages.StreamsNotice
     | entry_messages.StreamQuery
     | entry_messages.StreamReply
@@ -436,4 +437,5 @@
     34: entry_messages.StreamQuery,
     35: entry_messages.StreamReply,
     36: entry_messages.CrashNotice,
+    37: entry_messages.SendLimitNotice,
 }
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -61,6 +61,7 @@
         views: Their tracked states.
         snapshots: Engines of which snapshots were made, in order.
         unordered: Availability zones where no loads may be ordered.
+        limits: Announced limits of engines.
     """
 
     tasks: anyio.abc.TaskGroup
@@ -72,6 +73,9 @@
     )
     snapshots: list[str] = dataclasses.field(default_factory=list)
     unordered: set[str] = dataclasses.field(default_factory=set)
+    limits: list[entry_messages.SendLimitNotice] = dataclasses.field(
+        default_factory=list
+    )
 
     def make_cell(self) -> service_cell.ServiceCell:
         """Returns a cell that has read the engines."""
@@ -88,6 +92,8 @@
                 ),
                 find_version=lambda model, adapter: 0,
                 announce_prompt=lambda upstream, tokens: None,
+                announce_limit=self.limits.append,
+                count_instances=lambda: 2,
                 load=self._load,
                 record_exit=lambda entry: None,
                 tasks=self.tasks,
