Load no adapters for requests that send limits hold back

Cause: an engine with a send limit runs little, so it is cheap to load on, and the next request found its limit used up and loaded the adapter elsewhere; its replicas halved the value of those at other engines. Change: engines with a limit get no loads while another one has none; only replicas at engines without a limit count when slots are valued; once all have a limit, an adapter gets no further replicas, and a request waits for limits for 2 s at most, as clients leave then.

--- a/src/tamaracktide/core/admission.py
+++ b/src/tamaracktide/core/admission.py
@@ -21,6 +21,10 @@
 SHARED_SLOTS_FRACTION = 0.9
 """Fraction of the adapter slots that fair shares divide."""
 
+MAX_LIMIT_WAIT_S = 2.0
+"""Longest wait for the limits of upstreams. Clients leave after 2 s or more
+without data."""
+
 CHECKED_WAITERS = 8
 """Approximate number of later requests whose deadlines are checked before a
 request is admitted."""
@@ -83,7 +87,7 @@
         account = self._queue.get_account(submit.customer)
         expires_at = self.compute_expiry(submit, now)
         limit_wait_s = self._predict_limit_wait_s(submit.avoid, now)
-        if now + limit_wait_s >= expires_at:
+        if limit_wait_s > min(MAX_LIMIT_WAIT_S, expires_at - now):
             return _Code.DEADLINE_UNREACHABLE
         if self._meets_deadlines(account, expires_at, now):
             return None
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -85,6 +85,23 @@
         """Returns how many engines serve or are loading an adapter."""
         return len(self._slots_by_adapter.get(key, {}))
 
+    def count_unlimited_replicas(self, key: rows.AdapterKey) -> int:
+        """Returns the same, without engines that are passed over."""
+        names = self._slots_by_adapter.get(key, {})
+        return sum(not self.is_passed_over(self.engines[n]) for n in names)
+
+    def is_passed_over(self, engine: cell_state.Engine) -> bool:
+        """Whether an engine has a send limit and a usable one has none."""
+        return engine.send_limit is not None and self.has_unlimited
+
+    @property
+    def has_unlimited(self) -> bool:
+        """Whether a usable engine takes requests at any rate."""
+        return any(
+            engine.send_limit is None and not engine.leaving
+            for engine in self.engines.values()
+        )
+
     def reserve(self, engine: cell_state.Engine, slot: cell_state.Slot) -> None:
         """Excludes a slot from grants, so that it is evicted once idle."""
         self.changes += 1
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -277,11 +277,10 @@
         replicas = 0
         if not self._inventory.count_replicas(group_key.key):
             return True, False
+        if not self._inventory.has_unlimited:
+            # Another replica does not raise the rate of the limits.
+            return False, False
         packed = self._find_packed(group_key.key, group_key.avoid, now)
-        has_unlimited = any(
-            engine.send_limit is None
-            for engine in self._inventory.list_usable()
-        )
         for engine, slot in self._inventory.find_slots(group_key.key):
             if engine.name in group_key.avoid:
                 continue
@@ -289,9 +288,7 @@
                 continue
             if slot.state is cell_state.SlotState.LOADING:
                 return False, False
-            if engine.exclusive:
-                continue
-            if engine.find_next_send(now) > now and has_unlimited:
+            if engine.exclusive or engine.find_next_send(now) > now:
                 continue
             replicas += 1
             running += engine.running
@@ -342,8 +339,8 @@
         """Returns the engines that may load an adapter, in order of preference.
 
         Engines that have the adapter in their host memory come first. Within
-        both groups, the order is the adapter's rendezvous order. Engines whose
-        limit allows no request now are used only if that holds for all.
+        both groups, the order is the adapter's rendezvous order. Engines with
+        a send limit are used only if all have one.
         """
         eligible = {
             engine.name: engine
@@ -354,13 +351,8 @@
             and engine.name not in avoid
             and not self.backoff.blocks(key, engine.name, now)
             and self._inventory.find_slot(engine, key) is None
+            and not self._inventory.is_passed_over(engine)
         }
-        sendable = {
-            name: engine
-            for name, engine in eligible.items()
-            if engine.find_next_send(now) <= now
-        }
-        eligible = sendable or eligible
         ranked = [
             eligible[name]
             for name in rendezvous.sort_members(key.text, eligible)
@@ -438,7 +430,7 @@
         if slot.state is cell_state.SlotState.RESERVED or slot.retiring:
             return 0.0
         rate = self.popularity.predict(slot.key, now)
-        rate /= max(1, self._inventory.count_replicas(slot.key))
+        rate /= max(1, self._inventory.count_unlimited_replicas(slot.key))
         waiting = self._queue.count_waiting(slot.key)
         rate *= self.find_slot_factor(slot.customer)
         return rate + WAITING_RATE * waiting
--- a/tests/core/test_spread_cell.py
+++ b/tests/core/test_spread_cell.py
@@ -339,3 +339,48 @@
     running = dict.fromkeys(ENGINES, 5)
     running["e4"] = 4
     assert {_grant_first(seed, running) for seed in range(60)} == {"e4"}
+
+
+def _count_loads(event: str, seed: int) -> tuple[int, int]:
+    """Plays more adapters than slots; two engines are affected after 20 s.
+
+    Args:
+        event: What happens to them, `limited` or `leaving`.
+        seed: Seed of the requests.
+
+    Returns:
+        The numbers of loads and of grants from then on.
+    """
+    rng = random.Random(seed)
+    loop = _Loop(_make_cell(seed=seed))
+    weights = [1.0 / (rank + 3) for rank in range(300)]
+    loads = grants = 0
+    for number in range(1200):
+        now = number * 0.05
+        loop.run_until(now)
+        if now == 20.0:
+            loads, grants = len(loop.loads), len(loop.grants)
+            for name in ENGINES[:2]:
+                change: cell_events.CellEvent = (
+                    cell_events.SendLimitChanged(name, 2.0)
+                    if event == "limited"
+                    else cell_events.UpstreamLeaving(name)
+                )
+                loop.feed(change, now)
+        rank = rng.choices(range(300), weights)[0]
+        key = rows.AdapterKey(f"m/a{rank}", "")
+        loop.feed(_submit(f"r{number}", key, 200), now)
+    return len(loop.loads) - loads, len(loop.grants) - grants
+
+
+def test_limited_engines_cause_no_more_loads_than_leaving_ones() -> None:
+    """Guards against loads on engines that cannot run the requests (LIMIT).
+
+    Load pattern: more adapters than slots, while two of six engines limit the
+    rate of their requests.
+    """
+    for seed in (1, 2, 3):
+        limited, granted = _count_loads("limited", seed)
+        leaving, granted_without = _count_loads("leaving", seed)
+        assert limited <= leaving
+        assert granted >= granted_without
