--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -374,6 +374,7 @@
                 count_instances=self._count_instances,
                 load=self._loader.load,
                 record_exit=self.crashes.record_exit,
+                backend=self._upstream_client.backend,
                 tasks=self._tasks,
             ),
         )
--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -6,10 +6,12 @@
 
 import anyio
 import anyio.abc
+import httpcore
 
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import upstream_health
 from tamaracktide.observability import logs
+from tamaracktide.upstreams import network
 
 CONNECT_PERIOD_S = 0.6
 """Pause between two connection attempts to an upstream, and their timeout: a
@@ -32,6 +34,7 @@
     """
 
     __slots__ = (
+        "_backend",
         "_checking",
         "_health",
         "_is_known",
@@ -46,6 +49,7 @@
         is_known: Callable[[str], bool],
         refresh: Callable[[], None],
         record_exit: Callable[[upstream_entries.UpstreamEntry], None],
+        backend: network.Backend,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Starts without connection attempts.
@@ -55,8 +59,10 @@
             is_known: Returns whether the service still has an upstream.
             refresh: Called when an outcome changes the set of used upstreams.
             record_exit: Called when an upstream refuses connections.
+            backend: Opens the connections.
             tasks: Task group that runs the connection attempts.
         """
+        self._backend = backend
         self._health = health
         self._is_known = is_known
         self._refresh = refresh
@@ -104,20 +110,19 @@
     async def _try_connect(
         self, entry: upstream_entries.UpstreamEntry
     ) -> Contact:
-        contact = await _connect(entry.address)
+        contact = await _connect(self._backend, entry.address)
         if contact is Contact.REFUSED:
             self._record_exit(entry)
         return contact
 
 
-async def _connect(address: str) -> Contact:
+async def _connect(backend: network.Backend, address: str) -> Contact:
     host, _, port = address.rpartition(":")
     try:
-        with anyio.fail_after(CONNECT_PERIOD_S):
-            stream = await anyio.connect_tcp(host, int(port))
-    except TimeoutError:
+        stream = await backend.connect_tcp(host, int(port), CONNECT_PERIOD_S)
+    except httpcore.ConnectTimeout:
         return Contact.SILENT
-    except OSError as error:
+    except httpcore.ConnectError as error:
         is_refused = isinstance(error.__cause__, ConnectionRefusedError)
         return Contact.REFUSED if is_refused else Contact.SILENT
     await stream.aclose()
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -37,6 +37,7 @@
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.observability import logs
 from tamaracktide.protocol import entry_messages
+from tamaracktide.upstreams import network
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +77,7 @@
         count_instances: Returns the number of instances.
         load: Requests the load of an adapter and waits for its end.
         record_exit: Called when an upstream refuses connections.
+        backend: Opens the connections that check upstreams.
         tasks: Task group that runs the loads and timers.
     """
 
@@ -86,6 +88,7 @@
     count_instances: Callable[[], int]
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
     record_exit: Callable[[upstream_entries.UpstreamEntry], None]
+    backend: network.Backend
     tasks: anyio.abc.TaskGroup
 
 
@@ -130,6 +133,7 @@
             lambda upstream: upstream in self._entries,
             self.refresh_health,
             dependencies.record_exit,
+            dependencies.backend,
             dependencies.tasks,
         )
 
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -256,12 +256,25 @@
 
 
 class StreamClient:
-    """Opens streamed responses and reuses idle connections."""
+    """Opens streamed responses and reuses idle connections.
 
-    def __init__(self, settings: upstream_settings.UpstreamSettings) -> None:
-        """Creates a client without opening connections."""
+    Attributes:
+        backend: Opens its connections.
+    """
+
+    def __init__(
+        self,
+        settings: upstream_settings.UpstreamSettings,
+        backend: network.Backend | None = None,
+    ) -> None:
+        """Creates a client without opening connections.
+
+        Args:
+            settings: Settings of its calls.
+            backend: Opens its connections.
+        """
+        self.backend = backend or network.Backend()
         self._settings = settings
-        self._backend = network.Backend()
         self._idle: dict[str, list[_Connection]] = {}
 
     async def __aenter__(self) -> Self:
@@ -344,7 +357,7 @@
     async def _connect(self, address: str) -> _Connection | calls.Failure:
         host, _, port = address.rpartition(":")
         try:
-            stream = await self._backend.connect_tcp(
+            stream = await self.backend.connect_tcp(
                 host,
                 int(port),
                 self._settings.connect_timeout_s,
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -11,6 +11,7 @@
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import reachability
+from tamaracktide.upstreams import network
 
 pytestmark = pytest.mark.anyio
 
@@ -82,6 +83,7 @@
             lambda _: True,
             upstream.refresh,
             upstream.exits.append,
+            network.Backend(),
             tasks,
         )
         tasks.cancel_scope.cancel()
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -19,6 +19,7 @@
 from tamaracktide.entry import service_cell
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.protocol import entry_messages
+from tamaracktide.upstreams import network
 
 pytestmark = pytest.mark.anyio
 
@@ -96,6 +97,7 @@
                 count_instances=lambda: 2,
                 load=self._load,
                 record_exit=lambda entry: None,
+                backend=network.Backend(),
                 tasks=self.tasks,
             ),
         )
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -15,6 +15,7 @@
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import program
 from tamaracktide.entry import settings as entry_settings
+from tamaracktide.upstreams import network
 from tamaracktide.upstreams import settings as upstream_settings
 from tamaracktide.upstreams import streams
 
@@ -119,6 +120,7 @@
     store_address: str = "",
     zone: str = "z1",
     bounds: entry_settings.Bounds | None = None,
+    backend: network.Backend | None = None,
 ) -> AsyncIterator[Instance]:
     """Runs an instance and waits until the cell's lease is held."""
     ports = [deployment.find_port() for _ in range(4)]
@@ -137,7 +139,7 @@
     store = fleet_adapter.open_store(settings.platform_address)
     async with (
         streams.StreamClient(
-            upstream_settings.UpstreamSettings()
+            upstream_settings.UpstreamSettings(), backend
         ) as upstream_client,
         httpcore.AsyncConnectionPool() as pool,
         anyio.create_task_group() as tasks,
