Serve through a peer while no upstream is reachable

Cause: an instance served through its own connections only, and found out that it reaches no upstream by one failed request for each of them. Each refused connection counted as the end of an upstream and was announced as such.

A response counts with an upstream's signature only; a peer's own refusal is not run, anything else may have run. A stream that began at a peer goes on at one. - Reports name the services of which the sender reaches no upstream; results of such an instance are not reported. - A refused connection counts as an exit once another upstream was reached after it, which is checked if no response shows it.

Ruled out: leaving the rotation (open connections stay, and a zone of which most instances left is used again).

--- a/src/tamaracktide/core/upstream_health.py
+++ b/src/tamaracktide/core/upstream_health.py
@@ -195,7 +195,7 @@
 
     def list_avoided(self, upstreams: list[str], now: float) -> set[str]:
         """Returns the upstreams of a service that receive no new requests."""
-        unreachable = self._list_unreachable(upstreams)
+        unreachable = self.list_unreachable(upstreams)
         if not upstreams or len(unreachable) == len(upstreams):
             return set()
         return unreachable | {
@@ -212,7 +212,8 @@
             if now >= self._records[name].avoid_until
         }
 
-    def _list_unreachable(self, upstreams: list[str]) -> set[str]:
+    def list_unreachable(self, upstreams: list[str]) -> set[str]:
+        """Returns those of some upstreams that no connection reaches."""
         return {
             name
             for name in upstreams
@@ -224,7 +225,7 @@
         is_failing = any(r.needs_trial for r in self._records.values())
         if not upstreams or not is_failing:
             return []
-        unreachable = self._list_unreachable(upstreams)
+        unreachable = self.list_unreachable(upstreams)
         least_rate = max(
             AVOID_FAILURE_RATE,
             MIN_EXCESS_FAILURE_RATE
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -1,6 +1,7 @@
 """The ASGI application for clients: validates and forwards requests."""
 
 from collections.abc import Callable
+import dataclasses
 import random
 
 import anyio
@@ -67,7 +68,23 @@
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
-        """Serves one request."""
+        """Serves one request of a client."""
+        await self._accept(scope, receive, send, is_relayed=False)
+
+    async def serve_relayed(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves one request that another instance sent on."""
+        await self._accept(scope, receive, send, is_relayed=True)
+
+    async def _accept(
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        *,
+        is_relayed: bool,
+    ) -> None:
         if scope["type"] != "http":
             return
         responder = responses.Responder(send, close=self.close_connections)
@@ -75,7 +92,7 @@
         self._request_scopes.add(request_scope)
         try:
             with request_scope:
-                await self._serve(scope, receive, responder)
+                await self._serve(scope, receive, responder, is_relayed)
         finally:
             self._request_scopes.discard(request_scope)
 
@@ -94,6 +111,7 @@
         scope: asgi.Scope,
         receive: asgi.Receive,
         responder: responses.Responder,
+        is_relayed: bool,
     ) -> None:
         started_at = anyio.current_time()
         headers: requests.Headers = tuple(scope["headers"])
@@ -103,6 +121,7 @@
             request = await self._read_request(
                 scope, receive, headers, fields, started_at
             )
+            request = dataclasses.replace(request, is_relayed=is_relayed)
             outcome.route = request.route.name
             self._record_request(request)
             await self._serve_until_disconnect(
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -14,6 +14,7 @@
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import hedging
 from tamaracktide.entry import outcomes
+from tamaracktide.entry import peer_forwarding
 from tamaracktide.entry import placements
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import requests
@@ -79,6 +80,7 @@
         retries: retry_window.RetryWindowSettings,
         count_instances: Callable[[], int],
         resumption: entry_resumption.Resumption,
+        peer_forwarder: peer_forwarding.PeerForwarder,
         metrics: metrics_module.Metrics,
     ) -> None:
         """Builds a forwarder for all services."""
@@ -93,6 +95,7 @@
             self._sender, self._outcomes, crashes, metrics
         )
         self._resumption = resumption
+        self._peer_forwarder = peer_forwarder
         self._retries = retries
         self._count_instances = count_instances
         self._metrics = metrics
@@ -195,6 +198,9 @@
         self, run: runs.Run, avoid: tuple[str, ...]
     ) -> tuple[attempts.Action, results.Result | None]:
         """Runs an attempt, and those that take over while it is silent."""
+        peer = self._find_peer(run)
+        if peer is not None:
+            return await self._run_at_peer(run, peer)
         try:
             placement = await placements.acquire(run, self._crashes, avoid)
         except errors.RefusalError as error:
@@ -209,6 +215,46 @@
         while attempt.successor is not None:
             attempt = attempt.successor
             result = await self._finish(run, attempt)
+        return self._conclude(run, result)
+
+    def _find_peer(self, run: runs.Run) -> str | None:
+        """Returns the instance to send a request to; None for an upstream.
+
+        A stream that began at a peer goes on at one, as they know the software
+        version that began it.
+        """
+        if run.request.is_relayed:
+            return None
+        progress = run.progress
+        began_at_peer = bool(progress.events) and progress.software is None
+        if not (run.cell.reachability.is_cut_off or began_at_peer):
+            return None
+        return self._peer_forwarder.choose(run.request.service.name, run.peers)
+
+    async def _run_at_peer(
+        self, run: runs.Run, peer: str
+    ) -> tuple[attempts.Action, results.Result | None]:
+        """Runs an attempt at another instance."""
+        run.peers.append(peer)
+        run.tries.handle(attempts.Granted(peer))
+        run.tries.handle(attempts.Dispatched())
+        attempt = self._peer_forwarder.make_attempt(run, peer)
+        opened = await self._peer_forwarder.open(run, attempt)
+        result: results.Result
+        if isinstance(opened, streams.StreamedResponse):
+            result = await self._handle_response(run, attempt, opened)
+        else:
+            result = opened
+        if not isinstance(result, results.Completed):
+            logs.bind(request_id=run.request.request_id, peer=peer).info(
+                "attempt at a peer failed: {}", result.detail
+            )
+        return self._conclude(run, result)
+
+    def _conclude(
+        self, run: runs.Run, result: results.Result
+    ) -> tuple[attempts.Action, results.Result]:
+        """Passes the result of an attempt to the state machine."""
         match result:
             case results.Completed():
                 return run.tries.handle(attempts.Completed()), result
@@ -339,7 +385,7 @@
                 return results.LostResponse(
                     f"event {block.last_id} is out of order"
                 )
-            if progress.software is None:
+            if progress.software is None and not attempt.is_relayed:
                 progress.software = attempt.placement.entry.software
                 self._resumption.record_begin(run.request, progress.software)
             events = block.data.count(event_stream.EVENT_END)
--- /dev/null
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -0,0 +1,166 @@
+"""Sends requests through other instances while no upstream is reachable.
+
+An instance that is cut off from the upstreams of a service passes its requests
+on to a peer that reaches them. The peer handles them as those of its own
+clients, but never passes them on again.
+"""
+
+from collections.abc import Collection
+import random
+
+import anyio
+
+from tamaracktide.core import rows
+from tamaracktide.core import upstream_entries
+from tamaracktide.entry import peers as entry_peers
+from tamaracktide.entry import platform_adapter as entry_adapter
+from tamaracktide.entry import results
+from tamaracktide.entry import runs
+from tamaracktide.entry import sending
+from tamaracktide.entry import service_cell
+from tamaracktide.entry import settings as entry_settings
+from tamaracktide.observability import logs
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import streams
+
+TOKEN_HEADER = b"x-tamaracktide-token"
+
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses of an instance that state that a request has not run."""
+
+
+class PeerForwarder:
+    """Chooses peers and sends requests to them.
+
+    Attributes:
+        peers: The links; set after construction.
+    """
+
+    def __init__(
+        self,
+        settings: entry_settings.EntrySettings,
+        adapter: entry_adapter.PlatformAdapter,
+        client: streams.StreamClient,
+    ) -> None:
+        """Builds a forwarder; `peers` must be set before the first request.
+
+        Args:
+            settings: The instance's settings.
+            adapter: Translates headers.
+            client: Sends the requests.
+        """
+        self.peers: entry_peers.Peers | None = None
+        self._settings = settings
+        self._adapter = adapter
+        self._client = client
+
+    def choose(self, service: str, tried: Collection[str]) -> str | None:
+        """Returns an instance that reaches the upstreams of a service.
+
+        Instances of the same availability zone come first. A member of a large
+        cluster knows its relay only, and otherwise tries any instance.
+
+        Args:
+            service: Name of the service.
+            tried: Instances that did not run the request.
+        """
+        peers = self.peers
+        if peers is None:
+            return None
+        linked = peers.list_linked()
+        usable = [
+            peer
+            for peer in linked
+            if peer.instance not in tried
+            and not peer.draining
+            and service not in peer.cut_off
+        ]
+        if usable:
+            zone = self._settings.availability_zone
+            near = [peer for peer in usable if peer.zone == zone]
+            return random.choice(near or usable).instance
+        known = {peer.instance for peer in linked}
+        others = peers.list_instances() - known - set(tried)
+        return random.choice(sorted(others)) if others else None
+
+    def make_attempt(self, run: runs.Run, instance: str) -> runs.Attempt:
+        """Returns the attempt that sends a request to an instance."""
+        entry = upstream_entries.UpstreamEntry(
+            upstream=instance,
+            service=run.request.service.name,
+            address=self._find_address(instance),
+            zone="",
+            batch_limit=0,
+        )
+        return runs.Attempt(
+            service_cell.Placement(
+                grant_id="",
+                entry=entry,
+                key=rows.AdapterKey("", ""),
+                waited_s=0.0,
+            ),
+            is_relayed=True,
+        )
+
+    def _find_address(self, instance: str) -> str:
+        assert self.peers is not None
+        port = self._settings.effective_forward_port
+        return f"{self.peers.find_ip(instance)}:{port}"
+
+    async def open(
+        self, run: runs.Run, attempt: runs.Attempt
+    ) -> sending.OpenResult:
+        """Sends a request to an instance and returns its response."""
+        request, progress = run.request, run.progress
+        time_left_s = request.expires_at - anyio.current_time()
+        if time_left_s < sending.MIN_SEND_TIME_S:
+            return results.NotRun("too little time left to send the request")
+        headers = self._adapter.make_relayed_headers(
+            request, time_left_s, progress.last_id
+        )
+        token = (TOKEN_HEADER, self._settings.inner_token.encode("latin-1"))
+        logs.bind(
+            request_id=request.request_id,
+            service=request.service.name,
+            peer=attempt.upstream,
+        ).info("no upstream reachable: request sent to a peer")
+        progress.upstreams.append(attempt.upstream)
+        opened = await self._client.open(
+            calls.Call(
+                method=request.method,
+                address=attempt.placement.entry.address,
+                target=request.target,
+                headers=(*headers, token),
+                body=request.body,
+                timeout_s=time_left_s,
+            )
+        )
+        if isinstance(opened, calls.Failure):
+            if not opened.may_have_run:
+                return results.NotRun(opened.detail, unreachable=True)
+            return results.make_lost_response(opened)
+        failure = self._check(run, opened)
+        if failure is None:
+            return opened
+        await opened.close()
+        return failure
+
+    def _check(
+        self, run: runs.Run, opened: streams.StreamedResponse
+    ) -> results.NotRun | results.LostResponse | None:
+        """Returns why a response must not be forwarded, or None."""
+        fields = self._adapter.parse_response_headers(
+            opened.status, opened.headers
+        )
+        if fields.request_id and fields.request_id != run.request.request_id:
+            return results.LostResponse(
+                f"response belongs to another request: {fields.request_id!r}"
+            )
+        if not fields.signed and opened.status in NOT_RUN_STATUSES:
+            return results.NotRun(f"peer refused with {opened.status}")
+        is_success = 200 <= opened.status < 300
+        if is_success and not (fields.signed and fields.request_id):
+            return results.LostResponse(
+                "successful response without a signature or request id"
+            )
+        return None
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -137,6 +137,8 @@
             from this link only.
         incarnation: Its last observed incarnation.
         zone: Its availability zone.
+        cut_off: Services of which it reaches no upstream.
+        draining: Whether it is shutting down.
     """
 
     instance: str
@@ -145,6 +147,8 @@
     stream: Link | None = None
     incarnation: str = ""
     zone: str = ""
+    cut_off: frozenset[str] = frozenset()
+    draining: bool = False
 
     @property
     def is_relay(self) -> bool:
@@ -275,6 +279,14 @@
         """Returns the peers with an open link."""
         return [peer for peer in self.known.values() if peer.links]
 
+    def list_instances(self) -> set[str]:
+        """Returns the ids of all other registered instances."""
+        return set(self._addresses) - {self._settings.instance}
+
+    def find_ip(self, instance: str) -> str:
+        """Returns the address of an instance; empty if it is unknown."""
+        return self._addresses.get(instance, "")
+
     def list_relays(self) -> list[Peer]:
         """Returns the linked peers that are relays."""
         return [peer for peer in self.list_linked() if peer.is_relay]
@@ -489,6 +501,7 @@
         if peer_connection.peer.incarnation != peer.incarnation:
             peer.incarnation = peer_connection.peer.incarnation
             peer.report = None
+            peer.cut_off, peer.draining = frozenset(), False
         link = Link(
             outbox.Outbox(peer_connection, MAX_QUEUED),
             peer_connection,
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -132,6 +132,20 @@
     ) -> requests.Headers:
         """Returns the headers of a forwarded request."""
 
+    def make_relayed_headers(
+        self,
+        request: requests.ClientRequest,
+        time_left_s: float,
+        resume_after: int | None,
+    ) -> requests.Headers:
+        """Returns the headers of a request that a peer is to forward.
+
+        Args:
+            request: The request.
+            time_left_s: Time until it expires.
+            resume_after: Id of the event after which to resume, or None.
+        """
+
     def parse_response_headers(
         self, status: int, headers: requests.Headers
     ) -> ResponseFields:
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -21,6 +21,7 @@
 from tamaracktide.entry import lease_manager
 from tamaracktide.entry import loader as entry_loader
 from tamaracktide.entry import object_exchange
+from tamaracktide.entry import peer_forwarding
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import report_exchange
@@ -98,6 +99,9 @@
         self._resumption = entry_resumption.Resumption(
             settings.instance, self._is_view_current
         )
+        self._peer_forwarder = peer_forwarding.PeerForwarder(
+            settings, adapter, upstream_client
+        )
         self._peers = entry_peers.Peers(
             settings,
             uuid.uuid4().hex[:12],
@@ -112,6 +116,7 @@
         )
         self._exchange.peers = self._peers
         self._resumption.peers = self._peers
+        self._peer_forwarder.peers = self._peers
         self._objects = object_exchange.ObjectExchange(
             settings,
             adapter.collections,
@@ -209,6 +214,7 @@
             ),
             self._count_instances,
             self._resumption,
+            self._peer_forwarder,
             self._metrics,
         )
 
@@ -315,10 +321,16 @@
             cell.apply_remote_counts(counts)
 
     def _take_results(self) -> report_exchange.ResultsByUpstream:
+        """Returns results to report; those of a cut-off instance mislead."""
+        taken = [
+            (cell.reachability.is_cut_off, cell.health.take_results())
+            for cell in self._cells.values()
+        ]
         return {
             upstream: observed
-            for cell in self._cells.values()
-            for upstream, observed in cell.health.take_results().items()
+            for is_cut_off, results in taken
+            if not is_cut_off
+            for upstream, observed in results.items()
         }
 
     def _apply_results(
@@ -490,6 +502,11 @@
             store_silent_s=self._objects.store_silent_s,
             quarantined=self.crashes.list_announced(),
             draining=self._servers.draining,
+            cut_off=tuple(
+                name
+                for name, cell in self._cells.items()
+                if cell.reachability.is_cut_off
+            ),
         )
 
     def _handle_message(
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -55,6 +55,7 @@
             responds, `NOT_USED_S` if it does not use the store.
         quarantined: Requests and parts of prompts that crash upstreams.
         draining: Whether it is shutting down.
+        cut_off: Services of which it reaches no upstream.
     """
 
     running: running_counts.Counts
@@ -64,6 +65,7 @@
     store_silent_s: float
     quarantined: crash_evidence.Quarantined
     draining: bool
+    cut_off: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -241,6 +243,7 @@
     ) -> None:
         """Applies the report of a member or of another relay."""
         before, peer.report = peer.report, report
+        peer.cut_off, peer.draining = frozenset(report.cut_off), report.draining
         if report.draining:
             self._get_peers().avoid_draining(peer.instance)
         if before is None or before.is_relay != report.is_relay:
@@ -300,6 +303,7 @@
         peers = self._get_peers()
         if peers.is_relay:
             return
+        peer.cut_off, peer.draining = frozenset(report.cut_off), report.draining
         if report.draining:
             peers.avoid_draining(peer.instance)
         if peer.instance != peers.relay:
@@ -411,6 +415,7 @@
             quarantined=own.quarantined.requests,
             quarantined_parts=own.quarantined.parts,
             draining=own.draining,
+            cut_off=own.cut_off,
         )
 
     def _make_relay_report(
@@ -508,6 +513,7 @@
             quarantined=quarantined.requests,
             quarantined_parts=quarantined.parts,
             draining=own.draining,
+            cut_off=own.cut_off,
         )
 
     def _put_all(
--- a/src/tamaracktide/entry/requests.py
+++ b/src/tamaracktide/entry/requests.py
@@ -53,6 +53,7 @@
         resumed_request: Id of the client's attempt that began the stream which
             this one resumes; empty if unknown.
         fingerprint: Hash of target and body, equal for all attempts.
+        is_relayed: Whether another instance sent it on.
     """
 
     request_id: str
@@ -68,6 +69,7 @@
     resume_after: int | None = None
     resumed_request: str = ""
     fingerprint: str = ""
+    is_relayed: bool = False
 
     @property
     def parts(self) -> tuple[str, ...]:
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -28,6 +28,7 @@
         progress: How much of the response the client has received.
         tries: State machine of its attempts.
         cell: Grants its batch slots.
+        peers: Instances that the request was sent to.
     """
 
     request: requests.ClientRequest
@@ -35,6 +36,7 @@
     progress: results.Progress
     tries: attempts.Attempts
     cell: service_cell.ServiceCell
+    peers: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -50,6 +52,7 @@
         is_hedged: Whether another upstream may answer instead.
         is_lost: Whether its connection has ended while it was silent.
         successor: The attempt that takes over; None while there is none.
+        is_relayed: Whether it was sent to another instance.
     """
 
     placement: service_cell.Placement
@@ -60,6 +63,7 @@
     is_hedged: bool = False
     is_lost: bool = False
     successor: "Attempt | None" = None
+    is_relayed: bool = False
 
     @property
     def has_delivered(self) -> bool:
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -138,9 +138,9 @@
                 f"response belongs to another request: {fields.request_id!r}"
             )
         if fields.request_id:
-            self._find_cell(request.service).record_send_limit(
-                placement.entry, fields.rate_limit
-            )
+            cell = self._find_cell(request.service)
+            cell.reachability.record_contact(placement.entry.upstream)
+            cell.record_send_limit(placement.entry, fields.rate_limit)
         if fields.not_run:
             return results.NotRun(
                 f"status {opened.status}", missing=fields.misdirected
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -130,7 +130,7 @@
         )
         self.reachability = reachability.Reachability(
             self.health,
-            lambda upstream: upstream in self._entries,
+            lambda: self._entries,
             self.refresh_health,
             dependencies.record_exit,
             dependencies.backend,
--- a/src/tamaracktide/entry/serving.py
+++ b/src/tamaracktide/entry/serving.py
@@ -85,6 +85,13 @@
             settings.metrics_port,
             KEEP_ALIVE_S,
         )
+        relayed_server = http_server.make_server(
+            status.RelayedApp(self._app.serve_relayed, settings.inner_token),
+            settings.ip,
+            settings.effective_forward_port,
+            KEEP_ALIVE_S,
+        )
+        self._tasks.start_soon(relayed_server.serve)
         self._tasks.start_soon(readiness_server.serve)
         self._tasks.start_soon(metrics_server.serve)
         async with anyio.create_task_group() as tasks:
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -46,6 +46,8 @@
         readiness_address: Listen address for the load balancer's probes.
         peer_port: Port of the inner protocol, the same on all instances.
         metrics_port: Port of the metrics, at path `/metrics`.
+        forward_port: Port for requests that other instances send on, the same
+            on all instances; the one after `peer_port` by default.
         seeds: Addresses of instances used to discover the others.
         platform_address: Address of the platform's store.
         inner_token: Secret that all instances share; empty for none.
@@ -61,6 +63,7 @@
     peer_port: Port
     metrics_port: Port
     platform_address: Address
+    forward_port: Port | None = None
     seeds: tuple[Address, ...] = ()
     inner_token: str = dataclasses.field(default="", repr=False)
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
@@ -70,6 +73,11 @@
         )
     )
 
+    @property
+    def effective_forward_port(self) -> int:
+        """Port for requests that other instances send on."""
+        return self.forward_port or self.peer_port + 1
+
     @property
     def holder(self) -> str:
         """Lease holder id; a process restarted on the machine keeps it."""
--- a/src/tamaracktide/entry/status.py
+++ b/src/tamaracktide/entry/status.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from tamaracktide.entry import peer_forwarding
 from tamaracktide.gateway import asgi
 from tamaracktide.observability import metrics as metrics_module
 
@@ -44,6 +45,32 @@
         await _respond(send, 200, content_type.encode(), body)
 
 
+class RelayedApp:
+    """Passes on the requests that other instances sent on."""
+
+    def __init__(self, app: asgi.App, token: str) -> None:
+        """Builds the application.
+
+        Args:
+            app: Serves the requests.
+            token: Token that other instances send.
+        """
+        self._app = app
+        self._token = token
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves one request, if its token is right."""
+        if scope["type"] != "http":
+            return
+        header = peer_forwarding.TOKEN_HEADER
+        if asgi.find_header(tuple(scope["headers"]), header) != self._token:
+            await _respond(send, 503, b"", b"")
+            return
+        await self._app(scope, receive, send)
+
+
 async def _respond(
     send: asgi.Send, status: int, content_type: bytes, body: bytes
 ) -> None:
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -81,6 +81,7 @@
         draining: Whether the sender is shutting down.
         results: Results of a member's requests since its last report, of
             upstreams that failed some.
+        cut_off: Services of which the sender reaches no upstream.
     """
 
     sequence: int
@@ -103,6 +104,7 @@
     results: dict[str, upstream_health.Results] = dataclasses.field(
         default_factory=dict
     )
+    cut_off: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -124,6 +126,7 @@
         draining: Whether the relay is shutting down.
         results: Results of the group's requests since the last report, by
             instance and upstream.
+        cut_off: Services of which the relay reaches no upstream.
     """
 
     is_full: bool
@@ -139,6 +142,7 @@
     results: dict[str, dict[str, upstream_health.Results]] = dataclasses.field(
         default_factory=dict
     )
+    cut_off: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import random
 
 import anyio
@@ -75,12 +76,14 @@
 
 @contextlib.asynccontextmanager
 async def _run_reachability(
-    upstream: _Upstream,
+    upstream: _Upstream, *others: upstream_entries.UpstreamEntry
 ) -> AsyncIterator[reachability.Reachability]:
     async with anyio.create_task_group() as tasks:
         yield reachability.Reachability(
             upstream.health,
-            lambda _: True,
+            lambda: {
+                entry.upstream: entry for entry in (upstream.entry, *others)
+            },
             upstream.refresh,
             upstream.exits.append,
             network.Backend(),
@@ -120,3 +123,42 @@
         await anyio.sleep(0.1)
         assert upstream.connections == 1
         assert not upstream.is_avoided()
+
+
+async def test_refusal_counts_as_an_exit_once_another_upstream_responds() -> (
+    None
+):
+    """An upstream that ended is told from an instance that is cut off."""
+    upstream, other = _Upstream(), _Upstream()
+    async with upstream.listen():
+        pass
+    async with other.listen():
+        entry = dataclasses.replace(other.entry, upstream="b")
+        async with _run_reachability(upstream, entry) as checker:
+            checker.check_reachable(upstream.entry)
+            with anyio.fail_after(WAIT_S):
+                while not upstream.exits:
+                    await anyio.sleep(0.01)
+            assert upstream.exits == [upstream.entry]
+            assert not checker.is_cut_off
+
+
+async def test_instance_that_reaches_no_upstream_records_no_exit() -> None:
+    """Guards against crashes announced by an instance without links (RECOVER).
+
+    It checks all upstreams as soon as one refuses a connection.
+    """
+    upstream, other = _Upstream(), _Upstream()
+    async with upstream.listen(), other.listen():
+        pass
+    entry = dataclasses.replace(other.entry, upstream="b")
+    async with _run_reachability(upstream, entry) as checker:
+        checker.check_reachable(upstream.entry)
+        with anyio.fail_after(WAIT_S):
+            while not checker.is_cut_off:
+                await anyio.sleep(0.01)
+        async with upstream.listen(), other.listen():
+            await upstream.wait_for_refresh()
+            await anyio.sleep(reachability.CONNECT_PERIOD_S)
+            assert not checker.is_cut_off
+        assert upstream.exits == []
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -132,6 +132,7 @@
         readiness_address=f"{host}:{ports[1]}",
         peer_port=peer_port or ports[2],
         metrics_port=ports[3],
+        forward_port=cluster.forward_port,
         platform_address=store_address or cluster.address,
         bounds=bounds or entry_settings.Bounds(),
     )
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -504,12 +504,14 @@
         address: `IP:PORT` of the store.
         servers: Servers by name.
         tasks: Task group that runs the HTTP servers.
+        forward_port: Port of all instances for requests sent on.
     """
 
     store: Store
     address: str
     servers: dict[str, Server]
     tasks: anyio.abc.TaskGroup
+    forward_port: int = dataclasses.field(default_factory=deployment.find_port)
 
     async def add_store_proxy(self) -> tuple[StoreProxy, str]:
         """Starts a proxy to the store; returns it and its address."""
