Keep the limit of attempts, and hedge, through peers

Cause: a request that was sent to a peer and failed at both upstreams that its route allows was sent to another peer, which tried two more. A request that is sent on names how many upstreams may run it, and a response that a peer forwarded, or lost, is final.

These go to a peer now, too.

--- a/src/tamaracktide/core/attempts.py
+++ b/src/tamaracktide/core/attempts.py
@@ -335,6 +335,11 @@
         """Whether the last interruption was a progress timeout."""
         return self._silent
 
+    @property
+    def attempts_left(self) -> int:
+        """Number of upstreams that may still run the request."""
+        return max(1, self._settings.max_attempts - self._attempts + 1)
+
     @property
     def last_cause(self) -> str:
         """Name of the result code that caused the last retry."""
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -69,21 +69,31 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Serves one request of a client."""
-        await self._accept(scope, receive, send, is_relayed=False)
+        await self._accept(scope, receive, send, None)
 
     async def serve_relayed(
-        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+        self,
+        scope: asgi.Scope,
+        receive: asgi.Receive,
+        send: asgi.Send,
+        attempts: int,
     ) -> None:
-        """Serves one request that another instance sent on."""
-        await self._accept(scope, receive, send, is_relayed=True)
+        """Serves one request that another instance sent on.
+
+        Args:
+            scope: The ASGI scope.
+            receive: The ASGI receive callable.
+            send: The ASGI send callable.
+            attempts: Number of upstreams that may run it.
+        """
+        await self._accept(scope, receive, send, attempts)
 
     async def _accept(
         self,
         scope: asgi.Scope,
         receive: asgi.Receive,
         send: asgi.Send,
-        *,
-        is_relayed: bool,
+        relayed_attempts: int | None,
     ) -> None:
         if scope["type"] != "http":
             return
@@ -92,7 +102,7 @@
         self._request_scopes.add(request_scope)
         try:
             with request_scope:
-                await self._serve(scope, receive, responder, is_relayed)
+                await self._serve(scope, receive, responder, relayed_attempts)
         finally:
             self._request_scopes.discard(request_scope)
 
@@ -111,7 +121,7 @@
         scope: asgi.Scope,
         receive: asgi.Receive,
         responder: responses.Responder,
-        is_relayed: bool,
+        relayed_attempts: int | None,
     ) -> None:
         started_at = anyio.current_time()
         headers: requests.Headers = tuple(scope["headers"])
@@ -121,7 +131,9 @@
             request = await self._read_request(
                 scope, receive, headers, fields, started_at
             )
-            request = dataclasses.replace(request, is_relayed=is_relayed)
+            request = dataclasses.replace(
+                request, relayed_attempts=relayed_attempts
+            )
             outcome.route = request.route.name
             self._record_request(request)
             await self._serve_until_disconnect(
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -92,7 +92,7 @@
             adapter, upstream_client, find_version, find_cell
         )
         self._hedger = hedging.Hedger(
-            self._sender, self._outcomes, crashes, metrics
+            self._sender, peer_forwarder, self._outcomes, crashes, metrics
         )
         self._resumption = resumption
         self._peer_forwarder = peer_forwarder
@@ -122,7 +122,7 @@
         self._crashes.check_allowed(request)
         tries = attempts.Attempts(
             attempts.RetrySettings(
-                max_attempts=request.route.max_attempts,
+                max_attempts=request.max_attempts,
                 max_unrun=MAX_NOT_RUN_RETRIES,
                 backoff_s=0.005,
                 max_backoff_s=0.05,
@@ -198,9 +198,9 @@
         self, run: runs.Run, avoid: tuple[str, ...]
     ) -> tuple[attempts.Action, results.Result | None]:
         """Runs an attempt, and those that take over while it is silent."""
-        peer = self._find_peer(run)
-        if peer is not None:
-            return await self._run_at_peer(run, peer)
+        attempt = self._peer_forwarder.find_attempt(run)
+        if attempt is not None:
+            return await self._run_at_peer(run, attempt)
         try:
             placement = await placements.acquire(run, self._crashes, avoid)
         except errors.RefusalError as error:
@@ -215,47 +215,25 @@
         while attempt.successor is not None:
             attempt = attempt.successor
             result = await self._finish(run, attempt)
-        return self._conclude(run, result)
-
-    def _find_peer(self, run: runs.Run) -> str | None:
-        """Returns the instance to send a request to; None for an upstream.
-
-        A stream that began at a peer goes on at one, as they know the software
-        version that began it.
-        """
-        if run.request.is_relayed:
-            return None
-        progress = run.progress
-        began_at_peer = bool(progress.events) and progress.software is None
-        if not (run.cell.reachability.is_cut_off or began_at_peer):
-            return None
-        return self._peer_forwarder.choose(run.request.service.name, run.peers)
+        return self._conclude(run, attempt, result)
 
     async def _run_at_peer(
-        self, run: runs.Run, peer: str
+        self, run: runs.Run, attempt: runs.Attempt
     ) -> tuple[attempts.Action, results.Result | None]:
         """Runs an attempt at another instance."""
-        run.peers.append(peer)
-        run.tries.handle(attempts.Granted(peer))
+        run.tries.handle(attempts.Granted(attempt.upstream))
         run.tries.handle(attempts.Dispatched())
-        attempt = self._peer_forwarder.make_attempt(run, peer)
-        opened = await self._peer_forwarder.open(run, attempt)
-        result: results.Result
-        if isinstance(opened, streams.StreamedResponse):
-            result = await self._handle_response(run, attempt, opened)
-        else:
-            result = opened
-        if not isinstance(result, results.Completed):
-            logs.bind(request_id=run.request.request_id, peer=peer).info(
-                "attempt at a peer failed: {}", result.detail
-            )
-        return self._conclude(run, result)
+        result = await self._finish(run, attempt)
+        return self._conclude(run, attempt, result)
 
     def _conclude(
-        self, run: runs.Run, result: results.Result
+        self, run: runs.Run, attempt: runs.Attempt, result: results.Result
     ) -> tuple[attempts.Action, results.Result]:
         """Passes the result of an attempt to the state machine."""
         match result:
+            case results.LostResponse() if attempt.is_relayed:
+                # The peer may have used all attempts.
+                return run.tries.handle(attempts.Expired()), result
             case results.Completed():
                 return run.tries.handle(attempts.Completed()), result
             case results.NotRun():
@@ -314,12 +292,15 @@
     async def _send(
         self, run: runs.Run, attempt: runs.Attempt
     ) -> results.Result:
-        opened = await self._sender.open(
-            run.request,
-            run.progress,
-            attempt.placement,
-            self._hedger.watch(run, attempt),
-        )
+        if attempt.is_relayed:
+            opened = await self._peer_forwarder.open(run, attempt)
+        else:
+            opened = await self._sender.open(
+                run.request,
+                run.progress,
+                attempt.placement,
+                self._hedger.watch(run, attempt),
+            )
         if isinstance(opened, streams.StreamedResponse):
             return await self._handle_response(run, attempt, opened)
         return opened
@@ -337,7 +318,8 @@
             response = await opened.read(sending.MAX_RESPONSE_BYTES)
             if isinstance(response, calls.Failure):
                 return results.make_lost_response(response)
-            if opened.status >= 500 or run.responder.started:
+            is_retried = opened.status >= 500 and not attempt.is_relayed
+            if is_retried or run.responder.started:
                 return results.LostResponse(
                     f"status {opened.status}", response=response
                 )
--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -13,6 +13,7 @@
 from tamaracktide.core import attempts
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import outcomes as entry_outcomes
+from tamaracktide.entry import peer_forwarding
 from tamaracktide.entry import placements
 from tamaracktide.entry import results
 from tamaracktide.entry import runs
@@ -28,11 +29,18 @@
 class Hedger:
     """Finds other upstreams for requests whose upstream is silent."""
 
-    __slots__ = ("_crashes", "_metrics", "_outcomes", "_sender")
+    __slots__ = (
+        "_crashes",
+        "_metrics",
+        "_outcomes",
+        "_peer_forwarder",
+        "_sender",
+    )
 
     def __init__(
         self,
         sender: sending.Sender,
+        peer_forwarder: peer_forwarding.PeerForwarder,
         outcomes: entry_outcomes.OutcomeRecorder,
         crashes: entry_crashes.CrashTracker,
         metrics: metrics_module.Metrics,
@@ -41,11 +49,13 @@
 
         Args:
             sender: Sends the hedged requests.
+            peer_forwarder: Sends them while no upstream is reachable.
             outcomes: Records silent upstreams and failed hedged requests.
             crashes: Refuses requests that crash upstreams.
             metrics: Counts the hedged requests.
         """
         self._sender = sender
+        self._peer_forwarder = peer_forwarder
         self._outcomes = outcomes
         self._crashes = crashes
         self._metrics = metrics
@@ -55,10 +65,10 @@
     ) -> streams.OnSilence | None:
         """Returns what to call when the upstream of an attempt is silent.
 
-        None if the request must run only once. If another upstream takes over,
-        the attempt has a `successor`.
+        None if the request must run only once, or another instance watches its
+        upstream. If another upstream takes over, the attempt has a `successor`.
         """
-        if not run.request.route.safe_to_retry:
+        if attempt.is_relayed or not run.request.route.safe_to_retry:
             return None
         return functools.partial(self._handle_silence, run, attempt)
 
@@ -110,15 +120,17 @@
 
     async def _hedge(self, run: runs.Run, attempt: runs.Attempt) -> None:
         """Sends a hedged request, if a batch slot is granted to it."""
-        avoid = (*run.tries.avoid, attempt.upstream)
-        try:
-            placement = await placements.acquire(
-                run, self._crashes, avoid, is_hedge=True
-            )
-        except errors.RefusalError as error:
-            _log(run, attempt, "hedged request refused: {}", error)
-            return
-        hedge = runs.Attempt(placement)
+        hedge = self._peer_forwarder.find_attempt(run)
+        if hedge is None:
+            avoid = (*run.tries.avoid, attempt.upstream)
+            try:
+                placement = await placements.acquire(
+                    run, self._crashes, avoid, is_hedge=True
+                )
+            except errors.RefusalError as error:
+                _log(run, attempt, "hedged request refused: {}", error)
+                return
+            hedge = runs.Attempt(placement)
         result: results.Result | None = None
         try:
             result = await self._send(run, attempt, hedge)
@@ -141,9 +153,12 @@
         result: results.Result | None = None
         attempt.is_hedged = True
         try:
-            opened = await self._sender.open(
-                run.request, run.progress, hedge.placement, None
-            )
+            if hedge.is_relayed:
+                opened = await self._peer_forwarder.open(run, hedge)
+            else:
+                opened = await self._sender.open(
+                    run.request, run.progress, hedge.placement, None
+                )
             if isinstance(opened, streams.StreamedResponse):
                 result = await self._check(run, opened)
             else:
@@ -175,12 +190,10 @@
         opened: streams.StreamedResponse,
     ) -> None:
         run.tries.handle(attempts.HedgeAnswered())
-        opened.set_timeout(
-            sending.find_idle_timeout_s(
-                run.request, run.request.expires_at - anyio.current_time()
-            ),
-            self.watch(run, hedge),
-        )
+        timeout_s = run.request.expires_at - anyio.current_time()
+        if not hedge.is_relayed:
+            timeout_s = sending.find_idle_timeout_s(run.request, timeout_s)
+        opened.set_timeout(timeout_s, self.watch(run, hedge))
         hedge.response = opened
         attempt.successor = hedge
         _log(run, attempt, "{} takes over", hedge.upstream)
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -31,6 +31,9 @@
             result: Its result, None if it was abandoned.
         """
         upstream, cell = attempt.upstream, run.cell
+        _log_failure(run, attempt, result)
+        if attempt.is_relayed:
+            return
         missing = isinstance(result, results.NotRun) and result.missing
         tokens = 0
         match result:
@@ -47,13 +50,6 @@
                 cell.reachability.record_unreachable(attempt.placement.entry)
             case results.LostResponse():
                 self._record_loss(run, attempt, result)
-        if result is not None and not isinstance(result, results.Completed):
-            logs.bind(
-                request_id=run.request.request_id,
-                upstream=upstream,
-                adapter=attempt.placement.key.text,
-                waited_s=round(attempt.placement.waited_s, 4),
-            ).info("attempt failed: {}", result.detail)
         cell.release(attempt.placement, tokens, missing=missing)
 
     def record_silence(self, run: runs.Run, attempt: runs.Attempt) -> None:
@@ -89,3 +85,17 @@
         now = anyio.current_time()
         if run.cell.health.record_failure(attempt.upstream, now):
             run.cell.refresh_health()
+
+
+def _log_failure(
+    run: runs.Run, attempt: runs.Attempt, result: results.Result | None
+) -> None:
+    if result is None or isinstance(result, results.Completed):
+        return
+    logs.bind(
+        request_id=run.request.request_id,
+        upstream=attempt.upstream,
+        adapter=attempt.placement.key.text,
+        waited_s=round(attempt.placement.waited_s, 4),
+        is_relayed=attempt.is_relayed,
+    ).info("attempt failed: {}", result.detail)
--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -24,6 +24,9 @@
 from tamaracktide.upstreams import streams
 
 TOKEN_HEADER = b"x-tamaracktide-token"
+ATTEMPTS_HEADER = b"x-tamaracktide-attempts"
+RELAY_HEADERS = frozenset((TOKEN_HEADER, ATTEMPTS_HEADER))
+"""Headers between instances, which no upstream receives."""
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses of an instance that state that a request has not run."""
@@ -54,7 +57,25 @@
         self._adapter = adapter
         self._client = client
 
-    def choose(self, service: str, tried: Collection[str]) -> str | None:
+    def find_attempt(self, run: runs.Run) -> runs.Attempt | None:
+        """Returns the attempt to send to an instance; None for an upstream.
+
+        A stream that began at a peer goes on at one, as they know the software
+        version that began it.
+        """
+        if run.request.relayed_attempts is not None:
+            return None
+        progress = run.progress
+        began_at_peer = bool(progress.events) and progress.software is None
+        if not (run.cell.reachability.is_cut_off or began_at_peer):
+            return None
+        instance = self._choose(run.request.service.name, run.peers)
+        if instance is None:
+            return None
+        run.peers.append(instance)
+        return self._make_attempt(run, instance)
+
+    def _choose(self, service: str, tried: Collection[str]) -> str | None:
         """Returns an instance that reaches the upstreams of a service.
 
         Instances of the same availability zone come first. A member of a large
@@ -83,7 +104,7 @@
         others = peers.list_instances() - known - set(tried)
         return random.choice(sorted(others)) if others else None
 
-    def make_attempt(self, run: runs.Run, instance: str) -> runs.Attempt:
+    def _make_attempt(self, run: runs.Run, instance: str) -> runs.Attempt:
         """Returns the attempt that sends a request to an instance."""
         entry = upstream_entries.UpstreamEntry(
             upstream=instance,
@@ -118,7 +139,10 @@
         headers = self._adapter.make_relayed_headers(
             request, time_left_s, progress.last_id
         )
-        token = (TOKEN_HEADER, self._settings.inner_token.encode("latin-1"))
+        own_headers = (
+            (TOKEN_HEADER, self._settings.inner_token.encode("latin-1")),
+            (ATTEMPTS_HEADER, str(run.tries.attempts_left).encode()),
+        )
         logs.bind(
             request_id=request.request_id,
             service=request.service.name,
@@ -130,7 +154,7 @@
                 method=request.method,
                 address=attempt.placement.entry.address,
                 target=request.target,
-                headers=(*headers, token),
+                headers=(*headers, *own_headers),
                 body=request.body,
                 timeout_s=time_left_s,
             )
--- a/src/tamaracktide/entry/requests.py
+++ b/src/tamaracktide/entry/requests.py
@@ -53,7 +53,8 @@
         resumed_request: Id of the client's attempt that began the stream which
             this one resumes; empty if unknown.
         fingerprint: Hash of target and body, equal for all attempts.
-        is_relayed: Whether another instance sent it on.
+        relayed_attempts: Number of upstreams that may run it if another
+            instance sent it on; None for a client's own request.
     """
 
     request_id: str
@@ -69,7 +70,14 @@
     resume_after: int | None = None
     resumed_request: str = ""
     fingerprint: str = ""
-    is_relayed: bool = False
+    relayed_attempts: int | None = None
+
+    @property
+    def max_attempts(self) -> int:
+        """Number of upstreams that may run it."""
+        if self.relayed_attempts is None:
+            return self.route.max_attempts
+        return min(self.route.max_attempts, self.relayed_attempts)
 
     @property
     def parts(self) -> tuple[str, ...]:
--- a/src/tamaracktide/entry/status.py
+++ b/src/tamaracktide/entry/status.py
@@ -1,11 +1,17 @@
 """ASGI applications for readiness probes and metrics."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 
 from tamaracktide.entry import peer_forwarding
 from tamaracktide.gateway import asgi
+from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
 
+ServeRelayed = Callable[
+    [asgi.Scope, asgi.Receive, asgi.Send, int], Awaitable[None]
+]
+
 
 class ReadinessApp:
     """Responds with 200 while the instance is ready, otherwise 503."""
@@ -46,16 +52,16 @@
 
 
 class RelayedApp:
-    """Passes on the requests that other instances sent on."""
+    """Accepts the requests that other instances sent on."""
 
-    def __init__(self, app: asgi.App, token: str) -> None:
+    def __init__(self, serve: ServeRelayed, token: str) -> None:
         """Builds the application.
 
         Args:
-            app: Serves the requests.
+            serve: Serves a request, at so many upstreams at most.
             token: Token that other instances send.
         """
-        self._app = app
+        self._serve = serve
         self._token = token
 
     async def __call__(
@@ -64,11 +70,20 @@
         """Serves one request, if its token is right."""
         if scope["type"] != "http":
             return
-        header = peer_forwarding.TOKEN_HEADER
-        if asgi.find_header(tuple(scope["headers"]), header) != self._token:
+        headers = tuple(scope["headers"])
+        token = asgi.find_header(headers, peer_forwarding.TOKEN_HEADER)
+        attempts = asgi.find_header(headers, peer_forwarding.ATTEMPTS_HEADER)
+        if token != self._token or not attempts.isdecimal():
+            logs.bind(attempts=attempts).warning("relayed request refused")
             await _respond(send, 503, b"", b"")
             return
-        await self._app(scope, receive, send)
+        kept = [
+            pair
+            for pair in headers
+            if pair[0] not in peer_forwarding.RELAY_HEADERS
+        ]
+        scope = {**scope, "headers": kept}
+        await self._serve(scope, receive, send, int(attempts))
 
 
 async def _respond(
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -267,6 +267,7 @@
             pauses before the headers of every response.
         silence_s: Duration of that pause.
         body: Body of the responses of a plain server; its name if empty.
+        status: Status of the responses of a plain server.
         refuses: Whether every request gets 421, as without its adapter.
         abandoned: Ids of the requests whose connection was closed during the
             pause, in order.
@@ -297,6 +298,7 @@
     silent_after: int | None = 0
     silence_s: float = 0.0
     body: bytes = b""
+    status: int = 200
     refuses: bool = False
     abandoned: list[str] = dataclasses.field(default_factory=list)
     crashes_on: str = ""
@@ -392,7 +394,7 @@
             await _abort_response(signed, send)
         if not self.slots:
             body = self.body or b"done by " + self.name.encode()
-            await reply(send, 200, body, signed)
+            await reply(send, self.status, body, signed)
             return
         await self._send_stream(head, signed, receive, send)
 
--- a/tests/fleet/test_partitioned_instances.py
+++ b/tests/fleet/test_partitioned_instances.py
@@ -142,3 +142,25 @@
             and PATHS[int(request_id[5:]) % len(PATHS)] == "/once/x"
         ]
         assert len(runs) == len(set(runs))
+
+
+async def test_request_sent_on_keeps_its_limit_of_attempts() -> None:
+    """Guards against attempts that each instance counts anew (BUDGET).
+
+    The second play of the incident broke that rule: every server fails, and
+    each of two peers tried two of them.
+    """
+    async with run_instances() as (cluster, instances, backend):
+        backend.set_cut(partitions.Cut.RESET)
+        await play(instances[0], "early", 1.0)
+        for server in cluster.servers.values():
+            server.status = 500
+        response = await instances[0].send("/safe/x", "failing")
+        runs = [
+            request_id
+            for server in cluster.servers.values()
+            for request_id in server.runs
+            if request_id == "failing"
+        ]
+        assert response.status == 500
+        assert len(runs) == 2
