Bound the upstreams that are checked because one is unreachable

With hundreds of upstreams each instance would have connected to nearly all of them whenever one ends. Eight are checked now, and eight more for each of those that is unreachable.

--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -30,6 +30,9 @@
 """Time after its last response in which an upstream needs no check because
 another one is unreachable."""
 
+MAX_CHECKED_OTHERS = 8
+"""Upstreams that are checked because another one is unreachable."""
+
 CONFIRMATION_DELAY_S = 0.05
 """Time for which a response of another upstream is awaited before one is
 checked, to confirm that an upstream has ended."""
@@ -135,16 +138,26 @@
         self._refresh()
 
     def _check_others(self) -> None:
-        """Checks the upstreams that have not responded recently.
+        """Checks some upstreams that have not responded recently.
 
-        If this instance is cut off, it so finds out at once, and not by one
-        failed request for each of them.
+        Those of them that are unreachable have more checked. If this instance
+        is cut off, it so finds out at once, and not by one failed request for
+        each upstream.
         """
         recent = anyio.current_time() - RECENT_CONTACT_S
         entries = self._entries()
-        for name in self._list_reachable():
-            if self._contact_at.get(name, 0.0) < recent:
-                self.check_reachable(entries[name])
+        self._contact_at = {
+            name: at for name, at in self._contact_at.items() if name in entries
+        }
+        unchecked = [
+            name
+            for name in self._list_reachable()
+            if name not in self._checking
+            and self._contact_at.get(name, 0.0) < recent
+        ]
+        random.shuffle(unchecked)
+        for name in unchecked[:MAX_CHECKED_OTHERS]:
+            self.check_reachable(entries[name])
 
     def check_reachable(self, entry: upstream_entries.UpstreamEntry) -> None:
         """Checks whether an upstream is reachable after a response was lost."""
