--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -280,7 +280,7 @@
                 return result
             if (
                 retry == MAX_ADAPTER_RETRIES
-                or run.cell.is_limited(attempt.upstream)
+                or attempt.upstream in run.cell.send_limits
                 or attempt.placement.waited_s == 0
                 or self._crashes.is_refused(run.request)
                 or not budget.take()
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -20,6 +20,7 @@
 from tamaracktide.entry import forwarding
 from tamaracktide.entry import lease_manager
 from tamaracktide.entry import loader as entry_loader
+from tamaracktide.entry import notices
 from tamaracktide.entry import object_exchange
 from tamaracktide.entry import peer_forwarding
 from tamaracktide.entry import peers as entry_peers
@@ -38,7 +39,6 @@
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
-from tamaracktide.protocol import codec
 from tamaracktide.protocol import entry_messages
 from tamaracktide.protocol import messages
 from tamaracktide.upstreams import settings as upstream_settings
@@ -85,7 +85,8 @@
         self._cells: dict[str, service_cell.ServiceCell] = {}
         self._views = engine_views.EngineViews()
         self._popularity = popularity.Popularity()
-        self.crashes = entry_crashes.CrashTracker(self._send_crash)
+        self._notices = notices.NoticeExchange()
+        self.crashes = entry_crashes.CrashTracker(self._notices.send)
         self._metrics = metrics_module.Metrics()
         self._cluster_state = cluster_state.ClusterState(
             adapter, anyio.current_time
@@ -117,6 +118,7 @@
         self._exchange.peers = self._peers
         self._resumption.peers = self._peers
         self._peer_forwarder.peers = self._peers
+        self._notices.peers = self._peers
         self._objects = object_exchange.ObjectExchange(
             settings,
             adapter.collections,
@@ -382,7 +384,7 @@
                 ),
                 find_version=self._find_version,
                 announce_prompt=self._announce_prompt,
-                announce_limit=self._send_limit_notice,
+                announce_limit=self._notices.send,
                 count_instances=self._count_instances,
                 load=self._loader.load,
                 record_exit=self.crashes.record_exit,
@@ -561,15 +563,6 @@
                     type(message).__name__,
                 )
 
-    def _send_crash(
-        self, notice: entry_messages.CrashNotice, sender: str = ""
-    ) -> None:
-        """Announces which requests ended an upstream."""
-        encoded = codec.encode_message(notice)
-        for peer in self._peers.list_linked():
-            if peer.instance != sender:
-                peer.send(encoded)
-
     def _apply_crash(
         self, peer: entry_peers.Peer, notice: entry_messages.CrashNotice
     ) -> None:
@@ -578,44 +571,27 @@
         if unknown is None or self._peers.plan.is_flat:
             return
         if self._peers.is_relay:
-            self._send_crash(unknown, peer.instance)
-
-    def _send_limit_notice(
-        self, notice: entry_messages.SendLimitNotice
-    ) -> None:
-        """Announces the limit of an upstream and requests sent under it."""
-        encoded = codec.encode_message(notice)
-        for peer in self._peers.list_linked():
-            peer.send(encoded)
+            self._notices.send(unknown, peer.instance)
 
     def _apply_limit_notice(
         self, peer: entry_peers.Peer, notice: entry_messages.SendLimitNotice
     ) -> None:
-        """Applies a notice; a relay passes it on.
-
-        What comes from another relay goes to its members only.
-        """
+        """Applies the limit of an upstream and requests sent under it."""
         entry = self._cluster_state.upstreams.get(notice.upstream)
         if entry is not None and entry.service in self._cells:
             self._cells[entry.service].apply_limit_notice(notice)
-        peers = self._peers
-        if peers.plan.is_flat or not peers.is_relay:
-            return
-        encoded = codec.encode_message(notice)
-        for other in peers.list_linked():
-            if other is not peer and (peer.is_member or other.is_member):
-                other.send(encoded)
+        self._notices.pass_on(notice, peer)
 
     def _announce_engine(self, notice: entry_messages.EngineNotice) -> None:
         self._exchange.record_engine(notice)
         self._apply_engines([notice])
 
     def _apply_engines(
-        self, notices: Iterable[entry_messages.EngineNotice]
+        self, engine_notices: Iterable[entry_messages.EngineNotice]
     ) -> None:
         now = anyio.current_time()
         names = []
-        for notice in notices:
+        for notice in engine_notices:
             self._views.apply_notice(notice, now)
             names.append(notice.upstream)
         upstreams = self._cluster_state.upstreams
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -33,6 +33,7 @@
 from tamaracktide.entry import cell_defaults
 from tamaracktide.entry import reachability
 from tamaracktide.entry import requests
+from tamaracktide.entry import send_limits
 from tamaracktide.entry import timers
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.observability import logs
@@ -100,6 +101,7 @@
         health: Health of its upstreams.
         reachability: Checks which upstreams accept connections.
         running: Requests of this instance by upstream and adapter name.
+        send_limits: Limits that its upstreams name.
     """
 
     def __init__(
@@ -115,7 +117,9 @@
         self._entries: dict[str, upstream_entries.UpstreamEntry] = {}
         self._leaving: set[str] = set()
         self._on_trial: set[str] = set()
-        self._send_limits: dict[str, float] = {}
+        self.send_limits = send_limits.SendLimits(
+            dependencies.announce_limit, dependencies.count_instances
+        )
         self._tick_timer = timers.Timer(
             lambda: self._handle(cell_events.Tick()), dependencies.tasks
         )
@@ -271,7 +275,7 @@
         entry: upstream_entries.UpstreamEntry,
         submitted_at: float,
     ) -> Placement:
-        self._announce_limit(entry, sent=1)
+        self.send_limits.announce_request(entry)
         key = self.find_key(request)
         counts = self.running.setdefault(grant.upstream, {})
         counts[key.adapter] = counts.get(key.adapter, 0) + 1
@@ -286,16 +290,12 @@
             waited_s=anyio.current_time() - submitted_at,
         )
 
-    def is_limited(self, upstream: str) -> bool:
-        """Whether an upstream limits the rate of its requests."""
-        return upstream in self._send_limits
-
     def record_send_limit(
         self, entry: upstream_entries.UpstreamEntry, rate: float | None
     ) -> None:
         """Records the limit that a response of an upstream names, or none."""
         if self._set_send_limit(entry.upstream, entry.started_ms, rate):
-            self._announce_limit(entry)
+            self.send_limits.announce(entry)
 
     def apply_limit_notice(
         self, notice: entry_messages.SendLimitNotice
@@ -305,25 +305,6 @@
         if notice.sent:
             self._handle(cell_events.RequestsSent(notice.upstream, notice.sent))
 
-    def _announce_limit(
-        self, entry: upstream_entries.UpstreamEntry, sent: int = 0
-    ) -> None:
-        """Announces the limit of an upstream, unless nothing is sent under it.
-
-        Its end is announced as well.
-        """
-        rate = self._send_limits.get(entry.upstream)
-        if sent and rate is None:
-            return
-        self._dependencies.announce_limit(
-            entry_messages.SendLimitNotice(
-                upstream=entry.upstream,
-                started_ms=entry.started_ms,
-                rate=rate,
-                sent=sent,
-            )
-        )
-
     def _set_send_limit(
         self, upstream: str, started_ms: int, rate: float | None
     ) -> bool:
@@ -331,26 +312,11 @@
         entry = self._entries.get(upstream)
         if entry is None or entry.started_ms != started_ms:
             return False
-        if rate == self._send_limits.get(upstream):
+        if not self.send_limits.set_rate(upstream, rate):
             return False
-        if rate is None:
-            del self._send_limits[upstream]
-        else:
-            self._send_limits[upstream] = rate
-        logs.bind(upstream=upstream, rate=rate).info(
-            "upstream {} the rate of its requests",
-            "no longer limits" if rate is None else "limits",
-        )
-        self._handle(self._make_limit_event(upstream))
+        self._handle(self.send_limits.make_event(upstream))
         return True
 
-    def _make_limit_event(self, upstream: str) -> cell_events.SendLimitChanged:
-        return cell_events.SendLimitChanged(
-            upstream,
-            self._send_limits.get(upstream),
-            1.0 / max(1, self._dependencies.count_instances()),
-        )
-
     def record_prompt(self, upstream: str, tokens: int) -> None:
         """Records that another instance sent a prompt to an engine."""
         self._handle(cell_events.PromptSent(upstream, tokens))
@@ -399,7 +365,7 @@
         changed = {entry.upstream: entry for entry in entries}
         if not changed:
             return
-        self._drop_old_limits(changed)
+        self._forget_restarted(changed)
         self._entries.update(changed)
         entries = changed.values()
         events = self._make_events(entries, self._find_orderable(entries))
@@ -418,19 +384,18 @@
             del self._entries[name]
             self._leaving.discard(name)
             self._on_trial.discard(name)
-            self._send_limits.pop(name, None)
+            self.send_limits.forget(name)
             self._ready_at.pop(name, None)
         return [cell_events.UpstreamLost(name) for name in upstreams]
 
-    def _drop_old_limits(
+    def _forget_restarted(
         self, entries: Mapping[str, upstream_entries.UpstreamEntry]
     ) -> None:
         """Drops the limits of upstreams that have restarted."""
-        for name in list(self._send_limits):
-            entry = entries.get(name)
-            known = self._entries[name]
-            if entry is not None and entry.started_ms != known.started_ms:
-                del self._send_limits[name]
+        for name, entry in entries.items():
+            known = self._entries.get(name)
+            if known is not None and known.started_ms != entry.started_ms:
+                self.send_limits.forget(name)
 
     def refresh_health(self) -> None:
         """Stops or resumes new requests to upstreams as their health says."""
@@ -511,8 +476,8 @@
         for entry in entries:
             accepts_loads = orderable[entry.zone]
             events.append(self._make_snapshot(entry, now, accepts_loads))
-            if entry.upstream in self._send_limits:
-                events.append(self._make_limit_event(entry.upstream))
+            if entry.upstream in self.send_limits:
+                events.append(self.send_limits.make_event(entry.upstream))
             events.extend(self._set_leaving(entry, avoided, on_trial))
         return events
 
@@ -568,7 +533,7 @@
             )
         }
         events = self._remove(self._entries.keys() - entries.keys())
-        self._drop_old_limits(entries)
+        self._forget_restarted(entries)
         self._entries = entries
         self._orderable = self._find_orderable(entries.values())
         events.extend(self._make_events(entries.values(), self._orderable))
