Take a rejection of a request without an adapter for what it is

Found by a test of brittle servers: a plain server that rejected one request for want of room got no other request of that instance until it restarted or left. Cause: each response that says not run counted as a missing adapter, which reserves the slot; that of a plain service is pinned and so stays reserved. Change: only requests with an adapter can miss one; others are sent to another upstream. test_plain_server_that_rejected_a_request_is_used_again failed before (503 after 3 s) and passes now.

--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -142,8 +142,12 @@
             cell.reachability.record_contact(placement.entry.upstream)
             cell.record_send_limit(placement.entry, fields.rate_limit)
         if fields.not_run:
+            # Only an adapter can be missing; others reject for want of room.
+            generation = request.generation
+            needs_adapter = generation is not None and bool(generation.adapter)
             return results.NotRun(
-                f"status {opened.status}", missing=fields.misdirected
+                f"status {opened.status}",
+                missing=fields.misdirected and needs_adapter,
             )
         is_success = 200 <= opened.status < 300
         if is_success and not (fields.signed and fields.request_id):
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -277,6 +277,12 @@
         rate_limit: Requests per second that its responses name as its limit;
             None for no limit.
         arrivals: Times at which requests arrived, of the loop's clock.
+        brittle: Rejections in a second that its responses name as those it
+            survives; None if it names none.
+        max_running: Requests of a plain server that run at a time; the others
+            are rejected.
+        service_s: Duration of a request of a plain server.
+        rejections: Times at which requests were rejected.
         close: Closes its listening socket and its connections; set by
             `Cluster.add_server`.
     """
@@ -305,6 +311,11 @@
     has_crashed: bool = False
     rate_limit: float | None = None
     arrivals: list[float] = dataclasses.field(default_factory=list)
+    brittle: int | None = None
+    max_running: int = 1000
+    service_s: float = 0.0
+    rejections: list[float] = dataclasses.field(default_factory=list)
+    running: int = 0
     close: Callable[[], None] = lambda: None
 
     async def __call__(
@@ -322,12 +333,18 @@
             await self._handle_request(head, receive, self._name_limit(send))
 
     def _name_limit(self, send: asgi.Send) -> asgi.Send:
+        """Returns a function that adds the headers of a server in need."""
+        named = [(b"server-limit", self.rate_limit)]
+        named.append((b"server-brittle", self.brittle))
+        added = [
+            (name, str(value).encode())
+            for name, value in named
+            if value is not None
+        ]
+
         async def send_with_limit(message: MutableMapping[str, Any]) -> None:
-            if message["type"] == "http.response.start" and (
-                self.rate_limit is not None
-            ):
-                limit = (b"server-limit", str(self.rate_limit).encode())
-                message = {**message, "headers": [*message["headers"], limit]}
+            if message["type"] == "http.response.start":
+                message = {**message, "headers": [*message["headers"], *added]}
             await send(message)
 
         return send_with_limit
@@ -381,6 +398,15 @@
         if adapter and adapter not in self.adapters:
             await reply(send, 421, headers=refusal)
             return
+        if self.running >= self.max_running:
+            self.rejections.append(anyio.current_time())
+            await reply(send, 503, headers=refusal)
+            return
+        self.running += 1
+        try:
+            await anyio.sleep(self.service_s)
+        finally:
+            self.running -= 1
         self.runs.append(request_id)
         self.headers_by_request[request_id] = head
         if self._must_crash(head):
--- a/tests/fleet/test_limited_upstreams.py
+++ b/tests/fleet/test_limited_upstreams.py
@@ -169,3 +169,54 @@
             await instances[0].send("/once/x", "after")
             await anyio.sleep(0.2)
             assert set(await play(instances, "/once/x", 1.0)) == {200}
+
+
+BRITTLE = 5
+"""Rejections in a second that a brittle server survives."""
+
+
+async def test_brittle_upstreams_reject_few_requests() -> None:
+    """Guards against instances that make brittle upstreams fall over (LIMIT).
+
+    Load pattern: all servers of a service let far fewer requests run than
+    their entries say, and more arrive than they can run.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        servers = [
+            await cluster.add_server(
+                fleet_cluster.Server(
+                    f"p{number}",
+                    brittle=BRITTLE,
+                    max_running=1,
+                    service_s=0.2,
+                )
+            )
+            for number in range(2)
+        ]
+        async with test_crashing_requests.run_instances(
+            cluster, INSTANCES
+        ) as instances:
+            since = anyio.current_time() + CONTACT_S
+            await play(instances, "/once/x")
+            for server in servers:
+                times = [at for at in server.rejections if at >= since]
+                peak = max(
+                    (sum(at <= t < at + 1.0 for t in times) for at in times),
+                    default=0,
+                )
+                assert peak <= BRITTLE
+
+
+async def test_plain_server_that_rejected_a_request_is_used_again() -> None:
+    """Guards against a rejection that is taken for a missing adapter."""
+    async with fleet_cluster.run_cluster() as cluster:
+        server = await cluster.add_server(
+            fleet_cluster.Server("p0", max_running=1, service_s=0.1)
+        )
+        async with entry_instances.run_instance(cluster) as instance:
+            async with anyio.create_task_group() as tasks:
+                for number in range(4):
+                    tasks.start_soon(instance.send, "/once/x", f"r{number}")
+            assert server.rejections
+            await anyio.sleep(CONTACT_S)
+            assert (await instance.send("/once/x", "later")).status == 200
