--- a/tests/fleet/test_wire_names.py
+++ b/tests/fleet/test_wire_names.py
@@ -29,6 +29,8 @@
     "OnDisk",
     "PathPrefix",
     "RetryBudgetRatio",
+    "Server-Brittle",
+    "Server-Limit",
     "SessionAffinity",
     "TargetLatencyMs",
     "TimeoutMs",
