Spare brittle upstreams that must not reject requests

All instances went on filling the batch slots of servers that let fewer requests run. Change: requests to a brittle upstream are spaced, 16 a second for each rejection that it survives, by a token bucket that all instances share. After a rejection it gets half of what it survives in a second, doubled each second; rejections are announced at once. Nothing changes for upstreams that are not brittle. Ruled out: avoiding it as a failing upstream (none is avoided if all reject).

--- a/src/tamaracktide/core/admission.py
+++ b/src/tamaracktide/core/admission.py
@@ -126,10 +126,11 @@
         for engine in self._inventory.list_usable():
             if engine.name in avoid:
                 continue
-            if engine.send_limit is None:
+            limits = engine.limits
+            if not limits:
                 return 0.0
-            tokens += max(0.0, engine.send_limit.count_tokens(now))
-            rate += engine.send_limit.own_rate
+            tokens += max(0.0, min(x.count_tokens(now) for x in limits))
+            rate += min(x.find_own_rate(now) for x in limits)
         ahead = len(self._queue.waiters) + 1 - tokens
         return max(0.0, ahead) / rate if rate else 0.0
 
--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -132,8 +132,6 @@
                 self._granter.end_lost_grants(lost)
             case cell_events.UpstreamLeaving():
                 inventory.set_leaving(event)
-            case cell_events.SendLimitChanged():
-                inventory.set_send_limit(event, self._parts.rng, now)
             case cell_events.EvictionsSuspended():
                 inventory.suspend_evictions(event)
             case cell_events.AdaptersReady():
@@ -144,6 +142,19 @@
                 inventory.apply_load_report(event)
             case cell_events.PrefixReported():
                 inventory.apply_prefix_report(event)
+            case _:
+                self._apply_limit(event, now)
+
+    def _apply_limit(self, event: cell_events.CellEvent, now: float) -> None:
+        """Applies what an engine says about the requests that it takes."""
+        inventory = self._parts.inventory
+        match event:
+            case cell_events.SendLimitChanged():
+                inventory.set_send_limit(event, self._parts.rng, now)
+            case cell_events.BrittleChanged():
+                inventory.set_brittle(event, self._parts.rng, now)
+            case cell_events.UpstreamOverloaded():
+                inventory.slow_down(event, now)
             case _:
                 self._apply_remote(event, now)
 
@@ -160,8 +171,8 @@
                     placer.record_prompt(engine, tokens, now)
             case cell_events.RequestsSent(upstream, count):
                 engine = self._parts.inventory.engines.get(upstream)
-                if engine is not None and engine.send_limit is not None:
-                    engine.send_limit.record(count, now)
+                if engine is not None:
+                    engine.record_sends(count, now)
 
     def _apply_snapshot(
         self, event: cell_events.UpstreamSnapshot, now: float
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -201,6 +201,34 @@
     own_fraction: float = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BrittleChanged:
+    """An upstream said that it ends if it has to reject requests, or not.
+
+    Attributes:
+        upstream: Instance id.
+        rejections: Rejections in a second that it survives; None for any.
+        own_fraction: Fraction of its requests that this instance can count on.
+    """
+
+    upstream: str
+    rejections: float | None
+    own_fraction: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamOverloaded:
+    """A brittle upstream rejected a request.
+
+    Attributes:
+        upstream: Instance id.
+        rejections: Rejections in a second that it survives.
+    """
+
+    upstream: str
+    rejections: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestsSent:
     """Other instances sent requests to an upstream that limits their rate.
@@ -344,6 +372,8 @@
     | DemandReported
     | PromptSent
     | SendLimitChanged
+    | BrittleChanged
+    | UpstreamOverloaded
     | RequestsSent
     | Withdraw
     | GrantEnded
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -95,6 +95,8 @@
         host_cached: Adapters that it can load from its host memory, oldest
             first.
         send_limit: Rate at which it takes requests; None for any.
+        pace: Rate at which it gets requests while it is brittle; None if it
+            is not.
     """
 
     name: str
@@ -120,13 +122,28 @@
         default_factory=dict
     )
     send_limit: send_limits.SendLimit | None = None
+    pace: send_limits.SendLimit | None = None
+
+    @property
+    def limits(self) -> list[send_limits.SendLimit]:
+        """The limits that are in force."""
+        return [x for x in (self.send_limit, self.pace) if x is not None]
 
     def find_next_send(self, now: float) -> float:
-        """Returns the time from which its limit allows a request."""
+        """Returns the time from which its limits allow a request."""
+        return max((limit.find_next(now) for limit in self.limits), default=now)
+
+    def is_held_back(self, now: float) -> bool:
+        """Whether the limit that it named allows no request now."""
         return (
-            now if self.send_limit is None else self.send_limit.find_next(now)
+            self.send_limit is not None and self.send_limit.find_next(now) > now
         )
 
+    def record_sends(self, count: int, now: float) -> None:
+        """Counts requests that any instance sends to it."""
+        for limit in self.limits:
+            limit.record(count, now)
+
     def record_eviction(self, key: rows.AdapterKey) -> None:
         """Records that an adapter was evicted from its slot."""
         self.host_cached.pop(key, None)
--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -116,8 +116,7 @@
                 max_tokens=submit.max_tokens,
             )
         )
-        if engine.send_limit is not None:
-            engine.send_limit.record(1, now)
+        engine.record_sends(1, now)
         self._parts.placer.record_prompt(engine, submit.prompt_tokens, now)
         engine.record_prefix(submit.prefix, True)
         self.granted[submit.request_id] = grant
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -404,6 +404,38 @@
         else:
             engine.send_limit.set_rate(event.rate, event.own_fraction)
 
+    def set_brittle(
+        self,
+        event: cell_events.BrittleChanged,
+        rng: randomness.Random,
+        now: float,
+    ) -> None:
+        """Sets or removes the pace of an engine."""
+        self.changes += 1
+        engine = self.engines.get(event.upstream)
+        if engine is None:
+            return
+        if event.rejections is None:
+            engine.pace = None
+            return
+        rate = send_limits.PACE_PER_REJECTION * max(1.0, event.rejections)
+        if engine.pace is None:
+            engine.pace = send_limits.SendLimit(
+                rate, event.own_fraction, rng, now, burst_s=0.0
+            )
+        else:
+            engine.pace.set_rate(rate, event.own_fraction)
+
+    def slow_down(
+        self, event: cell_events.UpstreamOverloaded, now: float
+    ) -> None:
+        """Reduces the pace of an engine that rejected a request."""
+        self.changes += 1
+        engine = self.engines.get(event.upstream)
+        if engine is not None and engine.pace is not None:
+            rate = send_limits.SLOW_FRACTION * event.rejections
+            engine.pace.slow_down(rate, now)
+
     def suspend_evictions(self, event: cell_events.EvictionsSuspended) -> None:
         """Suspends or resumes evictions on an engine."""
         self.changes += 1
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -288,7 +288,7 @@
                 continue
             if slot.state is cell_state.SlotState.LOADING:
                 return False, False
-            if engine.exclusive or engine.find_next_send(now) > now:
+            if engine.exclusive or engine.is_held_back(now):
                 continue
             replicas += 1
             running += engine.running
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -93,6 +93,8 @@
         upstream: Instance id of the sender; empty if missing.
         rate_limit: Requests per second that the sender takes from all
             instances together; None if it names no limit.
+        brittle: Rejections in a second that the sender survives; None for any.
+        overloaded: Whether it rejected the request for want of room.
     """
 
     request_id: str
@@ -101,6 +103,8 @@
     misdirected: bool
     upstream: str
     rate_limit: float | None = None
+    brittle: float | None = None
+    overloaded: bool = False
 
 
 class PlatformAdapter(Protocol):
--- a/src/tamaracktide/entry/send_limits.py
+++ b/src/tamaracktide/entry/send_limits.py
@@ -1,6 +1,7 @@
 """Limits on the rate of requests that the upstreams of a service name."""
 
 from collections.abc import Callable
+import dataclasses
 
 from tamaracktide.core import cell_events
 from tamaracktide.core import upstream_entries
@@ -8,10 +9,26 @@
 from tamaracktide.protocol import entry_messages
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedLimits:
+    """What an upstream says in its responses about the requests it takes.
+
+    Attributes:
+        rate: Requests per second from all instances together; None for any.
+        brittle: Rejections in a second that it survives; None for any.
+    """
+
+    rate: float | None = None
+    brittle: float | None = None
+
+
+_NO_LIMITS = NamedLimits()
+
+
 class SendLimits:
     """Knows the limits of upstreams and announces them."""
 
-    __slots__ = ("_announce", "_count_instances", "_rates")
+    __slots__ = ("_announce", "_count_instances", "_named")
 
     def __init__(
         self,
@@ -26,59 +43,67 @@
         """
         self._announce = announce
         self._count_instances = count_instances
-        self._rates: dict[str, float] = {}
+        self._named: dict[str, NamedLimits] = {}
 
     def __contains__(self, upstream: str) -> bool:
-        """Whether an upstream limits the rate of its requests."""
-        return upstream in self._rates
-
-    def set_rate(self, upstream: str, rate: float | None) -> bool:
-        """Sets the limit of an upstream, requests per second, or removes it.
+        """Whether an upstream names a limit."""
+        return upstream in self._named
 
-        Returns:
-            Whether it has changed.
-        """
-        if rate == self._rates.get(upstream):
+    def set_limits(self, upstream: str, limits: NamedLimits) -> bool:
+        """Sets the limits of an upstream; returns whether they have changed."""
+        if limits == self._named.get(upstream, _NO_LIMITS):
             return False
-        if rate is None:
-            del self._rates[upstream]
-        else:
-            self._rates[upstream] = rate
-        logs.bind(upstream=upstream, rate=rate).info(
+        self.forget(upstream)
+        if limits != _NO_LIMITS:
+            self._named[upstream] = limits
+        logs.bind(
+            upstream=upstream, rate=limits.rate, brittle=limits.brittle
+        ).info(
             "upstream {} the rate of its requests",
-            "no longer limits" if rate is None else "limits",
+            "no longer limits" if limits == _NO_LIMITS else "limits",
         )
         return True
 
     def forget(self, upstream: str) -> None:
-        """Drops the limit of an upstream that has left or restarted."""
-        self._rates.pop(upstream, None)
-
-    def announce(self, entry: upstream_entries.UpstreamEntry) -> None:
-        """Announces the limit of an upstream, or its end."""
-        self._send_notice(entry, 0)
+        """Drops the limits of an upstream that has left or restarted."""
+        self._named.pop(upstream, None)
 
     def announce_request(self, entry: upstream_entries.UpstreamEntry) -> None:
         """Announces that a request is sent, if its upstream has a limit."""
-        if entry.upstream in self._rates:
-            self._send_notice(entry, 1)
+        if entry.upstream in self._named:
+            self.announce(entry, sent=1)
 
-    def _send_notice(
-        self, entry: upstream_entries.UpstreamEntry, sent: int
+    def announce(
+        self,
+        entry: upstream_entries.UpstreamEntry,
+        *,
+        sent: int = 0,
+        overloaded: bool = False,
     ) -> None:
+        """Announces the limits of an upstream, or their end.
+
+        Args:
+            entry: The upstream.
+            sent: Number of requests that are sent to it now.
+            overloaded: Whether it has just rejected a request.
+        """
+        limits = self._named.get(entry.upstream, _NO_LIMITS)
         self._announce(
             entry_messages.SendLimitNotice(
                 upstream=entry.upstream,
                 started_ms=entry.started_ms,
-                rate=self._rates.get(entry.upstream),
+                rate=limits.rate,
+                brittle=limits.brittle,
                 sent=sent,
+                overloaded=overloaded,
             )
         )
 
-    def make_event(self, upstream: str) -> cell_events.SendLimitChanged:
-        """Returns the event that applies the limit of an upstream."""
-        return cell_events.SendLimitChanged(
-            upstream,
-            self._rates.get(upstream),
-            1.0 / max(1, self._count_instances()),
-        )
+    def make_events(self, upstream: str) -> list[cell_events.CellEvent]:
+        """Returns the events that apply the limits of an upstream."""
+        limits = self._named.get(upstream, _NO_LIMITS)
+        own_fraction = 1.0 / max(1, self._count_instances())
+        return [
+            cell_events.SendLimitChanged(upstream, limits.rate, own_fraction),
+            cell_events.BrittleChanged(upstream, limits.brittle, own_fraction),
+        ]
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -8,6 +8,7 @@
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import requests
 from tamaracktide.entry import results
+from tamaracktide.entry import send_limits
 from tamaracktide.entry import service_cell
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import streams
@@ -140,7 +141,11 @@
         if fields.request_id:
             cell = self._find_cell(request.service)
             cell.reachability.record_contact(placement.entry.upstream)
-            cell.record_send_limit(placement.entry, fields.rate_limit)
+            cell.record_limits(
+                placement.entry,
+                send_limits.NamedLimits(fields.rate_limit, fields.brittle),
+                overloaded=fields.overloaded,
+            )
         if fields.not_run:
             # Only an adapter can be missing; others reject for want of room.
             generation = request.generation
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -290,31 +290,59 @@
             waited_s=anyio.current_time() - submitted_at,
         )
 
-    def record_send_limit(
-        self, entry: upstream_entries.UpstreamEntry, rate: float | None
+    def record_limits(
+        self,
+        entry: upstream_entries.UpstreamEntry,
+        limits: send_limits.NamedLimits,
+        *,
+        overloaded: bool = False,
     ) -> None:
-        """Records the limit that a response of an upstream names, or none."""
-        if self._set_send_limit(entry.upstream, entry.started_ms, rate):
-            self.send_limits.announce(entry)
+        """Records the limits that a response of an upstream names.
+
+        Args:
+            entry: The upstream.
+            limits: What it names.
+            overloaded: Whether it rejected the request for want of room.
+        """
+        must_slow_down = overloaded and limits.brittle is not None
+        is_new = self._set_limits(entry.upstream, entry.started_ms, limits)
+        if must_slow_down:
+            self._slow_down(entry.upstream, limits)
+        if is_new or must_slow_down:
+            self.send_limits.announce(entry, overloaded=must_slow_down)
 
     def apply_limit_notice(
         self, notice: entry_messages.SendLimitNotice
     ) -> None:
-        """Applies the limit and the requests that an instance announces."""
-        self._set_send_limit(notice.upstream, notice.started_ms, notice.rate)
+        """Applies the limits and the requests that an instance announces."""
+        limits = send_limits.NamedLimits(notice.rate, notice.brittle)
+        self._set_limits(notice.upstream, notice.started_ms, limits)
+        if notice.overloaded:
+            self._slow_down(notice.upstream, limits)
         if notice.sent:
             self._handle(cell_events.RequestsSent(notice.upstream, notice.sent))
 
-    def _set_send_limit(
-        self, upstream: str, started_ms: int, rate: float | None
+    def _slow_down(
+        self, upstream: str, limits: send_limits.NamedLimits
+    ) -> None:
+        logs.bind(upstream=upstream, brittle=limits.brittle).info(
+            "brittle upstream rejected a request"
+        )
+        self._handle(
+            cell_events.UpstreamOverloaded(upstream, limits.brittle or 0.0)
+        )
+
+    def _set_limits(
+        self, upstream: str, started_ms: int, limits: send_limits.NamedLimits
     ) -> bool:
-        """Sets the limit of an upstream; returns whether it has changed."""
+        """Sets the limits of an upstream; returns whether they have changed."""
         entry = self._entries.get(upstream)
         if entry is None or entry.started_ms != started_ms:
             return False
-        if not self.send_limits.set_rate(upstream, rate):
+        if not self.send_limits.set_limits(upstream, limits):
             return False
-        self._handle(self.send_limits.make_event(upstream))
+        events = self.send_limits.make_events(upstream)
+        self._handle(cell_events.EventBatch(tuple(events)))
         return True
 
     def record_prompt(self, upstream: str, tokens: int) -> None:
@@ -477,7 +505,7 @@
             accepts_loads = orderable[entry.zone]
             events.append(self._make_snapshot(entry, now, accepts_loads))
             if entry.upstream in self.send_limits:
-                events.append(self.send_limits.make_event(entry.upstream))
+                events.extend(self.send_limits.make_events(entry.upstream))
             events.extend(self._set_leaving(entry, avoided, on_trial))
         return events
 
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -168,12 +168,16 @@
         rate: Requests per second that it takes from all instances together;
             None if it no longer names a limit.
         sent: Number of requests that the sender sends to it now.
+        brittle: Rejections in a second that it survives; None for any.
+        overloaded: Whether it has just rejected a request, being brittle.
     """
 
     upstream: str
     started_ms: int
     rate: float | None
     sent: int = 0
+    brittle: float | None = None
+    overloaded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
