Count requests sent through peers, and name broken ones as such

A stream that broke off at a peer ended with the code of a time-out in the log, as the state machine was not told of its events. Callers see no difference.

--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -233,6 +233,9 @@
         match result:
             case results.LostResponse() if attempt.is_relayed:
                 # The peer may have used all attempts.
+                if run.progress.events:
+                    progressed = attempts.Progressed(run.progress.events)
+                    run.tries.handle(progressed)
                 return run.tries.handle(attempts.Expired()), result
             case results.Completed():
                 return run.tries.handle(attempts.Completed()), result
--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -20,6 +20,7 @@
 from tamaracktide.entry import service_cell
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.observability import logs
+from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import streams
 
@@ -44,6 +45,7 @@
         settings: entry_settings.EntrySettings,
         adapter: entry_adapter.PlatformAdapter,
         client: streams.StreamClient,
+        metrics: metrics_module.Metrics,
     ) -> None:
         """Builds a forwarder; `peers` must be set before the first request.
 
@@ -51,11 +53,13 @@
             settings: The instance's settings.
             adapter: Translates headers.
             client: Sends the requests.
+            metrics: Counts them.
         """
         self.peers: entry_peers.Peers | None = None
         self._settings = settings
         self._adapter = adapter
         self._client = client
+        self._metrics = metrics
 
     def find_attempt(self, run: runs.Run) -> runs.Attempt | None:
         """Returns the attempt to send to an instance; None for an upstream.
@@ -148,6 +152,7 @@
             service=request.service.name,
             peer=attempt.upstream,
         ).info("no upstream reachable: request sent to a peer")
+        self._metrics.relayed.inc({"pool": request.service.name})
         progress.upstreams.append(attempt.upstream)
         opened = await self._client.open(
             calls.Call(
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -101,7 +101,7 @@
             settings.instance, self._is_view_current
         )
         self._peer_forwarder = peer_forwarding.PeerForwarder(
-            settings, adapter, upstream_client
+            settings, adapter, upstream_client, self._metrics
         )
         self._peers = entry_peers.Peers(
             settings,
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -38,6 +38,7 @@
         request_seconds: Time to the end of the response, by `kind`.
         first_token_seconds: Time to the first token, by `pool`.
         retries: Attempts after the first, by `pool` and `cause`.
+        relayed: Requests sent through a peer, by `pool`.
         stream_resumes: Streams resumed at an offset, by `pool`.
         tokens: Tokens forwarded to clients, by `pool`.
         grants: Grants issued (scheduler) or received (gateway), by `pool`.
@@ -69,6 +70,9 @@
             "first_token_seconds", "Time to the first token"
         )
         self.retries = self._counter("retries_total", "Repeated attempts")
+        self.relayed = self._counter(
+            "relayed_total", "Requests sent through another instance"
+        )
         self.stream_resumes = self._counter(
             "stream_resumes_total", "Streams resumed at an offset"
         )
