--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -397,12 +397,10 @@
             return
         if event.rate is None:
             engine.send_limit = None
-        elif engine.send_limit is None:
-            engine.send_limit = send_limits.SendLimit(
-                event.rate, event.own_fraction, rng, now
-            )
-        else:
-            engine.send_limit.set_rate(event.rate, event.own_fraction)
+            return
+        if engine.send_limit is None:
+            engine.send_limit = send_limits.SendLimit(rng, now)
+        engine.send_limit.set_rate(event.rate, event.own_fraction)
 
     def set_brittle(
         self,
@@ -418,13 +416,10 @@
         if event.rejections is None:
             engine.pace = None
             return
-        rate = send_limits.PACE_PER_REJECTION * max(1.0, event.rejections)
         if engine.pace is None:
-            engine.pace = send_limits.SendLimit(
-                rate, event.own_fraction, rng, now, burst_s=0.0
-            )
-        else:
-            engine.pace.set_rate(rate, event.own_fraction)
+            engine.pace = send_limits.SendLimit(rng, now, burst_s=0.0)
+        rate = send_limits.PACE_PER_REJECTION * max(1.0, event.rejections)
+        engine.pace.set_rate(rate, event.own_fraction)
 
     def slow_down(
         self, event: cell_events.UpstreamOverloaded, now: float
--- a/src/tamaracktide/core/send_limits.py
+++ b/src/tamaracktide/core/send_limits.py
@@ -56,24 +56,23 @@
     )
 
     def __init__(
-        self,
-        rate: float,
-        own_fraction: float,
-        rng: randomness.Random,
-        now: float,
-        *,
-        burst_s: float = BURST_S,
+        self, rng: randomness.Random, now: float, *, burst_s: float = BURST_S
     ) -> None:
-        """Starts without tokens; see `set_rate`."""
-        self._burst_s = burst_s
-        self._slow_rate = float("inf")
-        self._slow_at = now
+        """Starts without tokens at the least rate; see `set_rate`.
+
+        Args:
+            rng: Draws the delays.
+            now: Current time, seconds.
+            burst_s: Time for which unused tokens are kept.
+        """
         self._rng = rng
+        self._burst_s = burst_s
         self._tokens = 0.0
         self._updated_at = now
-        self._rate = 0.0
+        self._slow_rate = float("inf")
+        self._slow_at = now
+        self._rate = MIN_RATE_PER_S
         self._own_fraction = 1.0
-        self.set_rate(rate, own_fraction)
         self._jitter_s = self._draw_jitter_s(now)
 
     def set_rate(self, rate: float, own_fraction: float) -> None:
--- a/tests/core/test_send_limits.py
+++ b/tests/core/test_send_limits.py
@@ -14,13 +14,19 @@
 WINDOW_S = 4.0
 
 
+def make_limit(
+    rate: float, own_fraction: float, rng: random.Random
+) -> send_limits.SendLimit:
+    """Returns a limit that is in force from 0 s."""
+    limit = send_limits.SendLimit(rng, 0.0)
+    limit.set_rate(rate, own_fraction)
+    return limit
+
+
 def play(rate: float, instances: int, seed: int) -> list[float]:
     """Has instances send whenever they may; returns the times of requests."""
     rng = random.Random(seed)
-    limits = [
-        send_limits.SendLimit(rate, 1.0 / instances, rng, 0.0)
-        for _ in range(instances)
-    ]
+    limits = [make_limit(rate, 1.0 / instances, rng) for _ in range(instances)]
     sent: list[float] = []
     delayed: list[tuple[float, int]] = []
     for step in range(int(DURATION_S / STEP_S)):
@@ -57,7 +63,7 @@
 
 def test_single_busy_instance_gets_the_whole_limit() -> None:
     """The share of instances without requests is not lost."""
-    limit = send_limits.SendLimit(2.0, 0.25, random.Random(1), 0.0)
+    limit = make_limit(2.0, 0.25, random.Random(1))
     sent = 0
     for step in range(40_000):
         now = step * STEP_S
@@ -69,6 +75,6 @@
 
 def test_limit_of_zero_still_lets_single_requests_through() -> None:
     """Only a response can show that a limit has ended."""
-    limit = send_limits.SendLimit(0.0, 1.0, random.Random(1), 0.0)
+    limit = make_limit(0.0, 1.0, random.Random(1))
     limit.record(1, 0.0)
     assert 1.0 < limit.find_next(0.0) <= 10.0
