--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -62,16 +62,9 @@
         self._metrics = metrics
 
     def find_attempt(self, run: runs.Run) -> runs.Attempt | None:
-        """Returns the attempt to send to an instance; None for an upstream.
-
-        A stream that began at a peer goes on at one, as they know the software
-        version that began it.
-        """
-        if run.request.relayed_attempts is not None:
-            return None
-        progress = run.progress
-        began_at_peer = bool(progress.events) and progress.software is None
-        if not (run.cell.reachability.is_cut_off or began_at_peer):
+        """Returns the attempt to send to an instance; None for an upstream."""
+        is_relayed = run.request.relayed_attempts is not None
+        if is_relayed or not run.cell.reachability.is_cut_off:
             return None
         instance = self._choose(run.request.service.name, run.peers)
         if instance is None:
