--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -174,15 +174,9 @@
         fields = self._adapter.parse_response_headers(
             opened.status, opened.headers
         )
-        if fields.request_id and fields.request_id != run.request.request_id:
-            return results.LostResponse(
-                f"response belongs to another request: {fields.request_id!r}"
-            )
+        foreign = sending.check_request_id(run.request, fields)
+        if foreign is not None:
+            return foreign
         if not fields.signed and opened.status in NOT_RUN_STATUSES:
             return results.NotRun(f"peer refused with {opened.status}")
-        is_success = 200 <= opened.status < 300
-        if is_success and not (fields.signed and fields.request_id):
-            return results.LostResponse(
-                "successful response without a signature or request id"
-            )
-        return None
+        return sending.check_signature(opened.status, fields)
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -134,10 +134,9 @@
         fields = self._adapter.parse_response_headers(
             opened.status, opened.headers
         )
-        if fields.request_id and fields.request_id != request.request_id:
-            return results.LostResponse(
-                f"response belongs to another request: {fields.request_id!r}"
-            )
+        foreign = check_request_id(request, fields)
+        if foreign is not None:
+            return foreign
         if fields.request_id:
             cell = self._find_cell(request.service)
             cell.reachability.record_contact(placement.entry.upstream)
@@ -154,12 +153,30 @@
                 f"status {opened.status}",
                 missing=fields.misdirected and needs_adapter,
             )
-        is_success = 200 <= opened.status < 300
-        if is_success and not (fields.signed and fields.request_id):
-            return results.LostResponse(
-                "successful response without a signature or request id"
-            )
+        return check_signature(opened.status, fields)
+
+
+def check_request_id(
+    request: requests.ClientRequest, fields: entry_adapter.ResponseFields
+) -> results.LostResponse | None:
+    """Returns why a response belongs to another request, or None."""
+    if fields.request_id in ("", request.request_id):
         return None
+    return results.LostResponse(
+        f"response belongs to another request: {fields.request_id!r}"
+    )
+
+
+def check_signature(
+    status: int, fields: entry_adapter.ResponseFields
+) -> results.LostResponse | None:
+    """Returns why a successful response is not an upstream's, or None."""
+    is_success = 200 <= status < 300
+    if is_success and not (fields.signed and fields.request_id):
+        return results.LostResponse(
+            "successful response without a signature or request id"
+        )
+    return None
 
 
 def find_idle_timeout_s(
