--- a/src/tamaracktide/core/routing_document.py
+++ b/src/tamaracktide/core/routing_document.py
@@ -6,6 +6,8 @@
 
 import xxhash
 
+from tamaracktide.core import workspaces as core_workspaces
+
 
 class RequestKind(enum.Enum):
     """The kind of a route's requests, which decides if retries are safe."""
@@ -43,6 +45,7 @@
         priority: Priority of the requests; 0 is the highest.
         max_attempts: Maximum number of upstreams that a request is sent to.
         resumable: Whether a stream may be resumed on another upstream.
+        public: Whether its requests need no API key.
     """
 
     name: str
@@ -55,6 +58,7 @@
     priority: int = 5
     max_attempts: int = 1
     resumable: bool = False
+    public: bool = False
 
     @property
     def safe_to_retry(self) -> bool:
@@ -164,30 +168,44 @@
         routes: All routes.
         services: All services, by name.
         limits: Limits on client requests and connections.
+        workspaces: All workspaces, by name; empty if callers need no API keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[str, Service]
     limits: Limits
+    workspaces: Mapping[str, core_workspaces.Workspace] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class RouteTable:
-    """Index of one document's routes by host and path prefix.
+    """Index of one document: routes by host and prefix, workspaces by key.
 
     Attributes:
         document: The document.
+        weights: Weights of the workspaces in fair queueing, by name.
     """
 
-    __slots__ = ("_by_host", "document")
+    __slots__ = ("_by_host", "_by_key", "document", "weights")
 
     def __init__(self, document: RoutingDocument) -> None:
-        """Indexes the document's routes."""
+        """Indexes the document."""
         self.document = document
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in document.routes:
             prefixes = self._by_host.setdefault(route.host, {})
             prefixes[route.path_prefix] = route
+        known = document.workspaces.values()
+        self._by_key = core_workspaces.index_keys(known)
+        self.weights = core_workspaces.find_weights(known)
+
+    def find_workspace(
+        self, key_digest: str
+    ) -> core_workspaces.Workspace | None:
+        """Returns the workspace of an API key, or None."""
+        return self._by_key.get(key_digest)
 
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, or None."""
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -1,7 +1,6 @@
 """The ASGI application for clients: validates and forwards requests."""
 
 from collections.abc import Callable
-import dataclasses
 import random
 
 import anyio
@@ -10,12 +9,14 @@
 from tamaracktide import errors
 from tamaracktide import result_codes
 from tamaracktide.core import routing_document
+from tamaracktide.entry import callers
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import forwarding
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
 from tamaracktide.entry import results
+from tamaracktide.entry import usage as entry_usage
 from tamaracktide.gateway import asgi
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
@@ -45,6 +46,7 @@
         adapter: entry_adapter.PlatformAdapter,
         state: cluster_state.ClusterState,
         forwarder: forwarding.Forwarder,
+        usage: entry_usage.UsageMeter,
         metrics: metrics_module.Metrics,
         record_request: Callable[[requests.ClientRequest], None],
     ) -> None:
@@ -54,6 +56,7 @@
             adapter: Translates the platform's headers.
             state: Provides the routing table.
             forwarder: Forwards requests to upstreams.
+            usage: Charges requests to the usage caps of workspaces.
             metrics: Counts requests and their durations.
             record_request: Called with each request that has a route.
         """
@@ -62,6 +65,7 @@
         self._adapter = adapter
         self._cluster_state = state
         self._forwarder = forwarder
+        self._usage = usage
         self._metrics = metrics
         self._record_request = record_request
 
@@ -76,7 +80,7 @@
         scope: asgi.Scope,
         receive: asgi.Receive,
         send: asgi.Send,
-        attempts: int,
+        relayed: requests.Relayed,
     ) -> None:
         """Serves one request that another instance sent on.
 
@@ -84,16 +88,16 @@
             scope: The ASGI scope.
             receive: The ASGI receive callable.
             send: The ASGI send callable.
-            attempts: Number of upstreams that may run it.
+            relayed: What the other instance says about it.
         """
-        await self._accept(scope, receive, send, attempts)
+        await self._accept(scope, receive, send, relayed)
 
     async def _accept(
         self,
         scope: asgi.Scope,
         receive: asgi.Receive,
         send: asgi.Send,
-        relayed_attempts: int | None,
+        relayed: requests.Relayed | None,
     ) -> None:
         if scope["type"] != "http":
             return
@@ -102,7 +106,7 @@
         self._request_scopes.add(request_scope)
         try:
             with request_scope:
-                await self._serve(scope, receive, responder, relayed_attempts)
+                await self._serve(scope, receive, responder, relayed)
         finally:
             self._request_scopes.discard(request_scope)
 
@@ -121,7 +125,7 @@
         scope: asgi.Scope,
         receive: asgi.Receive,
         responder: responses.Responder,
-        relayed_attempts: int | None,
+        relayed: requests.Relayed | None,
     ) -> None:
         started_at = anyio.current_time()
         headers: requests.Headers = tuple(scope["headers"])
@@ -129,16 +133,12 @@
         outcome = _Outcome()
         try:
             request = await self._read_request(
-                scope, receive, headers, fields, started_at
-            )
-            request = dataclasses.replace(
-                request, relayed_attempts=relayed_attempts
+                scope, receive, headers, fields, started_at, relayed
             )
             outcome.route = request.route.name
-            self._record_request(request)
-            await self._serve_until_disconnect(
-                request, receive, responder, outcome
-            )
+            if request.caller is not None:
+                outcome.workspace = request.caller.workspace
+            await self._serve_charged(request, receive, responder, outcome)
         except errors.TamaracktideError as error:
             outcome.code, outcome.detail = error.code, error.detail
             if not responder.started and error.code is not Codes.CALLER_LEFT:
@@ -156,6 +156,29 @@
         outcome.response = responder.state
         self._log_outcome(fields, outcome, started_at)
 
+    async def _serve_charged(
+        self,
+        request: requests.ClientRequest,
+        receive: asgi.Receive,
+        responder: responses.Responder,
+        outcome: "_Outcome",
+    ) -> None:
+        """Serves a request, and returns its charge if it has not run."""
+        charge = None
+        if request.caller is not None and request.relayed_attempts is None:
+            charge = self._usage.charge(
+                request.caller, request.tokens, request.request_id
+            )
+        self._record_request(request)
+        try:
+            await self._serve_until_disconnect(
+                request, receive, responder, outcome
+            )
+        except errors.RefusalError:
+            if charge is not None:
+                self._usage.give_back(charge)
+            raise
+
     async def _serve_until_disconnect(
         self,
         request: requests.ClientRequest,
@@ -193,6 +216,7 @@
         headers: requests.Headers,
         fields: entry_adapter.ClientFields,
         started_at: float,
+        relayed: requests.Relayed | None,
     ) -> requests.ClientRequest:
         table = self._cluster_state.table
         if table is None:
@@ -215,10 +239,12 @@
             )
         target = asgi.find_target(scope)
         route = self._find_route(table, fields.host, target)
+        callers.identify(table, route, fields, relayed)
         body = await asgi.read_body(receive, limits.max_body_bytes)
         # The routing document may change while the body is read.
         table = self._cluster_state.table or table
         route = self._find_route(table, fields.host, target)
+        caller = callers.identify(table, route, fields, relayed)
         service = route.choose_service(fields.request_id)
         deadline = started_at + route.timeout_s
         if fields.time_left_s is not None:
@@ -238,6 +264,8 @@
             resume_after=fields.resume_after,
             resumed_request=fields.resumed_request,
             fingerprint=compute_fingerprint(target, body),
+            relayed_attempts=None if relayed is None else relayed.attempts,
+            caller=caller,
         )
 
     def _find_route(
@@ -266,6 +294,7 @@
         logs.bind(
             request_id=fields.request_id,
             route=outcome.route,
+            workspace=outcome.workspace,
             resume_after=fields.resume_after,
             resumed_request=fields.resumed_request,
             upstreams=progress.upstreams if progress else [],
@@ -280,7 +309,14 @@
 class _Outcome:
     """Outcome of a request, for its log record."""
 
-    __slots__ = ("code", "detail", "progress", "response", "route")
+    __slots__ = (
+        "code",
+        "detail",
+        "progress",
+        "response",
+        "route",
+        "workspace",
+    )
 
     def __init__(self) -> None:
         self.code = Codes.OK
@@ -288,6 +324,7 @@
         self.progress: results.Progress | None = None
         self.response = ""
         self.route = ""
+        self.workspace = ""
 
 
 def compute_fingerprint(target: str, body: bytes) -> str:
--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -26,7 +26,8 @@
 
 TOKEN_HEADER = b"x-tamaracktide-token"
 ATTEMPTS_HEADER = b"x-tamaracktide-attempts"
-RELAY_HEADERS = frozenset((TOKEN_HEADER, ATTEMPTS_HEADER))
+WORKSPACE_HEADER = b"x-tamaracktide-workspace"
+RELAY_HEADERS = frozenset((TOKEN_HEADER, ATTEMPTS_HEADER, WORKSPACE_HEADER))
 """Headers between instances, which no upstream receives."""
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -136,10 +137,13 @@
         headers = self._adapter.make_relayed_headers(
             request, time_left_s, progress.last_id
         )
-        own_headers = (
+        own_headers = [
             (TOKEN_HEADER, self._settings.inner_token.encode("latin-1")),
             (ATTEMPTS_HEADER, str(run.tries.attempts_left).encode()),
-        )
+        ]
+        if request.caller is not None:
+            workspace = request.caller.workspace.encode("latin-1")
+            own_headers.append((WORKSPACE_HEADER, workspace))
         logs.bind(
             request_id=request.request_id,
             service=request.service.name,
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -49,6 +49,8 @@
         resume_after: Id of the last event that the client received, or None.
         resumed_request: Id of the client's attempt that began the stream which
             this one resumes; empty if missing.
+        key_digest: Digest of the client's API key; empty unless it sent
+            exactly one.
     """
 
     request_id: str
@@ -57,6 +59,7 @@
     generation: requests.Generation | None
     resume_after: int | None
     resumed_request: str = ""
+    key_digest: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -1,6 +1,7 @@
 """Builds the parts of an entry instance and runs them until shutdown."""
 
 from collections.abc import Iterable
+import random
 import uuid
 
 import anyio
@@ -12,6 +13,7 @@
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_entries
+from tamaracktide.core import usage_caps
 from tamaracktide.entry import app as entry_app
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import crashes as entry_crashes
@@ -36,6 +38,8 @@
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
 from tamaracktide.entry import upstream_snapshots
+from tamaracktide.entry import usage as entry_usage
+from tamaracktide.entry import usage_exchange
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
@@ -97,6 +101,11 @@
             routing_document.RouteTable | None, dict[tuple[str, str], int]
         ] = (None, {})
         self._exchange = self._make_exchange()
+        self._usage_exchange = usage_exchange.UsageExchange(
+            settings.instance, self._count_instances
+        )
+        self._usage = self._make_usage_meter()
+        self._usage_exchange.meter = self._usage
         self._resumption = entry_resumption.Resumption(
             settings.instance, self._is_view_current
         )
@@ -110,12 +119,13 @@
                 handle=self._handle_message,
                 handle_open=self._handle_open,
                 send_reports=self._send_reports,
-                handle_loss=self._exchange.handle_loss,
+                handle_loss=self._handle_loss,
                 holds_lease=lambda: self._leases.holds_any,
             ),
             tasks,
         )
         self._exchange.peers = self._peers
+        self._usage_exchange.peers = self._peers
         self._resumption.peers = self._peers
         self._peer_forwarder.peers = self._peers
         self._notices.peers = self._peers
@@ -154,6 +164,7 @@
             adapter,
             self._cluster_state,
             self._forwarder,
+            self._usage,
             self._metrics,
             self._record_request,
         )
@@ -185,6 +196,19 @@
             )
         )
 
+    def _make_usage_meter(self) -> entry_usage.UsageMeter:
+        bounds = self._settings.bounds
+        return entry_usage.UsageMeter(
+            usage_caps.Tolerance(
+                window_s=bounds.usage_window_s,
+                fraction=bounds.usage_fraction,
+                slack=bounds.usage_slack,
+            ),
+            self._usage_exchange.find_heard_fraction,
+            self._metrics,
+            random.Random(),
+        )
+
     def _make_engine_controller(self) -> engine_controller.EngineController:
         return engine_controller.EngineController(
             engine_controller.Dependencies(
@@ -257,6 +281,7 @@
     def _send_reports(self) -> None:
         self._objects.update()
         self._exchange.send_reports()
+        self._usage_exchange.send_reports()
         self._resumption.send_unsent()
 
     def _handle_open(
@@ -265,6 +290,10 @@
         self._exchange.handle_open(peer, link)
         self._resumption.handle_open(link)
 
+    def _handle_loss(self, instance: str) -> None:
+        self._exchange.handle_loss(instance)
+        self._usage_exchange.handle_loss(instance)
+
     def _is_view_current(self) -> bool:
         """Whether changes of the upstreams reach this instance."""
         silent_s = self._store_health.unreachable_s
@@ -292,6 +321,8 @@
         applied = (state.table, dict(state.versions))
         if applied != self._applied:
             self._applied = applied
+            if state.table is not None:
+                self._usage.set_workspaces(state.table.document.workspaces)
             self._update_cells(services)
             return
         self._refresh_upstreams(entries)
@@ -531,6 +562,10 @@
                 self._apply_limit_notice(peer, message)
             case entry_messages.CrashNotice():
                 self._apply_crash(peer, message)
+            case entry_messages.UsageReport():
+                self._usage_exchange.apply_report(peer, message)
+            case entry_messages.UsageTotals():
+                self._usage_exchange.apply_totals(peer, message)
             case _:
                 self._handle_other(peer, message)
 
--- a/src/tamaracktide/entry/requests.py
+++ b/src/tamaracktide/entry/requests.py
@@ -20,6 +20,7 @@
         prefix: Identifies the shared parts of the prompt; empty for none.
         session: Identifies the last shared part; empty for none.
         parts: Shared parts of the prompt, in order; at most a few dozen.
+        states_tokens: Whether the request states its numbers of tokens.
     """
 
     model: str
@@ -30,6 +31,36 @@
     prefix: str = ""
     session: str = ""
     parts: tuple[str, ...] = ()
+    states_tokens: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Caller:
+    """Who sent a request.
+
+    Attributes:
+        workspace: Name of the workspace; empty on a public route.
+        priority: Priority of its requests; None for that of the route.
+        weight: Its weight in fair queueing.
+    """
+
+    workspace: str
+    priority: int | None = None
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Relayed:
+    """What another instance says about a request that it sent on.
+
+    Attributes:
+        attempts: Number of upstreams that may run it.
+        workspace: Name of its workspace, empty on a public route; None if the
+            instance knew no workspaces.
+    """
+
+    attempts: int
+    workspace: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,6 +86,7 @@
         fingerprint: Hash of target and body, equal for all attempts.
         relayed_attempts: Number of upstreams that may run it if another
             instance sent it on; None for a client's own request.
+        caller: Who sent it; None if the deployment has no workspaces.
     """
 
     request_id: str
@@ -71,6 +103,21 @@
     resumed_request: str = ""
     fingerprint: str = ""
     relayed_attempts: int | None = None
+    caller: Caller | None = None
+
+    @property
+    def priority(self) -> int:
+        """Its priority; 0 is the highest."""
+        if self.caller is None or self.caller.priority is None:
+            return self.route.priority
+        return self.caller.priority
+
+    @property
+    def tokens(self) -> int | None:
+        """Tokens that it states, prompt and output; None if it states none."""
+        if self.generation is None or not self.generation.states_tokens:
+            return None
+        return self.generation.prompt_tokens + self.generation.max_tokens
 
     @property
     def max_attempts(self) -> int:
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -83,7 +83,7 @@
             upstream=placement.entry.upstream,
             address=placement.entry.address,
             time_left_s=remaining_s,
-            priority=request.route.priority,
+            priority=request.priority,
             version=self._find_required_version(request),
             resume_after=progress.last_id,
         )
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -257,9 +257,14 @@
         tokens = 1
         if generation is not None:
             tokens = generation.expected_tokens or generation.max_tokens
+        weight = 1.0
+        if request.caller is not None and request.caller.workspace:
+            customer = f"workspace:{request.caller.workspace}"
+            weight = request.caller.weight
         return cell_events.Submit(
             request_id=request.request_id,
             customer=customer,
+            weight=weight,
             key=key,
             prompt_tokens=generation.prompt_tokens if generation else 0,
             max_tokens=tokens,
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -25,6 +25,9 @@
         retry_fraction: Retries for each first attempt at a service.
         retry_window_s: Window of the retry budget.
         retry_extra: Retries in a window beyond the fraction, all instances.
+        usage_window_s: Window of the usage caps of workspaces.
+        usage_fraction: Fraction by which a cap may be exceeded in a window.
+        usage_slack: Units by which it may be exceeded beyond that.
     """
 
     lease_ms: Milliseconds = 3000
@@ -32,6 +35,9 @@
     retry_fraction: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
     retry_window_s: Seconds = 10.0
     retry_extra: Annotated[float, msgspec.Meta(ge=0)] = 50.0
+    usage_window_s: Seconds = 10.0
+    usage_fraction: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    usage_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/entry/status.py
+++ b/src/tamaracktide/entry/status.py
@@ -4,12 +4,13 @@
 from collections.abc import Callable
 
 from tamaracktide.entry import peer_forwarding
+from tamaracktide.entry import requests
 from tamaracktide.gateway import asgi
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
 
 ServeRelayed = Callable[
-    [asgi.Scope, asgi.Receive, asgi.Send, int], Awaitable[None]
+    [asgi.Scope, asgi.Receive, asgi.Send, requests.Relayed], Awaitable[None]
 ]
 
 
@@ -58,7 +59,7 @@
         """Builds the application.
 
         Args:
-            serve: Serves a request, at so many upstreams at most.
+            serve: Serves a request within what the other instance allows.
             token: Token that other instances send.
         """
         self._serve = serve
@@ -83,7 +84,13 @@
             if pair[0] not in peer_forwarding.RELAY_HEADERS
         ]
         scope = {**scope, "headers": kept}
-        await self._serve(scope, receive, send, int(attempts))
+        workspace = None
+        if any(name == peer_forwarding.WORKSPACE_HEADER for name, _ in headers):
+            workspace = asgi.find_header(
+                headers, peer_forwarding.WORKSPACE_HEADER
+            )
+        relayed = requests.Relayed(attempts=int(attempts), workspace=workspace)
+        await self._serve(scope, receive, send, relayed)
 
 
 async def _respond(
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -52,6 +52,10 @@
         batch_busy_seconds: Time integral of used batch slots, by `pool`.
         batch_place_seconds: Time integral of all batch slots, by `pool`.
         refusals: Requests refused before they ran, by `code`.
+        usage: Usage of workspaces, in the unit of their caps, by `workspace`.
+        usage_returned: Usage given back as its requests did not run, by
+            `workspace`.
+        usage_refusals: Requests beyond a usage cap, by `workspace`.
         claims: Claims of idempotency keys, by `state`.
         owned_upstreams: Upstreams owned by this scheduler, by `pool`.
         quarantined: Quarantined request fingerprints.
@@ -122,6 +126,13 @@
         self.refusals = self._counter(
             "refusals_total", "Requests refused unrun"
         )
+        self.usage = self._counter("usage_total", "Usage charged to caps")
+        self.usage_returned = self._counter(
+            "usage_returned_total", "Usage given back"
+        )
+        self.usage_refusals = self._counter(
+            "usage_refusals_total", "Requests beyond a usage cap"
+        )
         self.claims = self._counter(
             "claims_total", "Claims of idempotency keys"
         )
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -180,6 +180,49 @@
     overloaded: bool = False
 
 
+class WorkspaceUsage(msgspec.Struct, frozen=True, array_like=True):
+    """Usage of a workspace since the last report, encoded as an array.
+
+    Attributes:
+        admitted: Usage of the requests that were admitted, less what was given
+            back.
+        offered: Usage of all its requests.
+    """
+
+    admitted: int = 0
+    offered: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UsageReport:
+    """Usage of a member since its last report, or of a relay's group.
+
+    Attributes:
+        sequence: Number of the report.
+        instances: Instances whose usage it contains.
+        usage: Usage by workspace.
+    """
+
+    sequence: int
+    instances: int = 1
+    usage: dict[str, WorkspaceUsage] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UsageTotals:
+    """Usage of all instances since a relay's last report to its members.
+
+    Attributes:
+        instances: Instances whose usage it contains.
+        acknowledged: Number of the latest report that it contains, by member.
+        usage: Usage by workspace.
+    """
+
+    instances: int
+    acknowledged: dict[str, int] = dataclasses.field(default_factory=dict)
+    usage: dict[str, WorkspaceUsage] = dataclasses.field(default_factory=dict)
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CrashNotice:
     """Announces which requests were lost as an upstream ended.
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -398,6 +398,8 @@
     | entry_messages.StreamsNotice
     | entry_messages.StreamQuery
     | entry_messages.StreamReply
+    | entry_messages.UsageReport
+    | entry_messages.UsageTotals
     | entry_messages.WriteRequest
     | entry_messages.WriteReply
 )
@@ -438,4 +440,6 @@
     35: entry_messages.StreamReply,
     36: entry_messages.CrashNotice,
     37: entry_messages.SendLimitNotice,
+    38: entry_messages.UsageReport,
+    39: entry_messages.UsageTotals,
 }
--- a/src/tamaracktide/result_codes.py
+++ b/src/tamaracktide/result_codes.py
@@ -43,6 +43,7 @@
     RETRIES_EXHAUSTED = 2112
     UPSTREAM_REFUSED = 2113
     SOFTWARE_UNKNOWN = 2114
+    USAGE_CAP_REACHED = 2115
 
     OUTCOME_UNKNOWN = 3000
     UPSTREAM_LOST = 3001
@@ -156,6 +157,9 @@
         True,
         "The upstream version that began the stream is not known.",
     ),
+    ResultCode.USAGE_CAP_REACHED: Meaning(
+        429, _NOT_RUN, True, "The workspace has reached its usage cap."
+    ),
     ResultCode.OUTCOME_UNKNOWN: Meaning(
         504, _UNKNOWN, False, "A request with this key may have run."
     ),
