--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import AsyncIterator
+from collections.abc import Callable
 from collections.abc import Mapping
 import contextlib
 import dataclasses
@@ -19,6 +20,7 @@
 from tamaracktide import result_codes
 from tamaracktide.core import catch_up
 from tamaracktide.core import crash_evidence
+from tamaracktide.core import paces
 from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
@@ -142,7 +144,10 @@
         demand: Reported requests for adapters elsewhere.
         results: Results of its requests, until it reports them.
         remote_results: Sums of the results of others that it was told.
+        paces: Streams of its requests by engine, until it reports them.
+        remote_paces: Sums of the streams that it was told of.
         rights: Lease terms that it reports.
+        handle_other: Called with messages that are no reports.
         peers: Its links.
         exchange: Its reports.
     """
@@ -159,7 +164,12 @@
         self.demand: dict[str, int] = {}
         self.results: report_exchange.ResultsByUpstream = {}
         self.remote_results: report_exchange.ResultsByUpstream = {}
+        self.paces: report_exchange.PacesByUpstream = {}
+        self.remote_paces: report_exchange.PacesByUpstream = {}
         self.rights: tuple[entry_messages.LeaseNotice, ...] = ()
+        self.handle_other: Callable[
+            [entry_peers.Peer, messages.Message], None
+        ] = lambda peer, message: None
         self.views = engine_views.EngineViews()
         self.scope = anyio.CancelScope()
         self._network = network
@@ -174,12 +184,21 @@
                 apply_demand=self._apply_demand,
                 take_results=self._take_results,
                 apply_results=self._apply_results,
+                take_paces=self._take_paces,
+                apply_paces=self._apply_paces,
                 apply_engines=self._apply_engines,
                 apply_quarantined=lambda fingerprints: None,
                 apply_holders=lambda: None,
             )
         )
 
+    def _take_paces(self) -> report_exchange.PacesByUpstream:
+        taken, self.paces = self.paces, {}
+        return taken
+
+    def _apply_paces(self, reported: report_exchange.PacesByUpstream) -> None:
+        paces.add_sums(self.remote_paces, reported)
+
     async def run(self) -> None:
         """Runs the links until the scope is cancelled."""
         with self.scope:
@@ -263,6 +282,8 @@
                 self.exchange.apply_cluster_report(peer, message)
             case entry_messages.EngineNotice():
                 self.exchange.apply_engines((message,))
+            case _:
+                self.handle_other(peer, message)
 
 
 class Network:
--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -155,6 +155,8 @@
                 inventory.set_brittle(event, self._parts.rng, now)
             case cell_events.UpstreamOverloaded():
                 inventory.slow_down(event, now)
+            case cell_events.PacesChanged():
+                inventory.set_paces(event)
             case _:
                 self._apply_remote(event, now)
 
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -4,6 +4,7 @@
 The union `CellEvent` lists every event that this method accepts.
 """
 
+from collections.abc import Mapping
 import dataclasses
 from typing import TypeAlias
 
@@ -27,6 +28,17 @@
     ready: bool = True
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PacesChanged:
+    """Engines of the cell turned out to be faster or slower than others.
+
+    Attributes:
+        factors: Time that an engine takes over that of a median one, by engine.
+    """
+
+    factors: Mapping[str, float]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdaptersReady:
     """Loads that other instances ordered on an engine have ended.
@@ -373,6 +385,7 @@
     | PromptSent
     | SendLimitChanged
     | BrittleChanged
+    | PacesChanged
     | UpstreamOverloaded
     | RequestsSent
     | Withdraw
--- a/src/tamaracktide/core/cell_parts.py
+++ b/src/tamaracktide/core/cell_parts.py
@@ -57,7 +57,7 @@
         estimates=estimates_,
         budget=budget,
         placer=placement.Placer(
-            settings, inventory_, queue, estimates_, budget
+            settings, inventory_, queue, estimates_, budget, rng
         ),
         admission=admission.Admission(
             settings, inventory_, queue, estimates_, rng
--- a/src/tamaracktide/core/cell_settings.py
+++ b/src/tamaracktide/core/cell_settings.py
@@ -26,6 +26,8 @@
         max_prefill_backlog_s: Longest prefill backlog of an engine to
             which prompts are sent, seconds; infinite never holds requests
             back.
+        max_pause_s: Longest pause between two events of a stream with which it
+            is still in time, seconds.
         demand_tau_s: Time constant of the demand that determines the number
             of replicas, seconds.
     """
@@ -42,4 +44,5 @@
     spread: bool = False
     rate_per_replica: float = 0.0
     max_prefill_backlog_s: float = math.inf
+    max_pause_s: float = 0.3
     demand_tau_s: float = 15.0
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -97,6 +97,7 @@
         send_limit: Rate at which it takes requests; None for any.
         pace: Rate at which it gets requests while it is brittle; None if it
             is not.
+        time_factor: Time that it takes over that of a median engine.
     """
 
     name: str
@@ -123,6 +124,7 @@
     )
     send_limit: send_limits.SendLimit | None = None
     pace: send_limits.SendLimit | None = None
+    time_factor: float = 1.0
 
     @property
     def limits(self) -> list[send_limits.SendLimit]:
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -37,6 +37,7 @@
         slots_by_customer: Number of adapter slots charged to each customer.
         changes: Change counter, increased whenever batch slots or adapter
             slots may have changed.
+        is_uneven: Whether some engines are faster than others.
     """
 
     def __init__(self) -> None:
@@ -46,6 +47,7 @@
         self.loads: dict[str, cell_state.LoadRecord] = {}
         self.slots_by_customer: collections.Counter[str] = collections.Counter()
         self.changes = 0
+        self.is_uneven = False
         self._capacity: Capacity | None = None
         self._slots_by_adapter: dict[
             rows.AdapterKey, dict[str, cell_state.Slot]
@@ -102,6 +104,23 @@
             for engine in self.engines.values()
         )
 
+    def set_paces(self, event: cell_events.PacesChanged) -> None:
+        """Sets how much time engines take compared with a median one."""
+        for name, factor in event.factors.items():
+            if name in self.engines:
+                self.engines[name].time_factor = factor
+        self.is_uneven = any(
+            engine.time_factor != 1.0 for engine in self.engines.values()
+        )
+        self.changes += 1
+
+    def measure_replicas(self, key: rows.AdapterKey) -> float:
+        """Returns the engines that serve an adapter, by their speed."""
+        return sum(
+            1.0 / self.engines[name].time_factor
+            for name in self._slots_by_adapter.get(key, {})
+        )
+
     def reserve(self, engine: cell_state.Engine, slot: cell_state.Slot) -> None:
         """Excludes a slot from grants, so that it is evicted once idle."""
         self.changes += 1
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -1,15 +1,19 @@
 """Placement of requests and loads, and the choice of evicted adapters."""
 
+from collections.abc import Mapping
 import dataclasses
 import math
 
+from tamaracktide.core import cell_events
 from tamaracktide.core import cell_settings
 from tamaracktide.core import cell_state
 from tamaracktide.core import estimates
 from tamaracktide.core import fairness
 from tamaracktide.core import inventory
 from tamaracktide.core import loading
+from tamaracktide.core import pauses
 from tamaracktide.core import popularity
+from tamaracktide.core import randomness
 from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
 
@@ -56,6 +60,19 @@
 _CACHED_PREFIX_SAVING_S = 0.012
 """Prefill time saved by a cached prefix, about 300 of 1,460 tokens."""
 
+SPEED_EXPONENT = 2.0
+"""Power of its speed with which an engine is preferred for adapters: the longer
+its pauses, the higher the risk that they are too long."""
+
+MAX_STALENESS_S = 0.1
+"""Random cost of an engine among uneven ones: what the requests that other
+instances have sent since their reports may cost. Without it, all instances
+choose the same engine until the next report."""
+
+SLOW_REPLICA_FRACTION = 0.3
+"""Fraction of a replica's request rate from which an adapter that only slow
+engines have gets another replica."""
+
 _MAX_REPLICATED = 24
 """Adapters considered for more replicas; the request rates of others are too
 low."""
@@ -126,6 +143,7 @@
         queue: fairness.FairQueue,
         estimates_: estimates.Estimates,
         budget: loading.LoadBudget,
+        rng: randomness.Random,
     ) -> None:
         """Uses the given state without modifying it."""
         self.popularity = popularity.Popularity()
@@ -138,6 +156,7 @@
         self._queue = queue
         self._estimates = estimates_
         self._budget = budget
+        self._rng = rng
         self._packed = _Packed((-1, 0, 0), frozenset(), ())
 
     def find_ready(
@@ -177,7 +196,7 @@
             if next_send_at > now:
                 self.recheck_at = min(self.recheck_at, next_send_at)
                 continue
-            score = self._score_ready(engine, submit.prefix, now)
+            score = self._score_ready(engine, submit, now)
             if score > best_score:
                 best, best_score = (engine, slot), score
         return best
@@ -187,19 +206,43 @@
     ) -> None:
         """Records that a prompt was sent to an engine."""
         start_at = max(now, engine.prefill_done_at)
-        engine.prefill_done_at = start_at + tokens * _PREFILL_TOKEN_S
+        engine.prefill_done_at = start_at + _find_prefill_s(engine, tokens)
 
     def _score_ready(
-        self, engine: cell_state.Engine, prefix: str, now: float
+        self,
+        engine: cell_state.Engine,
+        submit: cell_events.Submit,
+        now: float,
     ) -> float:
+        prefix = submit.prefix
         cached = bool(prefix) and prefix in engine.prefixes
         fill = engine.running / engine.batch_limit
         if self._settings.spread:
             cost_s = _estimate_delay_s(engine, now) + engine.distance_s
+            cost_s += self._predict_slowness_s(
+                engine, submit.prompt_tokens, now
+            )
             saving_s = _CACHED_PREFIX_SAVING_S * cached + engine.preference_s
             return saving_s - cost_s
         return self._settings.batch_weight * fill + _PREFIX_SCORE * cached
 
+    def _predict_slowness_s(
+        self, engine: cell_state.Engine, tokens: int, now: float
+    ) -> float:
+        """Returns what an engine's speed costs; 0 if all are as fast.
+
+        That is the time to read the prompt, and the pause of the streams that
+        run there meanwhile.
+        """
+        if not self._inventory.is_uneven:
+            return 0.0
+        prefill_s = _find_prefill_s(engine, tokens)
+        backlog_s = max(0.0, engine.prefill_done_at - now)
+        harm_s = pauses.predict_harm_s(
+            engine.running, prefill_s + backlog_s, self._settings.max_pause_s
+        )
+        return prefill_s + harm_s + self._rng.uniform(0.0, MAX_STALENESS_S)
+
     def _find_packed(
         self, key: rows.AdapterKey, avoid: tuple[str, ...], now: float
     ) -> frozenset[str]:
@@ -353,12 +396,23 @@
             and self._inventory.find_slot(engine, key) is None
             and not self._inventory.is_passed_over(engine)
         }
-        ranked = [
-            eligible[name]
-            for name in rendezvous.sort_members(key.text, eligible)
-        ]
+        ranked = [eligible[name] for name in self._rank(key, eligible)]
         return sorted(ranked, key=lambda engine: key not in engine.host_cached)
 
+    def _rank(
+        self, key: rows.AdapterKey, engines: Mapping[str, cell_state.Engine]
+    ) -> list[str]:
+        """Returns engines in an adapter's rendezvous order, by their speed."""
+        if not self._inventory.is_uneven:
+            return rendezvous.sort_members(key.text, engines)
+        return rendezvous.sort_weighted(
+            key.text,
+            {
+                name: engine.time_factor**-SPEED_EXPONENT
+                for name, engine in engines.items()
+            },
+        )
+
     def _predict_batch_wait_s(
         self, engine: cell_state.Engine, over_share: bool, replica: bool
     ) -> float | None:
@@ -470,9 +524,12 @@
         rate_per_replica = self._settings.rate_per_replica
         if rate_per_replica <= 0:
             return None
-        frequent = self.popularity.list_frequent(now, rate_per_replica)
+        least_rate = rate_per_replica
+        if self._inventory.is_uneven:
+            least_rate *= SLOW_REPLICA_FRACTION
+        frequent = self.popularity.list_frequent(now, least_rate)
         for likely in frequent[:_MAX_REPLICATED]:
-            replicas = self._inventory.count_replicas(likely.key)
+            replicas = self._inventory.measure_replicas(likely.key)
             if not replicas or replicas >= math.ceil(
                 likely.rate / rate_per_replica
             ):
@@ -520,12 +577,15 @@
         return best
 
 
+def _find_prefill_s(engine: cell_state.Engine, tokens: int) -> float:
+    return tokens * _PREFILL_TOKEN_S * engine.time_factor
+
+
 def _estimate_delay_s(engine: cell_state.Engine, now: float) -> float:
     """Returns the additional response time compared with an idle engine."""
     prefill_s = max(0.0, engine.prefill_done_at - now)
-    return prefill_s + _FULL_BATCH_DELAY_S * (
-        engine.running / engine.batch_limit
-    )
+    fill = engine.running / engine.batch_limit
+    return prefill_s + _FULL_BATCH_DELAY_S * fill * engine.time_factor
 
 
 def _has_batch_slot(
--- a/src/tamaracktide/core/rendezvous.py
+++ b/src/tamaracktide/core/rendezvous.py
@@ -1,6 +1,8 @@
 """Rendezvous hashing (highest random weight) over named members."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 import xxhash
 
@@ -20,6 +22,19 @@
     )
 
 
+def sort_weighted(key: str, weights: Mapping[str, float]) -> list[str]:
+    """Returns members in order of preference, by weighted rendezvous hashing.
+
+    A member comes first for a share of the keys in proportion to its weight.
+    """
+
+    def find_score(member: str) -> float:
+        digest = xxhash.xxh64_intdigest(f"{key}\x00{member}".encode())
+        return -math.log((digest + 1) / (1 << 64)) / weights[member]
+
+    return sorted(weights, key=lambda member: (find_score(member), member))
+
+
 def order_owners(
     key: str, members: Iterable[tuple[str, str]], zone: str
 ) -> list[str]:
--- a/src/tamaracktide/core/routing_document.py
+++ b/src/tamaracktide/core/routing_document.py
@@ -8,6 +8,8 @@
 
 from tamaracktide.core import workspaces as core_workspaces
 
+DEFAULT_MAX_PAUSE_S = 0.3
+
 
 class RequestKind(enum.Enum):
     """The kind of a route's requests, which decides if retries are safe."""
@@ -134,11 +136,14 @@
         name: The service's name.
         max_connections: Maximum number of connections that one upstream
             accepts, from all instances together.
+        max_pause_s: Longest pause between two events of a stream with which it
+            is still in time, the shortest of its routes.
         engine: Capacity of its engines; None for a plain service.
     """
 
     name: str
     max_connections: int = 100
+    max_pause_s: float = DEFAULT_MAX_PAUSE_S
     engine: EngineProfile | None = None
 
 
--- a/src/tamaracktide/entry/cell_defaults.py
+++ b/src/tamaracktide/entry/cell_defaults.py
@@ -56,4 +56,5 @@
         rate_per_replica=0.0 if plain else RATE_PER_REPLICA,
         demand_tau_s=DEMAND_TAU_S,
         max_prefill_backlog_s=MAX_PREFILL_BACKLOG_S,
+        max_pause_s=service.max_pause_s,
     )
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -11,6 +11,8 @@
 from tamaracktide.core import event_stream
 from tamaracktide.core import retry_window
 from tamaracktide.core import routing_document
+from tamaracktide.core import stalls
+from tamaracktide.core import stream_timing
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import hedging
 from tamaracktide.entry import outcomes
@@ -278,7 +280,9 @@
         """Sends a request, with retries while its adapter is loading."""
         budget = self._find_budget(run.request.service.name)
         for retry in range(MAX_ADAPTER_RETRIES + 1):
-            result = await self._send(run, attempt)
+            # A late second copy of the refusal would pass for the response to
+            # the retry, which has the same id.
+            result = await self._send(run, attempt, fresh=retry > 0)
             if not isinstance(result, results.NotRun) or not result.missing:
                 return result
             if (
@@ -293,8 +297,9 @@
         return result
 
     async def _send(
-        self, run: runs.Run, attempt: runs.Attempt
+        self, run: runs.Run, attempt: runs.Attempt, *, fresh: bool
     ) -> results.Result:
+        attempt.timing = stream_timing.StreamTiming(anyio.current_time())
         if attempt.is_relayed:
             opened = await self._peer_forwarder.open(run, attempt)
         else:
@@ -303,6 +308,7 @@
                 run.progress,
                 attempt.placement,
                 self._hedger.watch(run, attempt),
+                fresh=fresh,
             )
         if isinstance(opened, streams.StreamedResponse):
             return await self._handle_response(run, attempt, opened)
@@ -332,6 +338,29 @@
         finally:
             await opened.close()
 
+    def _has_stalled(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        stall: stalls.StallDetector,
+        block: event_stream.EventBatch | None,
+    ) -> bool:
+        """Whether a stream has stalled and another upstream may go on."""
+        has_progressed = (
+            block is not None and block.last_id != run.progress.last_id
+        )
+        now = anyio.current_time()
+        if not stall.record(now, has_progressed=has_progressed):
+            return False
+        if attempt.is_relayed or not run.tries.allows_hedge:
+            return False
+        logs.bind(
+            request_id=run.request.request_id,
+            upstream=attempt.upstream,
+            events=run.progress.events,
+        ).info("stream stalled: bytes arrive, but no events")
+        return True
+
     async def _forward_response(
         self, response: calls.Response, responder: responses.Responder
     ) -> None:
@@ -357,6 +386,7 @@
         else:
             headers = self._adapter.filter_response_headers(opened.headers)
             await responder.start(opened.status, headers)
+        stall = stalls.StallDetector(anyio.current_time())
         while True:
             chunk = await opened.receive()
             if isinstance(chunk, calls.Failure):
@@ -364,6 +394,10 @@
             if not chunk:
                 break
             block = splitter.feed(chunk)
+            if self._has_stalled(run, attempt, stall, block):
+                return results.LostResponse(
+                    "bytes, but no event for too long", timed_out=True
+                )
             if block is None:
                 continue
             if not block.in_order:
@@ -373,12 +407,7 @@
             if progress.software is None and not attempt.is_relayed:
                 progress.software = attempt.placement.entry.software
                 self._resumption.record_begin(run.request, progress.software)
-            events = block.data.count(event_stream.EVENT_END)
-            progress.events += events
-            attempt.events += events
-            progress.last_id = block.last_id
-            if attempt.began_at is None:
-                attempt.began_at = anyio.current_time()
+            _record_events(run, attempt, block)
             await responder.write(block.data)
         if splitter.pending or progress.last_id is None:
             return results.LostResponse("stream ended within an event")
@@ -387,6 +416,24 @@
         return results.Completed(Codes.OK)
 
 
+def _record_events(
+    run: runs.Run, attempt: runs.Attempt, block: event_stream.EventBatch
+) -> None:
+    """Records events that are about to be forwarded."""
+    events = block.data.count(event_stream.EVENT_END)
+    run.progress.events += events
+    run.progress.last_id = block.last_id
+    attempt.events += events
+    now = anyio.current_time()
+    if attempt.began_at is None:
+        attempt.began_at = now
+    if attempt.timing is None:
+        return
+    event_s = attempt.timing.record(events, now)
+    if event_s is not None:
+        outcomes.record_pace(run, attempt, event_s)
+
+
 def _is_event_stream(opened: streams.StreamedResponse) -> bool:
     for name, value in opened.headers:
         if name == b"content-type":
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -32,6 +32,7 @@
         """
         upstream, cell = attempt.upstream, run.cell
         _log_failure(run, attempt, result)
+        _record_timing(run, attempt)
         if attempt.is_relayed:
             return
         missing = isinstance(result, results.NotRun) and result.missing
@@ -99,3 +100,29 @@
         waited_s=round(attempt.placement.waited_s, 4),
         is_relayed=attempt.is_relayed,
     ).info("attempt failed: {}", result.detail)
+
+
+def record_pace(run: runs.Run, attempt: runs.Attempt, event_s: float) -> None:
+    """Records a sample of the pace of an attempt's engine, if it is known."""
+    if not attempt.is_relayed:
+        now = anyio.current_time()
+        run.cell.paces.record(attempt.upstream, event_s, now)
+
+
+def _record_timing(run: runs.Run, attempt: runs.Attempt) -> None:
+    """Records how fast a stream was, and whether a pause made it late."""
+    timing, generation = attempt.timing, run.request.generation
+    if timing is None or timing.first_s is None or generation is None:
+        return
+    event_s = timing.finish()
+    if event_s is not None:
+        record_pace(run, attempt, event_s)
+    logs.bind(
+        request_id=run.request.request_id,
+        upstream=attempt.upstream,
+        prompt_tokens=generation.prompt_tokens,
+        waited_s=round(attempt.placement.waited_s, 4),
+        first_s=round(timing.first_s, 4),
+        longest_gap_s=round(timing.longest_gap_s, 4),
+        event_s=None if timing.event_s is None else round(timing.event_s, 5),
+    ).info("stream timed")
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -190,6 +190,8 @@
                 apply_demand=self._apply_demand,
                 take_results=self._take_results,
                 apply_results=self._apply_results,
+                take_paces=self._take_paces,
+                apply_paces=self._apply_paces,
                 apply_engines=self._apply_engines,
                 apply_quarantined=self.crashes.apply_quarantined,
                 apply_holders=self._refresh,
@@ -372,6 +374,18 @@
         for cell in self._cells.values():
             cell.apply_results(results)
 
+    def _take_paces(self) -> report_exchange.PacesByUpstream:
+        """Returns the paces to report, and applies what is known by now."""
+        taken: report_exchange.PacesByUpstream = {}
+        for cell in self._cells.values():
+            cell.refresh_paces()
+            taken.update(cell.paces.take_unreported())
+        return taken
+
+    def _apply_paces(self, paces: report_exchange.PacesByUpstream) -> None:
+        for cell in self._cells.values():
+            cell.apply_paces(paces)
+
     def _is_in_use(self, upstream: str, name: str) -> bool:
         """Whether a request of any instance uses an adapter on an upstream."""
         if any(
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -13,6 +13,7 @@
 
 from tamaracktide.core import catch_up
 from tamaracktide.core import crash_evidence
+from tamaracktide.core import paces as core_paces
 from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import engine_views
@@ -38,6 +39,9 @@
 ResultsByUpstream = dict[str, upstream_health.Results]
 """Results of requests by upstream."""
 
+PacesByUpstream = dict[str, core_paces.PaceSum]
+"""Streams since the last report, by engine."""
+
 _CLUSTER = "\x00cluster"
 _OWN = "\x00own"
 
@@ -84,6 +88,8 @@
         apply_holders: Called when the lease holders may have changed.
         take_results: Returns the results of own requests since the last call.
         apply_results: Called with the results of another instance.
+        take_paces: Returns the own streams of engines since the last call.
+        apply_paces: Called with the streams that other instances reported.
     """
 
     ip: str
@@ -97,6 +103,8 @@
     apply_holders: Callable[[], None]
     take_results: Callable[[], ResultsByUpstream]
     apply_results: Callable[[ResultsByUpstream], None]
+    take_paces: Callable[[], PacesByUpstream]
+    apply_paces: Callable[[PacesByUpstream], None]
 
 
 class ReportExchange:
@@ -125,6 +133,8 @@
         self._group_sent: running_counts.Counts = {}
         self._cluster_sent: running_counts.Counts = {}
         self._group_results: dict[str, ResultsByUpstream] = {}
+        self._group_paces: PacesByUpstream = {}
+        self._all_paces: PacesByUpstream = {}
         self._changed_engines: set[str] = set()
         self._own_engines: dict[str, entry_messages.EngineNotice] = {}
         self._relays_reported_at = float("-inf")
@@ -184,6 +194,9 @@
         if not is_relay:
             self._send_member_report(own)
             return
+        own_paces = self._dependencies.take_paces()
+        core_paces.add_sums(self._group_paces, own_paces)
+        core_paces.add_sums(self._all_paces, own_paces)
         now = anyio.current_time()
         period_s = 0.0
         if not peers.plan.is_flat:
@@ -262,6 +275,7 @@
             self._acknowledged[peer.instance] = report.sequence
         self._apply_demand(peer, report)
         self._apply_results(peer, report)
+        self._apply_paces(peer, report)
         self.apply_engines(report.engines)
         self._dependencies.apply_quarantined(_get_quarantined(report))
         self._apply_changes()
@@ -287,6 +301,17 @@
         upstream_health.add_results(results, report.results)
         self._dependencies.apply_results(report.results)
 
+    def _apply_paces(
+        self, peer: entry_peers.Peer, report: entry_messages.InstanceReport
+    ) -> None:
+        """Applies reported paces and keeps them for those who lack them."""
+        if not report.paces:
+            return
+        self._dependencies.apply_paces(report.paces)
+        core_paces.add_sums(self._all_paces, report.paces)
+        if peer.is_member:
+            core_paces.add_sums(self._group_paces, report.paces)
+
     def apply_engines(
         self, notices: tuple[entry_messages.EngineNotice, ...]
     ) -> None:
@@ -306,18 +331,14 @@
         peer.cut_off, peer.draining = frozenset(report.cut_off), report.draining
         if report.draining:
             peers.avoid_draining(peer.instance)
-        if peer.instance != peers.relay:
-            is_planned = peer.instance == peers.plan.relay
-            if not report.is_full or not (is_planned or not peers.relay):
-                return
-            for name in list(peers.known):
-                self._table.remove(name)
-            peers.attach(peer.instance)
+        if peer.instance != peers.relay and not self._attach(peer, report):
+            return
         self._table.apply(_CLUSTER, report.running, is_full=report.is_full)
         self._subtract_own(report.acknowledged)
         if report.engines:
             self._dependencies.apply_engines(report.engines)
         self._dependencies.apply_quarantined(_get_quarantined(report))
+        self._dependencies.apply_paces(report.paces)
         for instance, results in report.results.items():
             if instance != self._dependencies.instance:
                 self._dependencies.apply_results(results)
@@ -328,6 +349,19 @@
             self.holders = report.holders
             self._dependencies.apply_holders()
 
+    def _attach(
+        self, peer: entry_peers.Peer, report: entry_messages.ClusterReport
+    ) -> bool:
+        """Changes to another relay, if the report allows it."""
+        peers = self._get_peers()
+        is_planned = peer.instance == peers.plan.relay
+        if not report.is_full or not (is_planned or not peers.relay):
+            return False
+        for name in list(peers.known):
+            self._table.remove(name)
+        peers.attach(peer.instance)
+        return True
+
     def _get_peers(self) -> entry_peers.Peers:
         assert self.peers is not None
         return self.peers
@@ -383,6 +417,7 @@
             current,
             asked=dict(asked),
             results=self._dependencies.take_results(),
+            paces=self._dependencies.take_paces(),
         )
         links = [
             link
@@ -444,7 +479,9 @@
             self._make_relay_report(own, changes, is_full=False),
             asked=dict(asked),
             engines=engines,
+            paces=self._group_paces,
         )
+        self._group_paces = {}
         full = dataclasses.replace(partial, running=group, is_full=True)
         self._put_all(
             [
@@ -462,6 +499,7 @@
         self._cluster_sent = cluster
         changed, self._changed_engines = self._changed_engines, set()
         results, self._group_results = self._group_results, {}
+        paces, self._all_paces = self._all_paces, {}
         own_results = self._dependencies.take_results()
         if own_results:
             results[self._dependencies.instance] = own_results
@@ -479,7 +517,7 @@
             [notice for notice in notices if notice is not None],
             is_full=False,
         )
-        partial = dataclasses.replace(partial, results=results)
+        partial = dataclasses.replace(partial, results=results, paces=paces)
         full = partial
         if not all(peer.links[-1].is_current for peer in members):
             full = self._make_cluster_report(
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -5,6 +5,7 @@
 import anyio
 
 from tamaracktide.core import attempts
+from tamaracktide.core import stream_timing
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
 from tamaracktide.entry import results
@@ -53,6 +54,7 @@
         is_lost: Whether its connection has ended while it was silent.
         successor: The attempt that takes over; None while there is none.
         is_relayed: Whether it was sent to another instance.
+        timing: When its events arrived; None until it is sent.
     """
 
     placement: service_cell.Placement
@@ -64,6 +66,7 @@
     is_lost: bool = False
     successor: "Attempt | None" = None
     is_relayed: bool = False
+    timing: stream_timing.StreamTiming | None = None
 
     @property
     def has_delivered(self) -> bool:
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -66,6 +66,8 @@
         progress: results.Progress,
         placement: service_cell.Placement,
         on_silence: streams.OnSilence | None,
+        *,
+        fresh: bool = False,
     ) -> OpenResult:
         """Sends a request and returns its response, whose headers fit it.
 
@@ -75,6 +77,7 @@
             placement: The granted batch slot.
             on_silence: Called when the upstream is silent; None waits until
                 the request expires.
+            fresh: Whether to use a new connection.
         """
         remaining_s = request.expires_at - anyio.current_time()
         if remaining_s < MIN_SEND_TIME_S:
@@ -100,6 +103,7 @@
                 body=request.body,
                 timeout_s=timeout_s,
             ),
+            fresh=fresh,
             on_silence=on_silence,
         )
         if isinstance(opened, calls.Failure):
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -25,6 +25,7 @@
 from tamaracktide.core import cell
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
+from tamaracktide.core import paces
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -102,6 +103,7 @@
         reachability: Checks which upstreams accept connections.
         running: Requests of this instance by upstream and adapter name.
         send_limits: Limits that its upstreams name.
+        paces: How fast its engines are.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         """Starts without requests; `refresh` reads the upstreams."""
         self.service = service
         self.health = upstream_health.UpstreamHealth(random.Random())
+        self.paces = paces.Paces()
         self.running: dict[str, dict[str, int]] = {}
         self._dependencies = dependencies
         self._cell = self._make_cell()
@@ -418,17 +421,19 @@
             self._leaving.discard(name)
             self._on_trial.discard(name)
             self.send_limits.forget(name)
+            self.paces.forget(name)
             self._ready_at.pop(name, None)
         return [cell_events.UpstreamLost(name) for name in upstreams]
 
     def _forget_restarted(
         self, entries: Mapping[str, upstream_entries.UpstreamEntry]
     ) -> None:
-        """Drops the limits of upstreams that have restarted."""
+        """Drops the limits and paces of upstreams that have restarted."""
         for name, entry in entries.items():
             known = self._entries.get(name)
             if known is not None and known.started_ms != entry.started_ms:
                 self.send_limits.forget(name)
+                self.paces.forget(name)
 
     def refresh_health(self) -> None:
         """Stops or resumes new requests to upstreams as their health says."""
@@ -626,6 +631,24 @@
         if any(changed):
             self.refresh_health()
 
+    def apply_paces(self, reported: Mapping[str, paces.PaceSum]) -> None:
+        """Applies the paces of engines that other instances observed."""
+        now = anyio.current_time()
+        for upstream, pace in reported.items():
+            if upstream in self._entries:
+                self.paces.apply_report(upstream, pace, now)
+
+    def refresh_paces(self) -> None:
+        """Passes on which engines turned out to be faster or slower."""
+        changed = self.paces.find_changes(anyio.current_time())
+        if not changed:
+            return
+        logs.bind(
+            service=self.service.name,
+            factors={name: round(f, 2) for name, f in changed.items()},
+        ).info("paces of engines changed")
+        self._handle(cell_events.PacesChanged(changed))
+
     def _handle(self, event: cell_events.CellEvent) -> None:
         now = anyio.current_time()
         try:
@@ -651,6 +674,7 @@
             "invariant violated, scheduler state reset: {}", error
         )
         self._cell = self._make_cell()
+        self.paces = paces.Paces()
         self._leaving.clear()
         self._on_trial.clear()
         for request_id in list(self._waiting):
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from tamaracktide.core import catch_up
+from tamaracktide.core import paces as core_paces
 from tamaracktide.core import upstream_health
 
 
@@ -82,6 +83,8 @@
         results: Results of a member's requests since its last report, of
             upstreams that failed some.
         cut_off: Services of which the sender reaches no upstream.
+        paces: Samples of the paces of engines since the last report, while
+            they seem uneven.
     """
 
     sequence: int
@@ -105,6 +108,9 @@
         default_factory=dict
     )
     cut_off: tuple[str, ...] = ()
+    paces: dict[str, core_paces.PaceSum] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -127,6 +133,7 @@
         results: Results of the group's requests since the last report, by
             instance and upstream.
         cut_off: Services of which the relay reaches no upstream.
+        paces: Samples of all instances since its last report, by engine.
     """
 
     is_full: bool
@@ -143,6 +150,9 @@
         default_factory=dict
     )
     cut_off: tuple[str, ...] = ()
+    paces: dict[str, core_paces.PaceSum] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/entry/test_report_exchange.py
+++ b/tests/entry/test_report_exchange.py
@@ -13,6 +13,7 @@
 import pytest
 
 from tamaracktide.bench.slopes import memory_network
+from tamaracktide.core import paces
 from tamaracktide.core import relays
 from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_health
@@ -248,6 +249,19 @@
             }
 
 
+async def test_samples_of_paces_reach_all_instances() -> None:
+    """Each is a mean over all zones; an own sample may come back."""
+    topology = memory_network.make_zones(30, 3)
+    async with run_busy_network(topology) as network:
+        for instance in network.instances.values():
+            instance.paces = {"e1": paces.PaceSum(1, 40.0)}
+        await anyio.sleep(2.0)
+        for instance in network.instances.values():
+            known = instance.remote_paces["e1"]
+            assert len(topology) - 1 <= known.samples <= len(topology)
+            assert known.event_ms == 40.0 * known.samples
+
+
 async def test_demand_reaches_each_relay_once() -> None:
     """Relays count requests of all instances, for evictions and replicas."""
     topology = memory_network.make_zones(30, 3)
