Begin slowly at upstreams that have started or recovered (operators' wish)

Cause: an upstream that returns is the least busy one, so all instances choose it until reports show otherwise, half a second to a second later.

In force from 13 instances on (slow_start_min_instances), while at most half of a service's upstreams have just started.

Ruled out: a ramp in time, one request at a time at each instance (60 of them for 6 slots).

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -157,6 +157,10 @@
                 inventory.slow_down(event, now)
             case cell_events.PacesChanged():
                 inventory.set_paces(event)
+            case cell_events.RampStarted():
+                inventory.start_ramp(event, now)
+            case cell_events.AnswerObserved():
+                inventory.record_answer(event, now)
             case _:
                 self._apply_remote(event, now)
 
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -39,6 +39,34 @@
     factors: Mapping[str, float]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RampStarted:
+    """An upstream of the cell has just started or recovered.
+
+    Attributes:
+        upstream: Its instance id.
+        rank: Position of this instance among all, from 0 to 1.
+        instances: Number of instances.
+    """
+
+    upstream: str
+    rank: float
+    instances: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerObserved:
+    """A request to an upstream was answered, or lost.
+
+    Attributes:
+        upstream: Instance id of the upstream.
+        is_good: Whether the answer was a success and in time.
+    """
+
+    upstream: str
+    is_good: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdaptersReady:
     """Loads that other instances ordered on an engine have ended.
@@ -386,6 +414,8 @@
     | SendLimitChanged
     | BrittleChanged
     | PacesChanged
+    | RampStarted
+    | AnswerObserved
     | UpstreamOverloaded
     | RequestsSent
     | Withdraw
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -4,6 +4,7 @@
 import enum
 
 from tamaracktide.core import cell_events
+from tamaracktide.core import ramps
 from tamaracktide.core import rows
 from tamaracktide.core import send_limits
 
@@ -98,6 +99,8 @@
         pace: Rate at which it gets requests while it is brittle; None if it
             is not.
         time_factor: Time that it takes over that of a median engine.
+        ramp: Window of requests after its start; None once it is over.
+        instances: Number of instances that share the window.
     """
 
     name: str
@@ -125,6 +128,8 @@
     send_limit: send_limits.SendLimit | None = None
     pace: send_limits.SendLimit | None = None
     time_factor: float = 1.0
+    ramp: ramps.Ramp | None = None
+    instances: int = 1
 
     @property
     def limits(self) -> list[send_limits.SendLimit]:
@@ -183,6 +188,19 @@
         """Adapter slots that customers over their share leave idle."""
         return int(self.slot_limit * SLOT_HEADROOM_FRACTION)
 
+    @property
+    def own_running(self) -> int:
+        """Running requests that this cell granted."""
+        return sum(slot.pins for slot in self.slots.values())
+
+    def is_ramp_full(self, now: float) -> bool:
+        """Whether its window allows this instance no further request."""
+        ramp = self.ramp
+        if ramp is None:
+            return False
+        ramp.update(self.running, now)
+        return self.own_running >= ramp.find_own_limit(self.instances)
+
     @property
     def free_batch_slots(self) -> int:
         """Batch slots that are available to new requests."""
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -6,6 +6,7 @@
 
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_state
+from tamaracktide.core import ramps
 from tamaracktide.core import randomness
 from tamaracktide.core import rows
 from tamaracktide.core import send_limits
@@ -114,6 +115,31 @@
         )
         self.changes += 1
 
+    def start_ramp(self, event: cell_events.RampStarted, now: float) -> None:
+        """Begins the window of requests of an engine."""
+        engine = self.engines.get(event.upstream)
+        if engine is None:
+            return
+        engine.ramp = ramps.Ramp(engine.batch_limit, event.rank, now)
+        engine.instances = event.instances
+
+    def record_answer(
+        self, event: cell_events.AnswerObserved, now: float
+    ) -> None:
+        """Adjusts an engine's window of requests to an answer."""
+        engine = self.engines.get(event.upstream)
+        if engine is None or engine.ramp is None:
+            return
+        engine.ramp.record_answer(engine.instances, now, is_good=event.is_good)
+        if engine.ramp.has_ended:
+            engine.ramp = None
+
+    def holds_ramps(self) -> bool:
+        """Whether windows of requests are kept: few engines are in one."""
+        usable = self.list_usable()
+        ramping = sum(engine.ramp is not None for engine in usable)
+        return 0 < ramping <= ramps.MAX_RAMPING_FRACTION * len(usable)
+
     def measure_replicas(self, key: rows.AdapterKey) -> float:
         """Returns the engines that serve an adapter, by their speed."""
         return sum(
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -13,6 +13,7 @@
 from tamaracktide.core import loading
 from tamaracktide.core import pauses
 from tamaracktide.core import popularity
+from tamaracktide.core import ramps
 from tamaracktide.core import randomness
 from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
@@ -179,11 +180,16 @@
         if not candidates:
             return None
         packed = self._find_packed(submit.key, submit.avoid, now)
+        holds_ramps = self._inventory.holds_ramps()
         best: tuple[cell_state.Engine, cell_state.Slot] | None = None
         best_score = float("-inf")
         for engine, slot in candidates:
             if packed and engine.name not in packed:
                 continue
+            if holds_ramps and engine.is_ramp_full(now):
+                at = now + ramps.IDLE_GROWTH_S
+                self.recheck_at = min(self.recheck_at, at)
+                continue
             backlog_s = engine.prefill_done_at - now
             if backlog_s > self._settings.max_prefill_backlog_s:
                 at = (
--- a/src/tamaracktide/core/rendezvous.py
+++ b/src/tamaracktide/core/rendezvous.py
@@ -35,6 +35,12 @@
     return sorted(weights, key=lambda member: (find_score(member), member))
 
 
+def find_rank(key: str, member: str) -> float:
+    """Returns the position of a member among all for a key, from 0 to 1."""
+    digest = xxhash.xxh64_intdigest(f"{key}\x00{member}".encode())
+    return digest / (1 << 64)
+
+
 def order_owners(
     key: str, members: Iterable[tuple[str, str]], zone: str
 ) -> list[str]:
--- a/src/tamaracktide/core/stream_timing.py
+++ b/src/tamaracktide/core/stream_timing.py
@@ -15,16 +15,17 @@
     Attributes:
         first_s: Time from the request to the first event; None before it.
         longest_gap_s: Longest time between two arrivals.
+        sent_at: When the request was sent.
         event_s: The latest sample of its pace; None before the first.
     """
 
     __slots__ = (
         "_gaps",
         "_last_at",
-        "_sent_at",
         "event_s",
         "first_s",
         "longest_gap_s",
+        "sent_at",
     )
 
     def __init__(self, sent_at: float) -> None:
@@ -32,7 +33,7 @@
         self.first_s: float | None = None
         self.longest_gap_s = 0.0
         self.event_s: float | None = None
-        self._sent_at = sent_at
+        self.sent_at = sent_at
         self._last_at = sent_at
         self._gaps: list[float] = []
 
@@ -43,7 +44,7 @@
             A sample of the time for an event, if one is complete.
         """
         if self.first_s is None:
-            self.first_s = now - self._sent_at
+            self.first_s = now - self.sent_at
         else:
             gap_s = now - self._last_at
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from tamaracktide.core import ramps
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import results
 from tamaracktide.entry import runs
@@ -36,6 +37,8 @@
         if attempt.is_relayed:
             return
         missing = isinstance(result, results.NotRun) and result.missing
+        if result is not None and not missing:
+            cell.record_answer(upstream, is_good=_is_good(run, attempt, result))
         tokens = 0
         match result:
             case results.Completed(is_success=is_success):
@@ -102,6 +105,19 @@
     ).info("attempt failed: {}", result.detail)
 
 
+def _is_good(
+    run: runs.Run, attempt: runs.Attempt, result: results.Result
+) -> bool:
+    """Whether an upstream answered with success and in time."""
+    if not isinstance(result, results.Completed) or not result.is_success:
+        return False
+    timing = attempt.timing
+    if timing is None:
+        return True
+    first_s = timing.first_s or anyio.current_time() - timing.sent_at
+    return first_s <= ramps.LATE_FACTOR * run.request.route.target_latency_s
+
+
 def record_pace(run: runs.Run, attempt: runs.Attempt, event_s: float) -> None:
     """Records a sample of the pace of an attempt's engine, if it is known."""
     if not attempt.is_relayed:
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -431,6 +431,10 @@
                 announce_prompt=self._announce_prompt,
                 announce_limit=self._notices.send,
                 count_instances=self._count_instances,
+                instance=self._settings.instance,
+                slow_start_min_instances=(
+                    self._settings.slow_start_min_instances
+                ),
                 load=self._loader.load,
                 record_exit=self.crashes.record_exit,
                 backend=self._upstream_client.backend,
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -26,6 +26,7 @@
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
 from tamaracktide.core import paces
+from tamaracktide.core import rendezvous
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -41,6 +42,9 @@
 from tamaracktide.protocol import entry_messages
 from tamaracktide.upstreams import network
 
+LISTING_S = 5.0
+"""Time after its start in which an instance reads its first listings."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Placement:
@@ -77,6 +81,9 @@
         announce_limit: Announces the limit of an upstream, and requests sent
             under it, to the other instances.
         count_instances: Returns the number of instances.
+        instance: Id of this instance.
+        slow_start_min_instances: Number of instances from which on requests to
+            started upstreams begin slowly.
         load: Requests the load of an adapter and waits for its end.
         record_exit: Called when an upstream refuses connections.
         backend: Opens the connections that check upstreams.
@@ -88,6 +95,8 @@
     announce_prompt: Callable[[str, int], None]
     announce_limit: Callable[[entry_messages.SendLimitNotice], None]
     count_instances: Callable[[], int]
+    instance: str
+    slow_start_min_instances: int
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
     record_exit: Callable[[upstream_entries.UpstreamEntry], None]
     backend: network.Backend
@@ -131,6 +140,8 @@
             self._refresh_ready, dependencies.tasks
         )
         self._orderable: dict[str, bool] = {}
+        self._ramping: set[str] = set()
+        self._listed_from = anyio.current_time() + LISTING_S
         self._refresh_timer = timers.Timer(self.refresh, dependencies.tasks)
         self._trial_timer = timers.Timer(
             self.refresh_health, dependencies.tasks
@@ -401,10 +412,12 @@
         changed = {entry.upstream: entry for entry in entries}
         if not changed:
             return
+        started = self._list_started(changed)
         self._forget_restarted(changed)
         self._entries.update(changed)
         entries = changed.values()
         events = self._make_events(entries, self._find_orderable(entries))
+        events.extend(self._start_ramps(started))
         self._handle(cell_events.EventBatch(tuple(events)))
 
     def remove_upstreams(self, upstreams: Collection[str]) -> None:
@@ -422,6 +435,7 @@
             self._on_trial.discard(name)
             self.send_limits.forget(name)
             self.paces.forget(name)
+            self._ramping.discard(name)
             self._ready_at.pop(name, None)
         return [cell_events.UpstreamLost(name) for name in upstreams]
 
@@ -435,6 +449,45 @@
                 self.send_limits.forget(name)
                 self.paces.forget(name)
 
+    def _list_started(
+        self, entries: Mapping[str, upstream_entries.UpstreamEntry]
+    ) -> list[str]:
+        """Returns upstreams that have started since they were listed last.
+
+        While this instance reads its first listing, none counts as new.
+        """
+        if anyio.current_time() < self._listed_from:
+            return []
+        return [
+            name
+            for name, entry in entries.items()
+            if name not in self._entries
+            or self._entries[name].started_ms != entry.started_ms
+        ]
+
+    def _start_ramps(self, names: Iterable[str]) -> list[cell_events.CellEvent]:
+        """Returns the events that begin windows of requests."""
+        instances = self._dependencies.count_instances()
+        if instances < self._dependencies.slow_start_min_instances:
+            return []
+        events: list[cell_events.CellEvent] = []
+        for name in names:
+            entry = self._entries[name]
+            self._ramping.add(name)
+            rank = rendezvous.find_rank(
+                f"{name}/{entry.started_ms}", self._dependencies.instance
+            )
+            events.append(cell_events.RampStarted(name, rank, instances))
+            logs.bind(
+                upstream=name, instances=instances, rank=round(rank, 3)
+            ).info("upstream started or recovered: requests begin slowly")
+        return events
+
+    def record_answer(self, upstream: str, *, is_good: bool) -> None:
+        """Records how a request was answered by a started upstream."""
+        if upstream in self._ramping:
+            self._handle(cell_events.AnswerObserved(upstream, is_good))
+
     def refresh_health(self) -> None:
         """Stops or resumes new requests to upstreams as their health says."""
         now = anyio.current_time()
@@ -571,10 +624,12 @@
             )
         }
         events = self._remove(self._entries.keys() - entries.keys())
+        started = self._list_started(entries)
         self._forget_restarted(entries)
         self._entries = entries
         self._orderable = self._find_orderable(entries.values())
         events.extend(self._make_events(entries.values(), self._orderable))
+        events.extend(self._start_ramps(started))
         self._handle(cell_events.EventBatch(tuple(events)))
         now = anyio.current_time()
         self._trial_timer.schedule(self.health.find_next_trial(now))
@@ -594,6 +649,9 @@
             )
         is_on_trial = name in on_trial
         was = name in self._leaving, name in self._on_trial
+        recovered: list[cell_events.CellEvent] = []
+        if was != (False, False) and not leaving and not is_on_trial:
+            recovered = self._start_ramps([name])
         if was == (leaving, is_on_trial):
             if not leaving and not is_on_trial:
                 return []
@@ -616,7 +674,8 @@
                 names.add(name)
             else:
                 names.discard(name)
-        return [cell_events.UpstreamLeaving(name, leaving, is_on_trial)]
+        changed = cell_events.UpstreamLeaving(name, leaving, is_on_trial)
+        return [changed, *recovered]
 
     def apply_results(
         self, results: Mapping[str, upstream_health.Results]
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -56,6 +56,8 @@
             on all instances; the one after `peer_port` by default.
         seeds: Addresses of instances used to discover the others.
         platform_address: Address of the platform's store.
+        slow_start_min_instances: Number of instances from which on requests to
+            upstreams that have started or recovered begin slowly.
         inner_token: Secret that all instances share; empty for none.
         bounds: Guarantees of the deployment, and limits of its parts.
         observability: Logs and traces.
@@ -71,6 +73,7 @@
     platform_address: Address
     forward_port: Port | None = None
     seeds: tuple[Address, ...] = ()
+    slow_start_min_instances: Annotated[int, msgspec.Meta(ge=1)] = 13
     inner_token: str = dataclasses.field(default="", repr=False)
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     observability: observability_settings.ObservabilitySettings = (
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -62,6 +62,7 @@
         views: Their tracked states.
         snapshots: Engines of which snapshots were made, in order.
         unordered: Availability zones where no loads may be ordered.
+        instances: Number of instances.
         limits: Announced limits of engines.
     """
 
@@ -74,6 +75,7 @@
     )
     snapshots: list[str] = dataclasses.field(default_factory=list)
     unordered: set[str] = dataclasses.field(default_factory=set)
+    instances: int = 2
     limits: list[entry_messages.SendLimitNotice] = dataclasses.field(
         default_factory=list
     )
@@ -94,7 +96,9 @@
                 find_version=lambda model, adapter: 0,
                 announce_prompt=lambda upstream, tokens: None,
                 announce_limit=self.limits.append,
-                count_instances=lambda: 2,
+                count_instances=lambda: self.instances,
+                instance="n2",
+                slow_start_min_instances=13,
                 load=self._load,
                 record_exit=lambda entry: None,
                 backend=network.Backend(),
@@ -110,6 +114,7 @@
         name: str,
         zone: str = "z1",
         software: str = "v1",
+        started_ms: int = 1,
         **ready_in_ms: int,
     ) -> None:
         """Adds an engine; adapters are given with the time to readiness."""
@@ -120,13 +125,13 @@
             zone=zone,
             batch_limit=BATCH_LIMIT,
             software=software,
-            started_ms=1,
+            started_ms=started_ms,
             models={MODEL: {}},
         )
         self.views.apply_notice(
             entry_messages.EngineNotice(
                 upstream=name,
-                started_ms=1,
+                started_ms=started_ms,
                 orders=1,
                 models={
                     MODEL: {
@@ -305,6 +310,32 @@
         assert [p.entry.upstream for p in granted] == ["e1", "e1"]
 
 
+async def test_restarted_engine_gets_few_requests_at_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: many instances see an engine that has just restarted.
+
+    It takes more as its requests are answered well.
+    """
+    monkeypatch.setattr(service_cell, "LISTING_S", 0.0)
+    async with run_two_engines() as (harness, cell):
+        harness.instances = 13
+        harness.add_engine("e1", started_ms=2, a=0)
+        cell.refresh()
+        first = [
+            await cell.acquire_placement(make_request(f"r{i}", "a"))
+            for i in range(BATCH_LIMIT)
+        ]
+        assert {p.entry.upstream for p in first} == {"e2"}
+        for _ in range(20):
+            cell.record_answer("e1", is_good=True)
+        later = [
+            await cell.acquire_placement(make_request(f"s{i}", "a"))
+            for i in range(BATCH_LIMIT)
+        ]
+        assert {p.entry.upstream for p in later} == {"e1"}
+
+
 async def test_results_of_others_stop_requests_to_an_engine() -> None:
     """Load pattern: a server breaks that dozens of instances share."""
     async with run_two_engines() as (_, cell):
--- a/tests/fleet/test_stalled_streams.py
+++ b/tests/fleet/test_stalled_streams.py
@@ -44,7 +44,7 @@
         kind = (b"content-type", b"text/event-stream")
         start = {"type": "http.response.start", "status": 200}
         await send({**start, "headers": [*headers, kind]})
-        for number in range(1, self.silent_after + 1):
+        for number in range(1, (self.silent_after or 0) + 1):
             await self._write(send, b"id: %d\ndata: t%d\n\n" % (number, number))
         with anyio.move_on_after(self.silence_s):
             while True:
