--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -4,6 +4,7 @@
 relays and accepts links of members; a member has one link, to its relay.
 """
 
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Coroutine
@@ -139,6 +140,7 @@
         zone: Its availability zone.
         cut_off: Services of which it reaches no upstream.
         draining: Whether it is shutting down.
+        revision: Revision of the messages of its build.
     """
 
     instance: str
@@ -149,6 +151,7 @@
     zone: str = ""
     cut_off: frozenset[str] = frozenset()
     draining: bool = False
+    revision: int = messages.REVISION
 
     @property
     def is_relay(self) -> bool:
@@ -254,6 +257,7 @@
             incarnation=incarnation,
             role=ROLE,
             zone=settings.availability_zone,
+            revision=messages.REVISION,
         )
 
     @property
@@ -279,6 +283,10 @@
         """Returns the peers with an open link."""
         return [peer for peer in self.known.values() if peer.links]
 
+    def count_revisions(self) -> dict[int, int]:
+        """Returns the linked peers by the revision of their build."""
+        return collections.Counter(peer.revision for peer in self.list_linked())
+
     def list_instances(self) -> set[str]:
         """Returns the ids of all other registered instances."""
         return set(self._addresses) - {self._settings.instance}
@@ -498,6 +506,7 @@
         name = peer_connection.peer.instance
         peer = self.known.setdefault(name, Peer(name))
         peer.zone = peer_connection.peer.zone
+        peer.revision = peer_connection.peer.revision
         if peer_connection.peer.incarnation != peer.incarnation:
             peer.incarnation = peer_connection.peer.incarnation
             peer.report = None
@@ -509,7 +518,9 @@
             is_dialled=is_dialled,
         )
         if not peer.links:
-            logs.bind(peer=name).info("link to peer opened")
+            logs.bind(peer=name, revision=peer.revision).info(
+                "link to peer opened"
+            )
         preferred = is_dialled == (self._settings.instance < name)
         peer.links.insert(len(peer.links) if preferred else 0, link)
         self._callbacks.handle_open(peer, link)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -174,6 +174,7 @@
             self._cluster_state,
             self._store_health,
             self._cells,
+            self._peers.count_revisions,
             self._metrics,
             tasks,
         )
--- a/src/tamaracktide/entry/serving.py
+++ b/src/tamaracktide/entry/serving.py
@@ -1,5 +1,7 @@
 """HTTP servers of an entry instance, and graceful shutdown."""
 
+from collections.abc import Callable
+
 import anyio
 import anyio.abc
 
@@ -38,6 +40,7 @@
         "_app",
         "_cells",
         "_cluster_state",
+        "_count_revisions",
         "_metrics",
         "_settings",
         "_store_health",
@@ -52,6 +55,7 @@
         state: cluster_state.ClusterState,
         store_health: store_follower.StoreHealth,
         cells: dict[str, service_cell.ServiceCell],
+        count_revisions: Callable[[], dict[int, int]],
         metrics: metrics_module.Metrics,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
@@ -62,6 +66,7 @@
         self._cluster_state = state
         self._store_health = store_health
         self._cells = cells
+        self._count_revisions = count_revisions
         self._metrics = metrics
         self._tasks = tasks
 
@@ -128,5 +133,7 @@
         self._metrics.table_age_seconds.set(
             {}, self._store_health.unreachable_s
         )
+        for revision, count in self._count_revisions().items():
+            self._metrics.peers.set({"revision": str(revision)}, count)
         for name, cell in self._cells.items():
             self._metrics.queue_length.set({"pool": name}, cell.count_waiting())
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -59,6 +59,7 @@
         claims: Claims of idempotency keys, by `state`.
         owned_upstreams: Upstreams owned by this scheduler, by `pool`.
         quarantined: Quarantined request fingerprints.
+        peers: Linked peers, by the `revision` of their build's messages.
         table_revision: Revision of the tables in force.
         table_age_seconds: Seconds since the tables were last confirmed.
     """
@@ -139,6 +140,7 @@
         self.quarantined = self._gauge(
             "quarantined", "Quarantined request fingerprints"
         )
+        self.peers = self._gauge("peers", "Linked peers by message revision")
         self.table_revision = self._gauge(
             "table_revision", "Revision of the tables in force"
         )
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -12,6 +12,9 @@
 from tamaracktide.protocol import peer_messages
 
 PROTOCOL_VERSION = 1
+REVISION = 2
+"""Grows with each landing that adds messages or fields. Peers of all revisions
+of a protocol version work together; logs and metrics show which are met."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -24,6 +27,7 @@
         incarnation: Changes whenever the sender restarts.
         role: `gateway`, `scheduler`, `entry`, or `ctl` for read-only peers.
         zone: Availability zone of the sender.
+        revision: `REVISION` of the sender; builds before 2 send none.
     """
 
     version: int
@@ -31,6 +35,7 @@
     incarnation: str
     role: str
     zone: str
+    revision: int = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
