--- a/src/tamaracktide/core/paces.py
+++ b/src/tamaracktide/core/paces.py
@@ -7,7 +7,7 @@
 MIN_SAMPLES = 3
 """Samples from which on an engine's pace is believed."""
 
-SAMPLE_WEIGHT = 0.15
+SAMPLE_WEIGHT = 0.08
 """Weight of a sample in the moving mean of its engine."""
 
 SAMPLE_TIMEOUT_S = 10.0
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -300,6 +300,9 @@
             upstreams=progress.upstreams if progress else [],
             events=progress.events if progress else 0,
             response=outcome.response,
+            first_s=_round(progress.first_s if progress else None),
+            longest_gap_s=_round(progress.longest_gap_s if progress else None),
+            event_s=_round(progress.event_s if progress else None),
             limit=progress.limit.value if progress and progress.limit else "",
             code=outcome.code.value,
             seconds=round(seconds, 4),
@@ -327,6 +330,10 @@
         self.workspace = ""
 
 
+def _round(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
+
+
 def compute_fingerprint(target: str, body: bytes) -> str:
     """Returns the fingerprint of a request, equal for all its attempts."""
     digest = xxhash.xxh64(target.encode("latin-1"))
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -127,18 +127,13 @@
 
 def _record_timing(run: runs.Run, attempt: runs.Attempt) -> None:
     """Records how fast a stream was, and whether a pause made it late."""
-    timing, generation = attempt.timing, run.request.generation
-    if timing is None or timing.first_s is None or generation is None:
+    timing, progress = attempt.timing, run.progress
+    if timing is None or timing.first_s is None:
         return
     event_s = timing.finish()
     if event_s is not None:
         record_pace(run, attempt, event_s)
-    logs.bind(
-        request_id=run.request.request_id,
-        upstream=attempt.upstream,
-        prompt_tokens=generation.prompt_tokens,
-        waited_s=round(attempt.placement.waited_s, 4),
-        first_s=round(timing.first_s, 4),
-        longest_gap_s=round(timing.longest_gap_s, 4),
-        event_s=None if timing.event_s is None else round(timing.event_s, 5),
-    ).info("stream timed")
+    if progress.first_s is None:
+        progress.first_s = attempt.placement.waited_s + timing.first_s
+    progress.longest_gap_s = max(progress.longest_gap_s, timing.longest_gap_s)
+    progress.event_s = timing.event_s
--- a/src/tamaracktide/entry/results.py
+++ b/src/tamaracktide/entry/results.py
@@ -72,6 +72,9 @@
         upstreams: Upstreams that the request was sent to.
         software: Software version that wrote the stream's first event; None
             before it.
+        first_s: Time that its first attempt waited and took to the first event.
+        longest_gap_s: Longest time between two events of an upstream.
+        event_s: Median time for an event at the last upstream.
         limit: What prevented another attempt, None if none was wanted.
     """
 
@@ -79,4 +82,7 @@
     events: int = 0
     upstreams: list[str] = dataclasses.field(default_factory=list)
     software: str | None = None
+    first_s: float | None = None
+    longest_gap_s: float = 0.0
+    event_s: float | None = None
     limit: attempts.RetryLimit | None = None
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -705,7 +705,7 @@
         logs.bind(
             service=self.service.name,
             factors={name: round(f, 2) for name, f in changed.items()},
-        ).info("paces of engines changed")
+        ).debug("paces of engines changed")
         self._handle(cell_events.PacesChanged(changed))
 
     def _handle(self, event: cell_events.CellEvent) -> None:
