--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -283,7 +283,10 @@
             # A late second copy of the refusal would pass for the response to
             # the retry, which has the same id.
             result = await self._send(run, attempt, fresh=retry > 0)
-            if not isinstance(result, results.NotRun) or not result.missing:
+            missing = isinstance(result, results.NotRun) and result.missing
+            if retry == 0 and not attempt.is_relayed:
+                run.cell.record_adapter(attempt.placement, missing=missing)
+            if not missing:
                 return result
             if (
                 retry == MAX_ADAPTER_RETRIES
--- a/src/tamaracktide/entry/loader.py
+++ b/src/tamaracktide/entry/loader.py
@@ -8,6 +8,7 @@
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
 from tamaracktide.core import engine_orders
+from tamaracktide.core import load_margin
 from tamaracktide.core import rows
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import engine_controller
@@ -43,7 +44,12 @@
 
 
 class Loader:
-    """Sends load requests to lease holders and replies to those of peers."""
+    """Sends load requests to lease holders and replies to those of peers.
+
+    Attributes:
+        controller: Orders loads; set after construction.
+        margin: Time to wait beyond the predicted end of a load.
+    """
 
     def __init__(
         self,
@@ -55,6 +61,7 @@
     ) -> None:
         """Builds a loader; `controller` must be set before the first load."""
         self.controller: engine_controller.EngineController | None = None
+        self.margin = load_margin.LoadMargin()
         self._instance = instance
         self._leases = leases
         self._peers = peers
@@ -101,7 +108,8 @@
                 declined=pending.declined,
             ).info("load failed or was declined")
             return dataclasses.replace(failed, declined=pending.declined)
-        await anyio.sleep(max(0.0, pending.ready_at - anyio.current_time()))
+        ready_at = pending.ready_at + self.margin.margin_s
+        await anyio.sleep(max(0.0, ready_at - anyio.current_time()))
         return cell_events.LoadEnded(load.load_id, True)
 
     def handle_load_request(
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -436,6 +436,7 @@
                 slow_start_min_instances=(
                     self._settings.slow_start_min_instances
                 ),
+                load_margin=self._loader.margin,
                 load=self._loader.load,
                 record_exit=self.crashes.record_exit,
                 backend=self._upstream_client.backend,
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -25,6 +25,7 @@
 from tamaracktide.core import cell
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
+from tamaracktide.core import load_margin
 from tamaracktide.core import paces
 from tamaracktide.core import rendezvous
 from tamaracktide.core import routing_document
@@ -84,6 +85,7 @@
         instance: Id of this instance.
         slow_start_min_instances: Number of instances from which on requests to
             started upstreams begin slowly.
+        load_margin: Learns how late adapters are loaded.
         load: Requests the load of an adapter and waits for its end.
         record_exit: Called when an upstream refuses connections.
         backend: Opens the connections that check upstreams.
@@ -97,6 +99,7 @@
     count_instances: Callable[[], int]
     instance: str
     slow_start_min_instances: int
+    load_margin: load_margin.LoadMargin
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
     record_exit: Callable[[upstream_entries.UpstreamEntry], None]
     backend: network.Backend
@@ -373,6 +376,15 @@
         key = self._make_key(model, adapter)
         self._handle(cell_events.DemandReported(key, key.adapter, count))
 
+    def record_adapter(self, placement: Placement, *, missing: bool) -> None:
+        """Records whether an adapter was there that a request waited for."""
+        if not placement.waited_s or not placement.key.adapter:
+            return
+        if missing:
+            self._dependencies.load_margin.record_late()
+        else:
+            self._dependencies.load_margin.record_ready()
+
     def release(
         self,
         placement: Placement,
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -11,6 +11,7 @@
 
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
+from tamaracktide.core import load_margin
 from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import upstream_health
@@ -99,6 +100,7 @@
                 count_instances=lambda: self.instances,
                 instance="n2",
                 slow_start_min_instances=13,
+                load_margin=load_margin.LoadMargin(),
                 load=self._load,
                 record_exit=lambda entry: None,
                 backend=network.Backend(),
