Quarantine no sound part of prompts as many engines end at once

In a cluster with relays the notices of the ends arrive before those of the instances at which the parts had survived, and what those cleared came back with the next notice.

Change: in a cluster with relays a part is quarantined half a second after the evidence suffices, unless it survived elsewhere; what survived elsewhere stays cleared for a second. The bound (four ends) is as it was.

The new test fails without the hold (the parts are refused). Also: the script that mixes builds speaks the platform's words and moves to its tests; the list of the wire's names has the new ones.

--- a/src/tamaracktide/entry/crashes.py
+++ b/src/tamaracktide/entry/crashes.py
@@ -38,6 +38,10 @@
 number from which the platform counts. One request alone is quarantined as such.
 """
 
+REPLY_TIME_S = 0.5
+"""Time in which notices pass through relays and back. Until then, a part that
+upstreams had in common as many of them ended may still be a sound one."""
+
 MAX_CRASHES = 256
 RETRY_AFTER_S = 5.0
 
@@ -64,14 +68,18 @@
     """Correlates lost responses with the ends of upstreams."""
 
     def __init__(
-        self, announce: Callable[[entry_messages.CrashNotice], None]
+        self,
+        announce: Callable[[entry_messages.CrashNotice], None],
+        is_relayed: Callable[[], bool] = lambda: False,
     ) -> None:
         """Starts without suspects.
 
         Args:
             announce: Sends a notice to the other instances.
+            is_relayed: Whether notices pass through relays.
         """
         self._announce = announce
+        self._is_relayed = is_relayed
         self._requests = crash_evidence.CrashEvidence(REQUEST_SETTINGS)
         self._parts = crash_evidence.CrashEvidence(PART_SETTINGS)
         self._losses: dict[_Incarnation, _Losses] = {}
@@ -126,7 +134,7 @@
             What of it was not known, None for nothing.
         """
         for part in notice.survived:
-            self._parts.clear(part)
+            self._parts.clear(part, anyio.current_time())
         added = self._count(
             (notice.upstream, notice.started_ms), notice.requests
         )
@@ -240,12 +248,15 @@
         }
         known.update(added)
         now = anyio.current_time()
+        hold_s = REPLY_TIME_S if self._is_relayed() else 0.0
         for fingerprint, parts in added.items():
             self._requests.record_crash(
                 fingerprint, incarnation, fingerprint, now
             )
             for part in parts:
-                self._parts.record_crash(part, incarnation, fingerprint, now)
+                self._parts.record_crash(
+                    part, incarnation, fingerprint, now, hold_s=hold_s
+                )
         self._log_crash(incarnation, added, now)
         self._refuse_waiting()
         return added
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -90,7 +90,9 @@
         self._views = engine_views.EngineViews()
         self._popularity = popularity.Popularity()
         self._notices = notices.NoticeExchange()
-        self.crashes = entry_crashes.CrashTracker(self._notices.send)
+        self.crashes = entry_crashes.CrashTracker(
+            self._notices.send, lambda: not self._peers.plan.is_flat
+        )
         self._metrics = metrics_module.Metrics()
         self._cluster_state = cluster_state.ClusterState(
             adapter, anyio.current_time
--- a/tests/entry/test_crashes.py
+++ b/tests/entry/test_crashes.py
@@ -263,6 +263,46 @@
     assert instances.notices[0].survived == ()
 
 
+async def test_upstreams_that_end_together_quarantine_no_sound_part() -> None:
+    """Load pattern: a quarter of the engines ends at once in a large cluster.
+
+    The instance where a part survived hears of the ends later than the others
+    hear of each other's.
+    """
+    notices: list[entry_messages.CrashNotice] = []
+    witness = crashes.CrashTracker(notices.append, lambda: True)
+    others = [crashes.CrashTracker(notices.append, lambda: True) for _ in "ab"]
+    witness.record_survival(_make_request("sound", "shared"))
+    for number in range(6):
+        request = _make_request(f"lost{number}", "shared")
+        _crash(others[number % 2], request, f"e{number}")
+    sent = list(notices)
+    for notice in sent:
+        for tracker in others:
+            tracker.apply_notice(notice)
+    assert not any(t.is_refused(_make_request("x", "shared")) for t in others)
+    for notice in sent:
+        witness.apply_notice(notice)
+    for notice in notices[len(sent) :]:
+        for tracker in others:
+            tracker.apply_notice(notice)
+    await anyio.sleep(crashes.REPLY_TIME_S + 0.1)
+    assert not any(t.is_refused(_make_request("x", "shared")) for t in others)
+
+
+async def test_part_that_survived_nowhere_is_quarantined_after_a_reply() -> (
+    None
+):
+    """In a large cluster, others have the time of a reply to object."""
+    tracker = crashes.CrashTracker(lambda notice: None, lambda: True)
+    for number in range(4):
+        _crash(tracker, _make_request(f"lost{number}", "bad"), f"e{number}")
+    assert not tracker.is_refused(_make_request("x", "bad"))
+    await anyio.sleep(crashes.REPLY_TIME_S + 0.1)
+    assert tracker.is_refused(_make_request("x", "bad"))
+    assert tracker.list_announced().parts == ("bad",)
+
+
 async def test_parts_of_one_request_are_not_quarantined() -> None:
     """A request that crashes upstreams is refused itself, not its parts."""
     (tracker,) = _Instances().trackers
--- a/scripts/mixed_builds.py
+++ b/tests/fleet/mixed_builds.py
@@ -1,6 +1,6 @@
 """Runs entry instances of two builds side by side on the tests' fake platform.
 
-`python scripts/mixed_builds.py OLD_TREE` starts two instances of an earlier
+`python tests/fleet/mixed_builds.py OLD_TREE` starts two instances of an earlier
 build, replaces them one by one by this build, and then goes back. Clients send
 requests of each kind all the while; each must be answered, and run once.
 """
@@ -20,8 +20,8 @@
 import fire
 import httpcore
 
-ROOT = pathlib.Path(__file__).resolve().parent.parent
-for folder in ("tests/fleet", "scripts", "platform"):
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+for folder in ("scripts", "platform"):
     sys.path.insert(0, str(ROOT / folder))
 
 import fleet_cluster  # noqa: E402
--- a/tests/fleet/test_wire_names.py
+++ b/tests/fleet/test_wire_names.py
@@ -10,6 +10,7 @@
 ADAPTER_TESTS = ROOT / "tests" / "fleet"
 
 NAMES = (
+    "ApiKeys",
     "AtHand",
     "BudgetWindowS",
     "ColdRemainingMs",
@@ -27,6 +28,9 @@
     "MaxAttempts",
     "NodeName",
     "OnDisk",
+    "PlainTokens",
+    "QuotaWindowS",
+    "RatePerS",
     "PathPrefix",
     "RetryBudgetRatio",
     "Server-Brittle",
@@ -49,6 +53,7 @@
     "X-Pin-Ms",
     "X-Prompt-Prefix",
     "X-Request-Priority",
+    "X-Tenant",
     "X-Response-Signature",
     "X-Token-Count",
     "X-Weight-Versions",
