--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -11,10 +11,10 @@
 from tamaracktide.core import retry_window
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
-from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import usage_caps
 from tamaracktide.entry import app as entry_app
+from tamaracktide.entry import cells as entry_cells
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import engine_controller
@@ -86,7 +86,7 @@
         self._upstream_client = upstream_client
         self._store = store
         self._tasks = tasks
-        self._cells: dict[str, service_cell.ServiceCell] = {}
+        self._cells = entry_cells.Cells(self._make_cell)
         self._views = engine_views.EngineViews()
         self._popularity = popularity.Popularity()
         self._notices = notices.NoticeExchange()
@@ -175,7 +175,7 @@
             self._app,
             self._cluster_state,
             self._store_health,
-            self._cells,
+            self._cells.by_service,
             self._peers.count_revisions,
             self._metrics,
             tasks,
@@ -189,15 +189,15 @@
                 instance=self._settings.instance,
                 get_own=self._get_own_state,
                 views=self._views,
-                apply_counts=self._apply_remote_counts,
+                apply_counts=self._cells.apply_counts,
                 apply_demand=self._apply_demand,
-                take_results=self._take_results,
-                apply_results=self._apply_results,
-                take_paces=self._take_paces,
-                apply_paces=self._apply_paces,
+                take_results=self._cells.take_results,
+                apply_results=self._cells.apply_results,
+                take_paces=self._cells.take_paces,
+                apply_paces=self._cells.apply_paces,
                 apply_engines=self._apply_engines,
                 apply_quarantined=self.crashes.apply_quarantined,
-                apply_holders=self._refresh,
+                apply_holders=self._cells.refresh,
             )
         )
 
@@ -235,7 +235,7 @@
         return forwarding.Forwarder(
             self._adapter,
             self._upstream_client,
-            self._find_cell,
+            self._cells.find,
             self._find_version,
             self.crashes,
             retry_window.RetryWindowSettings(
@@ -321,26 +321,15 @@
         self._engine_controller.update(state.upstreams, services)
         self.crashes.check(state.upstreams)
         self._apply_instances()
-        for cell in self._cells.values():
-            cell.remove_upstreams(removed)
+        self._cells.remove_upstreams(removed)
         applied = (state.table, dict(state.versions))
         if applied != self._applied:
             self._applied = applied
             if state.table is not None:
                 self._usage.set_workspaces(state.table.document.workspaces)
-            self._update_cells(services)
+            self._cells.update_services(services)
             return
-        self._refresh_upstreams(entries)
-
-    def _update_cells(
-        self, services: dict[str, routing_document.Service]
-    ) -> None:
-        for name, service in services.items():
-            if name in self._cells:
-                self._cells[name].service = service
-            else:
-                self._cells[name] = self._make_cell(service)
-        self._refresh()
+        self._cells.refresh_upstreams(entries)
 
     def _apply_instances(self) -> None:
         records = self._cluster_state.instances
@@ -351,50 +340,11 @@
 
     def _apply_lease_change(self) -> None:
         self._engine_controller.wake()
-        for cell in self._cells.values():
-            cell.refresh_orderable()
-
-    def _apply_remote_counts(self, counts: running_counts.Counts) -> None:
-        for cell in self._cells.values():
-            cell.apply_remote_counts(counts)
-
-    def _take_results(self) -> report_exchange.ResultsByUpstream:
-        """Returns results to report; those of a cut-off instance mislead."""
-        taken = [
-            (cell.reachability.is_cut_off, cell.health.take_results())
-            for cell in self._cells.values()
-        ]
-        return {
-            upstream: observed
-            for is_cut_off, results in taken
-            if not is_cut_off
-            for upstream, observed in results.items()
-        }
-
-    def _apply_results(
-        self, results: report_exchange.ResultsByUpstream
-    ) -> None:
-        for cell in self._cells.values():
-            cell.apply_results(results)
-
-    def _take_paces(self) -> report_exchange.PacesByUpstream:
-        """Returns the paces to report, and applies what is known by now."""
-        taken: report_exchange.PacesByUpstream = {}
-        for cell in self._cells.values():
-            cell.refresh_paces()
-            taken.update(cell.paces.take_unreported())
-        return taken
-
-    def _apply_paces(self, paces: report_exchange.PacesByUpstream) -> None:
-        for cell in self._cells.values():
-            cell.apply_paces(paces)
+        self._cells.refresh_orderable()
 
     def _is_in_use(self, upstream: str, name: str) -> bool:
         """Whether a request of any instance uses an adapter on an upstream."""
-        if any(
-            cell.running.get(upstream, {}).get(name)
-            for cell in self._cells.values()
-        ):
+        if self._cells.is_in_use(upstream, name):
             return True
         return name in self._exchange.count_running(upstream)
 
@@ -449,7 +399,7 @@
     async def _refresh_all(self) -> None:
         while True:
             await anyio.sleep(REFRESH_PERIOD_S)
-            self._refresh()
+            self._cells.refresh()
 
     async def _apply_lapsed(self) -> None:
         """Applies what only the passing of time brings into force."""
@@ -457,7 +407,7 @@
             await anyio.sleep(LAPSE_CHECK_PERIOD_S)
             self._cluster_state.drop_lapsed()
             upstreams = self._cluster_state.upstreams
-            self._refresh_upstreams(
+            self._cells.refresh_upstreams(
                 [
                     upstreams[name]
                     for name in self._views.apply_deferred(anyio.current_time())
@@ -465,18 +415,6 @@
                 ]
             )
 
-    def _refresh(self) -> None:
-        for cell in self._cells.values():
-            cell.refresh()
-
-    def _find_cell(
-        self, service: routing_document.Service
-    ) -> service_cell.ServiceCell:
-        cell = self._cells.get(service.name)
-        if cell is None:
-            cell = self._cells[service.name] = self._make_cell(service)
-        return cell
-
     def _list_upstreams(
         self, service: str
     ) -> list[upstream_entries.UpstreamEntry]:
@@ -514,8 +452,8 @@
 
     def _apply_prompt(self, notice: entry_messages.PromptNotice) -> None:
         entry = self._cluster_state.upstreams.get(notice.upstream)
-        if entry is not None and entry.service in self._cells:
-            self._cells[entry.service].record_prompt(
+        if entry is not None and entry.service in self._cells.by_service:
+            self._cells.by_service[entry.service].record_prompt(
                 notice.upstream, notice.tokens
             )
 
@@ -538,30 +476,18 @@
         """Records the requests for an adapter that a peer reports."""
         self._record_popularity(name, count)
         model, _, adapter = name.partition("/")
-        for cell in self._cells.values():
-            engine = cell.service.engine
-            if engine is not None and model in engine.models:
-                cell.record_demand(model, adapter, count)
+        self._cells.apply_demand(model, adapter, count)
 
     def _get_own_state(self) -> report_exchange.OwnState:
-        running: running_counts.Counts = {}
-        for cell in self._cells.values():
-            for upstream, counts in cell.running.items():
-                if counts:
-                    running[upstream] = dict(counts)
         return report_exchange.OwnState(
-            running=running,
+            running=self._cells.list_running(),
             rights=self._leases.list_lease_terms(),
             loads=self._engine_controller.count_loads(),
             known=self._cluster_state.find_versions(),
             store_silent_s=self._objects.store_silent_s,
             quarantined=self.crashes.list_announced(),
             draining=self._servers.draining,
-            cut_off=tuple(
-                name
-                for name, cell in self._cells.items()
-                if cell.reachability.is_cut_off
-            ),
+            cut_off=self._cells.list_cut_off(),
         )
 
     def _handle_message(
@@ -635,8 +561,8 @@
     ) -> None:
         """Applies the limit of an upstream and requests sent under it."""
         entry = self._cluster_state.upstreams.get(notice.upstream)
-        if entry is not None and entry.service in self._cells:
-            self._cells[entry.service].apply_limit_notice(notice)
+        if entry is not None and entry.service in self._cells.by_service:
+            self._cells.by_service[entry.service].apply_limit_notice(notice)
         self._notices.pass_on(notice, peer)
 
     def _announce_engine(self, notice: entry_messages.EngineNotice) -> None:
@@ -652,18 +578,10 @@
             self._views.apply_notice(notice, now)
             names.append(notice.upstream)
         upstreams = self._cluster_state.upstreams
-        self._refresh_upstreams(
+        self._cells.refresh_upstreams(
             [upstreams[name] for name in names if name in upstreams]
         )
 
-    def _refresh_upstreams(
-        self, entries: list[upstream_entries.UpstreamEntry]
-    ) -> None:
-        for name, cell in self._cells.items():
-            cell.refresh_upstreams(
-                [entry for entry in entries if entry.service == name]
-            )
-
 
 async def serve(
     settings: entry_settings.EntrySettings,
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -27,7 +27,6 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import load_margin
 from tamaracktide.core import paces
-from tamaracktide.core import rendezvous
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -37,15 +36,13 @@
 from tamaracktide.entry import reachability
 from tamaracktide.entry import requests
 from tamaracktide.entry import send_limits
+from tamaracktide.entry import slow_starts
 from tamaracktide.entry import timers
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.observability import logs
 from tamaracktide.protocol import entry_messages
 from tamaracktide.upstreams import network
 
-LISTING_S = 5.0
-"""Time after its start in which an instance reads its first listings."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Placement:
@@ -143,8 +140,11 @@
             self._refresh_ready, dependencies.tasks
         )
         self._orderable: dict[str, bool] = {}
-        self._ramping: set[str] = set()
-        self._listed_from = anyio.current_time() + LISTING_S
+        self._slow_starts = slow_starts.SlowStarts(
+            dependencies.instance,
+            dependencies.count_instances,
+            dependencies.slow_start_min_instances,
+        )
         self._refresh_timer = timers.Timer(self.refresh, dependencies.tasks)
         self._trial_timer = timers.Timer(
             self.refresh_health, dependencies.tasks
@@ -424,12 +424,12 @@
         changed = {entry.upstream: entry for entry in entries}
         if not changed:
             return
-        started = self._list_started(changed)
+        started = self._slow_starts.list_started(self._entries, changed)
         self._forget_restarted(changed)
         self._entries.update(changed)
         entries = changed.values()
         events = self._make_events(entries, self._find_orderable(entries))
-        events.extend(self._start_ramps(started))
+        events.extend(self._slow_starts.begin(started))
         self._handle(cell_events.EventBatch(tuple(events)))
 
     def remove_upstreams(self, upstreams: Collection[str]) -> None:
@@ -447,7 +447,7 @@
             self._on_trial.discard(name)
             self.send_limits.forget(name)
             self.paces.forget(name)
-            self._ramping.discard(name)
+            self._slow_starts.forget(name)
             self._ready_at.pop(name, None)
         return [cell_events.UpstreamLost(name) for name in upstreams]
 
@@ -461,43 +461,9 @@
                 self.send_limits.forget(name)
                 self.paces.forget(name)
 
-    def _list_started(
-        self, entries: Mapping[str, upstream_entries.UpstreamEntry]
-    ) -> list[str]:
-        """Returns upstreams that have started since they were listed last.
-
-        While this instance reads its first listing, none counts as new.
-        """
-        if anyio.current_time() < self._listed_from:
-            return []
-        return [
-            name
-            for name, entry in entries.items()
-            if name not in self._entries
-            or self._entries[name].started_ms != entry.started_ms
-        ]
-
-    def _start_ramps(self, names: Iterable[str]) -> list[cell_events.CellEvent]:
-        """Returns the events that begin windows of requests."""
-        instances = self._dependencies.count_instances()
-        if instances < self._dependencies.slow_start_min_instances:
-            return []
-        events: list[cell_events.CellEvent] = []
-        for name in names:
-            entry = self._entries[name]
-            self._ramping.add(name)
-            rank = rendezvous.find_rank(
-                f"{name}/{entry.started_ms}", self._dependencies.instance
-            )
-            events.append(cell_events.RampStarted(name, rank, instances))
-            logs.bind(
-                upstream=name, instances=instances, rank=round(rank, 3)
-            ).info("upstream started or recovered: requests begin slowly")
-        return events
-
     def record_answer(self, upstream: str, *, is_good: bool) -> None:
         """Records how a request was answered by a started upstream."""
-        if upstream in self._ramping:
+        if upstream in self._slow_starts:
             self._handle(cell_events.AnswerObserved(upstream, is_good))
 
     def refresh_health(self) -> None:
@@ -636,12 +602,12 @@
             )
         }
         events = self._remove(self._entries.keys() - entries.keys())
-        started = self._list_started(entries)
+        started = self._slow_starts.list_started(self._entries, entries)
         self._forget_restarted(entries)
         self._entries = entries
         self._orderable = self._find_orderable(entries.values())
         events.extend(self._make_events(entries.values(), self._orderable))
-        events.extend(self._start_ramps(started))
+        events.extend(self._slow_starts.begin(started))
         self._handle(cell_events.EventBatch(tuple(events)))
         now = anyio.current_time()
         self._trial_timer.schedule(self.health.find_next_trial(now))
@@ -663,7 +629,7 @@
         was = name in self._leaving, name in self._on_trial
         recovered: list[cell_events.CellEvent] = []
         if was != (False, False) and not leaving and not is_on_trial:
-            recovered = self._start_ramps([name])
+            recovered = self._slow_starts.begin([entry])
         if was == (leaving, is_on_trial):
             if not leaving and not is_on_trial:
                 return []
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -18,6 +18,7 @@
 from tamaracktide.entry import engine_views
 from tamaracktide.entry import requests
 from tamaracktide.entry import service_cell
+from tamaracktide.entry import slow_starts
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.protocol import entry_messages
 from tamaracktide.upstreams import network
@@ -319,7 +320,7 @@
 
     It takes more as its requests are answered well.
     """
-    monkeypatch.setattr(service_cell, "LISTING_S", 0.0)
+    monkeypatch.setattr(slow_starts, "LISTING_S", 0.0)
     async with run_two_engines() as (harness, cell):
         harness.instances = 13
         harness.add_engine("e1", started_ms=2, a=0)
