--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -41,7 +41,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RampStarted:
-    """An upstream of the cell has just started or recovered.
+    """An upstream of the cell has just started.
 
     Attributes:
         upstream: Its instance id.
--- a/src/tamaracktide/core/load_margin.py
+++ b/src/tamaracktide/core/load_margin.py
@@ -5,7 +5,10 @@
 is rejected and repeated, which costs a share of the retry budget.
 """
 
-MAX_MARGIN_S = 0.5
+MAX_MARGIN_S = 0.1
+"""A tenth of the latency that clients want. Adapters are also missing for new
+versions and restarted engines, which waiting does not mend."""
+
 LATE_STEP_S = 0.02
 """Increase for a load that was later than expected."""
 
--- a/src/tamaracktide/core/ramps.py
+++ b/src/tamaracktide/core/ramps.py
@@ -1,4 +1,4 @@
-"""Finds how many requests a started or recovered upstream takes.
+"""Finds how many requests a started upstream takes.
 
 All instances together run a window of requests there, which grows as they are
 answered well and shrinks as they are not.
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -627,9 +627,6 @@
             )
         is_on_trial = name in on_trial
         was = name in self._leaving, name in self._on_trial
-        recovered: list[cell_events.CellEvent] = []
-        if was != (False, False) and not leaving and not is_on_trial:
-            recovered = self._slow_starts.begin([entry])
         if was == (leaving, is_on_trial):
             if not leaving and not is_on_trial:
                 return []
@@ -652,8 +649,7 @@
                 names.add(name)
             else:
                 names.discard(name)
-        changed = cell_events.UpstreamLeaving(name, leaving, is_on_trial)
-        return [changed, *recovered]
+        return [cell_events.UpstreamLeaving(name, leaving, is_on_trial)]
 
     def apply_results(
         self, results: Mapping[str, upstream_health.Results]
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -57,7 +57,7 @@
         seeds: Addresses of instances used to discover the others.
         platform_address: Address of the platform's store.
         slow_start_min_instances: Number of instances from which on requests to
-            upstreams that have started or recovered begin slowly.
+            upstreams that have started begin slowly.
         inner_token: Secret that all instances share; empty for none.
         bounds: Guarantees of the deployment, and limits of its parts.
         observability: Logs and traces.
--- a/src/tamaracktide/entry/slow_starts.py
+++ b/src/tamaracktide/entry/slow_starts.py
@@ -1,4 +1,4 @@
-"""Upstreams that have started or recovered, which get few requests at first.
+"""Upstreams that have started, which get few requests at first.
 
 `core.ramps` decides how many.
 """
@@ -19,7 +19,7 @@
 
 
 class SlowStarts:
-    """Started and recovered upstreams of one service."""
+    """Started upstreams of one service."""
 
     __slots__ = (
         "_count_instances",
@@ -49,7 +49,7 @@
         self._listed_at = anyio.current_time() + LISTING_S
 
     def __contains__(self, upstream: str) -> bool:
-        """Whether an upstream has started or recovered."""
+        """Whether an upstream has started while this instance ran."""
         return upstream in self._upstreams
 
     def forget(self, upstream: str) -> None:
@@ -91,5 +91,5 @@
         )
         logs.bind(
             upstream=entry.upstream, instances=instances, rank=round(rank, 3)
-        ).info("upstream started or recovered: requests begin slowly")
+        ).info("upstream started: requests begin slowly")
         return cell_events.RampStarted(entry.upstream, rank, instances)
