Drop a client's headers between instances before a request is sent on

Cause, found on reading the change: the headers of a client went to the peer before our own, and the first one counts. A client of an instance without reachable upstreams could so name its own workspace, as it could the number of attempts before.

Change: such headers of a client are dropped. The test of a request sent through a peer now sends one; it fails without the change.

--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -156,7 +156,11 @@
                 method=request.method,
                 address=attempt.placement.entry.address,
                 target=request.target,
-                headers=(*headers, *own_headers),
+                # A client must not name a workspace or the attempts itself.
+                headers=(
+                    *(pair for pair in headers if pair[0] not in RELAY_HEADERS),
+                    *own_headers,
+                ),
                 body=request.body,
                 timeout_s=time_left_s,
             )
--- a/tests/fleet/test_workspace_keys.py
+++ b/tests/fleet/test_workspace_keys.py
@@ -254,6 +254,7 @@
                     "/safe/x",
                     f"r{len(statuses)}",
                     Authorization=f"Token {KEY}",
+                    X_Tamaracktide_Workspace="beta",
                 )
                 statuses.append(response.status)
                 return response.status == 200
