--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import enum
 
 from tamaracktide.core import upstream_entries
 
@@ -20,6 +21,18 @@
 OriginsByVersion = Mapping[str, tuple[str, ...]]
 """Ids of the requests that began streams, by software version."""
 
+VersionsByService = Mapping[str, tuple[str, ...]]
+"""Software versions by service."""
+
+
+class Source(enum.Enum):
+    """How an instance knows which version began a stream."""
+
+    OWN = "own"
+    PEER = "peer"
+    STORE = "store"
+    ONLY_VERSION = "only version"
+
 
 class StreamOrigins:
     """Software versions of recent streams, by the request that began them."""
@@ -28,11 +41,17 @@
 
     def __init__(self) -> None:
         """Starts without streams."""
-        self._begun: collections.OrderedDict[str, tuple[str, float]] = (
+        self._begun: collections.OrderedDict[str, tuple[str, Source, float]] = (
             collections.OrderedDict()
         )
 
-    def record(self, request_id: str, software: str, now: float) -> bool:
+    def record(
+        self,
+        request_id: str,
+        software: str,
+        now: float,
+        source: Source = Source.OWN,
+    ) -> bool:
         """Records the beginning of a stream.
 
         Returns:
@@ -41,7 +60,7 @@
         self._drop_expired(now)
         if request_id in self._begun:
             return False
-        self._begun[request_id] = (software, now)
+        self._begun[request_id] = (software, source, now)
         if len(self._begun) > MAX_RECORDS:
             self._begun.popitem(last=False)
         return True
@@ -50,23 +69,23 @@
         """Drops a stream."""
         self._begun.pop(request_id, None)
 
-    def find(self, request_id: str, now: float) -> str | None:
-        """Returns the software version that began a stream, or None."""
+    def find(self, request_id: str, now: float) -> tuple[str, Source] | None:
+        """Returns the version that began a stream and how it is known."""
         self._drop_expired(now)
         found = self._begun.get(request_id)
-        return None if found is None else found[0]
+        return None if found is None else found[:2]
 
     def list_all(self, now: float) -> dict[str, tuple[str, ...]]:
         """Returns all streams by software version."""
         self._drop_expired(now)
         return group_by_version(
             (request_id, software)
-            for request_id, (software, _) in self._begun.items()
+            for request_id, (software, _, _) in self._begun.items()
         )
 
     def _drop_expired(self, now: float) -> None:
         while self._begun:
-            request_id, (_, begun_at) = next(iter(self._begun.items()))
+            request_id, (_, _, begun_at) = next(iter(self._begun.items()))
             if now < begun_at + RETENTION_S:
                 return
             del self._begun[request_id]
@@ -110,26 +129,40 @@
             del self._counts[key]
             self._last_seen[key] = now
 
+    def restore(self, versions: VersionsByService, now: float) -> None:
+        """Records versions that others observed; each counts from now on."""
+        for service, names in versions.items():
+            for software in names:
+                self._last_seen.setdefault((service, software), now)
+
     def list_recent(self, service: str, now: float) -> frozenset[str]:
         """Returns the versions that may have begun streams of a service."""
-        for key, seen_at in list(self._last_seen.items()):
-            if now >= seen_at + RETENTION_S:
-                del self._last_seen[key]
-        return frozenset(
-            software
-            for name, software in (*self._counts, *self._last_seen)
-            if name == service
-        )
+        return frozenset(self._list_by_service(now).get(service, ()))
+
+    def list_all(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Returns the recent versions of every service, sorted."""
+        return {
+            service: tuple(sorted(versions))
+            for service, versions in sorted(self._list_by_service(now).items())
+        }
 
     def list_mixed(self, now: float) -> frozenset[str]:
         """Returns the services that have several versions."""
-        services = {service for service, _ in (*self._counts, *self._last_seen)}
         return frozenset(
             service
-            for service in services
-            if len(self.list_recent(service, now)) > 1
+            for service, versions in self._list_by_service(now).items()
+            if len(versions) > 1
         )
 
+    def _list_by_service(self, now: float) -> dict[str, set[str]]:
+        for key, seen_at in list(self._last_seen.items()):
+            if now >= seen_at + RETENTION_S:
+                del self._last_seen[key]
+        found: dict[str, set[str]] = {}
+        for service, software in (*self._counts, *self._last_seen):
+            found.setdefault(service, set()).add(software)
+        return found
+
 
 def group_by_version(
     streams: Iterable[tuple[str, str]],
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -24,6 +24,7 @@
 from tamaracktide.entry import loader as entry_loader
 from tamaracktide.entry import notices
 from tamaracktide.entry import object_exchange
+from tamaracktide.entry import pauses
 from tamaracktide.entry import peer_forwarding
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import platform_adapter as entry_adapter
@@ -109,8 +110,9 @@
         self._usage = self._make_usage_meter()
         self._usage_exchange.meter = self._usage
         self._resumption = entry_resumption.Resumption(
-            settings.instance, self._is_view_current
+            settings.instance, self._is_view_current, self._metrics
         )
+        self._pauses = pauses.PauseDetector(self._metrics)
         self._peer_forwarder = peer_forwarding.PeerForwarder(
             settings, adapter, upstream_client, self._metrics
         )
@@ -266,6 +268,7 @@
             self._objects.register,
             self._refresh_all,
             self._apply_lapsed,
+            self._pauses.run,
         ):
             self._tasks.start_soon(restarts.run_with_restarts, run)
         await self._servers.run()
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -20,6 +20,7 @@
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import requests
 from tamaracktide.observability import logs
+from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.protocol import entry_messages
 
 QUERY_TIMEOUT_S = 0.4
@@ -39,7 +40,10 @@
     """
 
     def __init__(
-        self, instance: str, is_view_current: Callable[[], bool]
+        self,
+        instance: str,
+        is_view_current: Callable[[], bool],
+        metrics: metrics_module.Metrics,
     ) -> None:
         """Starts without streams; `peers` must be set before the first one.
 
@@ -47,10 +51,13 @@
             instance: Id of this instance.
             is_view_current: Whether this instance would know by now of another
                 software version.
+            metrics: Counts the streams that clients resume.
         """
         self.peers: entry_peers.Peers | None = None
         self._instance = instance
         self._is_view_current = is_view_current
+        self._metrics = metrics
+        self._started_at = anyio.current_time()
         self._versions = stream_origins.SoftwareVersions()
         self._origins = stream_origins.StreamOrigins()
         self._own: dict[str, stream_origins.StreamOrigins] = {}
@@ -92,7 +99,7 @@
         service = request.service.name
         own = self._own.setdefault(service, stream_origins.StreamOrigins())
         own.record(request.request_id, software, now)
-        self._record(request.request_id, software, now)
+        self._record(request.request_id, software, stream_origins.Source.OWN)
         if service in self._mixed:
             self._announce({software: (request.request_id,)})
 
@@ -116,29 +123,38 @@
         if not request.resume_after:
             return None
         begun_as = request.resumed_request
-        software = self._find(request)
-        if software is None:
+        found = self._find(request)
+        if found is None:
             self._ask(begun_as)
             await self._wait_for(begun_as)
-            software = self._find(request)
-        logs.bind(
-            request_id=request.request_id,
-            resumed_request=begun_as,
-            software=software,
-            versions=sorted(
-                self._versions.list_recent(
-                    request.service.name, anyio.current_time()
-                )
-            ),
-            current=self._is_view_current(),
-        ).info("version of a resumed stream determined")
-        if software is None:
+            found = self._find(request)
+        self._log_found(request, found)
+        if found is None:
             raise errors.RefusalError(
                 result_codes.ResultCode.SOFTWARE_UNKNOWN,
                 f"software version that began {begun_as!r} is not known",
                 RETRY_AFTER_S,
             )
-        return software
+        return found[0]
+
+    def _log_found(
+        self,
+        request: requests.ClientRequest,
+        found: tuple[str, stream_origins.Source] | None,
+    ) -> None:
+        now = anyio.current_time()
+        service = request.service.name
+        source = "unknown" if found is None else found[1].value
+        self._metrics.client_resumes.inc({"pool": service, "source": source})
+        logs.bind(
+            request_id=request.request_id,
+            resumed_request=request.resumed_request,
+            software=None if found is None else found[0],
+            source=source,
+            versions=sorted(self._versions.list_recent(service, now)),
+            current=self._is_view_current(),
+            uptime_s=round(now - self._started_at, 3),
+        ).info("version of a resumed stream determined")
 
     def handle_open(self, link: entry_peers.Link) -> None:
         """Sends the known streams on a new link, if they may be needed."""
@@ -150,14 +166,15 @@
 
     def apply_notice(self, notice: entry_messages.StreamsNotice) -> None:
         """Applies what other instances began."""
-        now = anyio.current_time()
         for software, request_ids in notice.streams.items():
             for request_id in request_ids:
-                self._record(request_id, software, now)
+                self._record(request_id, software, stream_origins.Source.PEER)
 
     def apply_reply(self, reply: entry_messages.StreamReply) -> None:
         """Applies a reply, or passes it on to the member that asked."""
-        self._record(reply.request_id, reply.software, anyio.current_time())
+        self._record(
+            reply.request_id, reply.software, stream_origins.Source.PEER
+        )
         if reply.asker != self._instance:
             self._get_peers().send(reply.asker, reply)
 
@@ -165,12 +182,12 @@
         self, peer: entry_peers.Peer, query: entry_messages.StreamQuery
     ) -> None:
         """Replies to a query, or passes that of a member on to the others."""
-        software = self._origins.find(query.request_id, anyio.current_time())
-        if software is not None:
+        found = self._origins.find(query.request_id, anyio.current_time())
+        if found is not None:
             peer.send(
                 entry_messages.StreamReply(
                     request_id=query.request_id,
-                    software=software,
+                    software=found[0],
                     asker=query.asker,
                 )
             )
@@ -196,18 +213,23 @@
         if receivers and peers.send(receivers[0], notice):
             self._unsent.clear()
 
-    def _find(self, request: requests.ClientRequest) -> str | None:
+    def _find(
+        self, request: requests.ClientRequest
+    ) -> tuple[str, stream_origins.Source] | None:
         now = anyio.current_time()
         found = self._origins.find(request.resumed_request, now)
         if found is not None:
             return found
         versions = self._versions.list_recent(request.service.name, now)
         if len(versions) == 1 and self._is_view_current():
-            return next(iter(versions))
+            return next(iter(versions)), stream_origins.Source.ONLY_VERSION
         return None
 
-    def _record(self, request_id: str, software: str, now: float) -> None:
-        self._origins.record(request_id, software, now)
+    def _record(
+        self, request_id: str, software: str, source: stream_origins.Source
+    ) -> None:
+        now = anyio.current_time()
+        self._origins.record(request_id, software, now, source)
         event = self._waiting.get(request_id)
         if event is not None:
             event.set()
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -154,7 +154,7 @@
             generation = request.generation
             needs_adapter = generation is not None and bool(generation.adapter)
             return results.NotRun(
-                f"status {opened.status}",
+                f"status {opened.status} for request {fields.request_id!r}",
                 missing=fields.misdirected and needs_adapter,
             )
         return check_signature(opened.status, fields)
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -40,6 +40,10 @@
         retries: Attempts after the first, by `pool` and `cause`.
         relayed: Requests sent through a peer, by `pool`.
         stream_resumes: Streams resumed at an offset, by `pool`.
+        client_resumes: Streams that clients resumed, by `pool` and `source`
+            (how the software version that began them is known, `unknown` if
+            it is not).
+        held_up_seconds: Seconds for which the process was held up.
         tokens: Tokens forwarded to clients, by `pool`.
         grants: Grants issued (scheduler) or received (gateway), by `pool`.
         queue_wait_seconds: Time waited for a grant, by `pool`.
@@ -81,6 +85,12 @@
         self.stream_resumes = self._counter(
             "stream_resumes_total", "Streams resumed at an offset"
         )
+        self.client_resumes = self._counter(
+            "client_resumes_total", "Streams resumed by clients"
+        )
+        self.held_up_seconds = self._counter(
+            "held_up_seconds_total", "Seconds the process was held up"
+        )
         self.tokens = self._counter("tokens_total", "Tokens passed on")
         self.grants = self._counter("grants_total", "Grants")
         self.queue_wait_seconds = self._histogram(
--- a/tests/core/test_stream_origins.py
+++ b/tests/core/test_stream_origins.py
@@ -29,7 +29,8 @@
     origins = stream_origins.StreamOrigins()
     assert origins.record("r1", "v1", 0.0)
     assert not origins.record("r1", "v2", 1.0)
-    assert origins.find("r1", RETENTION_S - 0.1) == "v1"
+    found = origins.find("r1", RETENTION_S - 0.1)
+    assert found == ("v1", stream_origins.Source.OWN)
     assert origins.find("r1", RETENTION_S) is None
     assert origins.list_all(RETENTION_S) == {}
 
@@ -49,7 +50,8 @@
     for index in range(stream_origins.MAX_RECORDS + 1):
         origins.record(str(index), "v1", 0.0)
     assert origins.find("0", 0.0) is None
-    assert origins.find(str(stream_origins.MAX_RECORDS), 0.0) == "v1"
+    found = origins.find(str(stream_origins.MAX_RECORDS), 0.0)
+    assert found == ("v1", stream_origins.Source.OWN)
 
 
 def test_version_without_upstreams_counts_while_its_streams_may_resume() -> (
