--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -12,18 +12,13 @@
 import fleet_cluster
 import httpcore
 import pytest
+import versioned_streams
 
 import deployment
 from tamaracktide.core import relays
 
 pytestmark = pytest.mark.anyio
 
-EVENTS = 8
-"""Events of a complete stream of the tests."""
-
-PROPAGATION_S = 0.6
-"""Time after which the other instances know of a stream."""
-
 BREAK_S = 1.2
 """Pause of an engine before it breaks off a stream; too short for a hedge."""
 
@@ -34,113 +29,6 @@
     return "asyncio"
 
 
-async def add_engine(
-    cluster: fleet_cluster.Cluster, name: str, software: str, zone: str = "z1"
-) -> fleet_cluster.Server:
-    """Adds an engine of a software version that has the adapter."""
-    return await cluster.add_server(
-        fleet_cluster.Server(
-            name,
-            slots=3,
-            software=software,
-            adapters={"a1": 1},
-            events=EVENTS,
-            event_interval_s=0.03,
-        ),
-        zone,
-    )
-
-
-async def add_versions(
-    cluster: fleet_cluster.Cluster, *versions: str
-) -> list[fleet_cluster.Server]:
-    """Adds an engine for each software version, in zone after zone."""
-    return [
-        await add_engine(cluster, f"e{index}", software, f"z{1 + index}")
-        for index, software in enumerate(versions)
-    ]
-
-
-async def prefer_last(
-    cluster: fleet_cluster.Cluster, engines: list[fleet_cluster.Server]
-) -> None:
-    """Exchanges the zones, so that the last engine is the closest one."""
-    for index, engine in enumerate(reversed(engines)):
-        cluster.register(engine, f"z{1 + index}")
-    await anyio.sleep(PROPAGATION_S)
-
-
-async def resume(
-    instance: entry_instances.Instance,
-    request_id: str,
-    begun_as: str,
-    after: int = 4,
-) -> httpcore.Response:
-    """Takes a stream up again after an event."""
-    return await instance.send(
-        "/stream/x",
-        request_id,
-        X_Model=f"{fleet_cluster.MODEL}/a1",
-        X_Token_Count="100,30",
-        Last_Event_Id=str(after),
-        Resumes=begun_as,
-    )
-
-
-def find_versions(
-    engines: list[fleet_cluster.Server], *request_ids: str
-) -> set[str]:
-    """Returns the software versions that ran any of the requests."""
-    return {
-        engine.software
-        for engine in engines
-        for request_id in request_ids
-        if request_id in engine.runs
-    }
-
-
-async def begin_stream(
-    instance: entry_instances.Instance, request_id: str
-) -> int:
-    """Begins a stream and leaves within it.
-
-    Returns:
-        The number of events that arrived.
-    """
-    events = 0
-    async with instance.pool.stream(
-        "POST",
-        f"http://{instance.settings.caller_address}/stream/x",
-        headers={
-            "Host": "h.example",
-            "X-Request-Id": request_id,
-            "X-Deadline-Ms": "4000",
-            "X-Model": f"{fleet_cluster.MODEL}/a1",
-            "X-Token-Count": "100,30",
-        },
-        content=b"body",
-    ) as response:
-        assert response.status == 200
-        async for part in response.aiter_stream():
-            events += part.count(b"\n\n")
-            if events >= EVENTS // 2:
-                break
-    return events
-
-
-async def check_resumed(
-    engines: list[fleet_cluster.Server],
-    instance: entry_instances.Instance,
-    events: list[int],
-) -> None:
-    """Takes streams up again, each of which must go on at its version."""
-    for index, after in enumerate(events):
-        retry = await resume(instance, f"s{index}", f"r{index}", after)
-        assert retry.status == 200
-        assert retry.content.count(b"\n\n") == EVENTS - after
-        assert len(find_versions(engines, f"r{index}", f"s{index}")) == 1
-
-
 @contextlib.asynccontextmanager
 async def run_pair(
     cluster: fleet_cluster.Cluster,
@@ -163,8 +51,8 @@
     """Adds engines of both versions, that of the engine further away."""
     while not engine.runs:
         await anyio.sleep(0.01)
-    await add_engine(cluster, "new", "v2")
-    await add_engine(cluster, "old", "v1", "z2")
+    await versioned_streams.add_engine(cluster, "new", "v2")
+    await versioned_streams.add_engine(cluster, "old", "v1", "z2")
 
 
 async def test_broken_stream_goes_on_at_the_version_that_began_it() -> None:
@@ -173,14 +61,14 @@
     An instance resumes the stream itself.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        (engine,) = await add_versions(cluster, "v1")
+        (engine,) = await versioned_streams.add_versions(cluster, "v1")
         engine.silent_after, engine.silence_s = 3, BREAK_S
         engine.break_after = 4
         async with entry_instances.run_instance(cluster) as instance:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(_add_during_break, cluster, engine)
                 response = await instance.generate("r1")
-            assert response.content.count(b"\n\n") == EVENTS
+            assert response.content.count(b"\n\n") == versioned_streams.EVENTS
             assert cluster.servers["old"].runs == ["r1"]
             assert cluster.servers["new"].runs == []
 
@@ -190,25 +78,25 @@
 ):
     """Guards against events of two software versions in a response (ORDER)."""
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v2")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
         for engine in engines:
             engine.break_after = 4
         async with entry_instances.run_instance(cluster) as instance:
             with pytest.raises(httpcore.RemoteProtocolError):
                 await instance.generate("r1")
-            assert len(find_versions(engines, "r1")) == 1
+            assert len(versioned_streams.find_versions(engines, "r1")) == 1
 
 
 async def test_silent_stream_is_taken_over_by_its_version_only() -> None:
     """Guards against events of two software versions in a response (ORDER)."""
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v2")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
         for engine in engines:
             engine.silent_after, engine.silence_s = 4, 2.0
         async with entry_instances.run_instance(cluster) as instance:
             response = await instance.generate("r1")
-            assert response.content.count(b"\n\n") == EVENTS
-            assert len(find_versions(engines, "r1")) == 1
+            assert response.content.count(b"\n\n") == versioned_streams.EVENTS
+            assert len(versioned_streams.find_versions(engines, "r1")) == 1
 
 
 @pytest.mark.parametrize("same_instance", [True, False])
@@ -220,11 +108,14 @@
     The client's retry reaches the instance that began the stream or another.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v2")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
         async with run_pair(cluster) as (first, second):
-            events = [await begin_stream(first, f"r{i}") for i in range(2)]
-            await prefer_last(cluster, engines)
-            await check_resumed(
+            events = [
+                await versioned_streams.begin_stream(first, f"r{i}")
+                for i in range(2)
+            ]
+            await versioned_streams.prefer_last(cluster, engines)
+            await versioned_streams.check_resumed(
                 engines, first if same_instance else second, events
             )
 
@@ -235,7 +126,7 @@
     The instance that began the stream is gone when the client retries.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v2")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
         port = deployment.find_port()
         async with entry_instances.run_instance(
             cluster, name="n2", host="127.0.0.2", peer_port=port
@@ -244,9 +135,12 @@
                 cluster, peer_port=port
             ) as first:
                 await anyio.sleep(1.5)
-                events = [await begin_stream(first, f"r{i}") for i in range(2)]
-            await prefer_last(cluster, engines)
-            await check_resumed(engines, second, events)
+                events = [
+                    await versioned_streams.begin_stream(first, f"r{i}")
+                    for i in range(2)
+                ]
+            await versioned_streams.prefer_last(cluster, engines)
+            await versioned_streams.check_resumed(engines, second, events)
 
 
 async def test_client_resumes_at_an_instance_that_has_just_started() -> None:
@@ -255,18 +149,21 @@
     The instance learns what the others began when it links to them.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v2")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
         port = deployment.find_port()
         async with entry_instances.run_instance(
             cluster, peer_port=port
         ) as first:
-            events = [await begin_stream(first, f"r{i}") for i in range(2)]
+            events = [
+                await versioned_streams.begin_stream(first, f"r{i}")
+                for i in range(2)
+            ]
             async with entry_instances.run_instance(
                 cluster, name="n2", host="127.0.0.2", peer_port=port
             ) as second:
                 await anyio.sleep(1.5)
-                await prefer_last(cluster, engines)
-                await check_resumed(engines, second, events)
+                await versioned_streams.prefer_last(cluster, engines)
+                await versioned_streams.check_resumed(engines, second, events)
 
 
 async def test_stream_that_began_before_a_release_resumes_at_its_version() -> (
@@ -277,41 +174,41 @@
     There was one version when the stream began, and two when it goes on.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        old = await add_engine(cluster, "old", "v1")
+        old = await versioned_streams.add_engine(cluster, "old", "v1")
         async with run_pair(cluster) as (first, second):
-            events = [await begin_stream(first, "r0")]
+            events = [await versioned_streams.begin_stream(first, "r0")]
             cluster.register(old, "z2")
-            new = await add_engine(cluster, "new", "v2")
+            new = await versioned_streams.add_engine(cluster, "new", "v2")
             await anyio.sleep(1.0)
-            await check_resumed([old, new], second, events)
+            await versioned_streams.check_resumed([old, new], second, events)
 
 
 async def test_resumption_is_refused_while_its_version_is_unknown() -> None:
     """The request has not run, and the client may come back."""
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v2")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
         async with entry_instances.run_instance(cluster) as instance:
-            response = await resume(instance, "s1", "unknown")
+            response = await versioned_streams.resume(instance, "s1", "unknown")
             assert response.status == 503
             headers = {name.lower() for name, _ in response.headers}
             assert b"retry-after" in headers
-            assert find_versions(engines, "s1") == set()
+            assert versioned_streams.find_versions(engines, "s1") == set()
 
 
 async def test_unknown_stream_resumes_while_there_is_one_version() -> None:
     """It cannot have begun at any other, as after a restart of everything."""
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v1")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v1")
         async with entry_instances.run_instance(cluster) as instance:
-            response = await resume(instance, "s1", "unknown")
+            response = await versioned_streams.resume(instance, "s1", "unknown")
             assert response.status == 200
-            assert find_versions(engines, "s1") == {"v1"}
+            assert versioned_streams.find_versions(engines, "s1") == {"v1"}
 
 
 async def test_stream_without_an_event_may_begin_anew_at_any_version() -> None:
     """A client that has received nothing names no event."""
     async with fleet_cluster.run_cluster() as cluster:
-        await add_versions(cluster, "v1", "v2")
+        await versioned_streams.add_versions(cluster, "v1", "v2")
         async with entry_instances.run_instance(cluster) as instance:
             response = await instance.send(
                 "/stream/x",
@@ -321,7 +218,7 @@
                 Resumes="unknown",
             )
             assert response.status == 200
-            assert response.content.count(b"\n\n") == EVENTS
+            assert response.content.count(b"\n\n") == versioned_streams.EVENTS
 
 
 async def test_member_resumes_what_another_member_began(
@@ -333,7 +230,7 @@
     relay = relays.make_plan("n1", "z1", zones, ()).relay
     port = deployment.find_port()
     async with fleet_cluster.run_cluster() as cluster:
-        engines = await add_versions(cluster, "v1", "v2")
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
         async with contextlib.AsyncExitStack() as stack:
             instances = [
                 await stack.enter_async_context(
@@ -352,6 +249,9 @@
                 if instance.settings.instance != relay
             ]
             await anyio.sleep(2.5)
-            events = [await begin_stream(members[0], f"r{i}") for i in range(2)]
-            await prefer_last(cluster, engines)
-            await check_resumed(engines, members[1], events)
+            events = [
+                await versioned_streams.begin_stream(members[0], f"r{i}")
+                for i in range(2)
+            ]
+            await versioned_streams.prefer_last(cluster, engines)
+            await versioned_streams.check_resumed(engines, members[1], events)
