--- /dev/null
+++ b/src/tamaracktide/core/stream_history.py
@@ -0,0 +1,161 @@
+"""What an instance knows of the streams that clients may resume.
+
+After a start, an instance cannot know which software versions served before. So
+the only version that is listed began a stream for certain only once the history
+of the versions is complete: they were observed for as long as a stream may be
+resumed, or read from a record of them.
+"""
+
+from collections.abc import Iterable
+
+from tamaracktide.core import stream_origins
+from tamaracktide.core import upstream_entries
+
+Found = tuple[str, stream_origins.Source]
+"""Software version that began a stream, and how it is known."""
+
+
+class StreamHistory:
+    """Software versions of services, and the streams that each began.
+
+    Attributes:
+        mixed: Services that have, or recently had, several versions.
+    """
+
+    __slots__ = (
+        "_complete_at",
+        "_inherited",
+        "_origins",
+        "_own",
+        "_versions",
+        "mixed",
+    )
+
+    def __init__(self, started_at: float) -> None:
+        """Starts without streams.
+
+        Args:
+            started_at: Start of the instance, seconds.
+        """
+        self.mixed: frozenset[str] = frozenset()
+        self._complete_at = started_at + stream_origins.RETENTION_S
+        self._versions = stream_origins.SoftwareVersions()
+        self._origins = stream_origins.StreamOrigins()
+        self._own: dict[str, stream_origins.StreamOrigins] = {}
+        self._inherited = stream_origins.StreamOrigins()
+
+    def apply_upstreams(
+        self,
+        changed: Iterable[upstream_entries.UpstreamEntry],
+        removed: Iterable[str],
+        now: float,
+    ) -> frozenset[str]:
+        """Applies upstreams; returns the services that have become mixed."""
+        for entry in changed:
+            self._versions.set_upstream(entry, now)
+        for name in removed:
+            self._versions.remove_upstream(name, now)
+        return self.refresh(now)
+
+    def restore_versions(
+        self,
+        versions: stream_origins.VersionsByService,
+        now: float,
+        *,
+        is_complete: bool,
+    ) -> frozenset[str]:
+        """Applies versions that were recorded or that a peer observed.
+
+        Args:
+            versions: The versions, by service.
+            now: Current time, seconds.
+            is_complete: Whether they are all recent ones.
+
+        Returns:
+            The services that have become mixed.
+        """
+        self._versions.restore(versions, now)
+        if is_complete:
+            self._complete_at = min(self._complete_at, now)
+        return self.refresh(now)
+
+    def refresh(self, now: float) -> frozenset[str]:
+        """Updates `mixed`; returns the services that have become mixed."""
+        before, self.mixed = self.mixed, self._versions.list_mixed(now)
+        return self.mixed - before
+
+    def is_complete(self, now: float) -> bool:
+        """Whether every version that may have begun a stream is known."""
+        return now >= self._complete_at
+
+    def list_versions(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Returns the recent software versions of every service."""
+        return self._versions.list_all(now)
+
+    def record_begin(
+        self, service: str, request_id: str, software: str, now: float
+    ) -> None:
+        """Records the beginning of a stream of this instance."""
+        own = self._own.setdefault(service, stream_origins.StreamOrigins())
+        own.record(request_id, software, now)
+        self._origins.record(request_id, software, now)
+
+    def record_end(self, service: str, request_id: str) -> None:
+        """Records that a stream of this instance is complete."""
+        if service in self._own:
+            self._own[service].forget(request_id)
+
+    def record(
+        self,
+        streams: stream_origins.OriginsByVersion,
+        source: stream_origins.Source,
+        now: float,
+    ) -> None:
+        """Records streams of other instances or of earlier processes."""
+        for software, request_ids in streams.items():
+            for request_id in request_ids:
+                self._origins.record(request_id, software, now, source)
+
+    def inherit(
+        self, streams: stream_origins.OriginsByVersion, now: float
+    ) -> None:
+        """Takes over what an earlier process of this instance recorded."""
+        self.record(streams, stream_origins.Source.STORE, now)
+        for software, request_ids in streams.items():
+            for request_id in request_ids:
+                self._inherited.record(request_id, software, now)
+
+    def find(self, request_id: str, now: float) -> Found | None:
+        """Returns the version that is recorded for a stream, or None."""
+        return self._origins.find(request_id, now)
+
+    def find_only_version(self, service: str, now: float) -> Found | None:
+        """Returns the version that must have begun any stream, or None."""
+        versions = self._versions.list_recent(service, now)
+        if len(versions) != 1 or not self.is_complete(now):
+            return None
+        return next(iter(versions)), stream_origins.Source.ONLY_VERSION
+
+    def list_streams(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Returns all known streams by version, for a new link."""
+        return self._origins.list_all(now)
+
+    def list_begun(
+        self, service: str, now: float
+    ) -> dict[str, tuple[str, ...]]:
+        """Returns the unfinished streams that this instance began."""
+        own = self._own.get(service)
+        return {} if own is None else own.list_all(now)
+
+    def list_to_record(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Returns what must outlive the process: streams of mixed services."""
+        if not self.mixed:
+            return {}
+        found = [self._inherited.list_all(now)]
+        found.extend(self.list_begun(name, now) for name in sorted(self.mixed))
+        return stream_origins.group_by_version(
+            (request_id, software)
+            for streams in found
+            for software, request_ids in streams.items()
+            for request_id in request_ids
+        )
--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -98,7 +98,7 @@
     that it began may still be resumed.
     """
 
-    __slots__ = ("_counts", "_last_seen", "_upstreams")
+    __slots__ = ("_counts", "_known", "_last_seen", "_upstreams")
 
     def __init__(self) -> None:
         """Starts without upstreams."""
@@ -107,6 +107,7 @@
             collections.Counter()
         )
         self._last_seen: dict[tuple[str, str], float] = {}
+        self._known: set[tuple[str, str]] = set()
 
     def set_upstream(
         self, entry: upstream_entries.UpstreamEntry, now: float
@@ -118,6 +119,7 @@
         self.remove_upstream(entry.upstream, now)
         self._upstreams[entry.upstream] = key
         self._counts[key] += 1
+        self._known.add(key)
 
     def remove_upstream(self, upstream: str, now: float) -> None:
         """Records that an upstream is gone."""
@@ -130,10 +132,17 @@
             self._last_seen[key] = now
 
     def restore(self, versions: VersionsByService, now: float) -> None:
-        """Records versions that others observed; each counts from now on."""
+        """Records versions that others observed; those unknown count from now.
+
+        A known one counts as this instance observed it, so that a record of it
+        never keeps it alive.
+        """
         for service, names in versions.items():
             for software in names:
-                self._last_seen.setdefault((service, software), now)
+                key = (service, software)
+                if key not in self._known:
+                    self._known.add(key)
+                    self._last_seen[key] = now
 
     def list_recent(self, service: str, now: float) -> frozenset[str]:
         """Returns the versions that may have begun streams of a service."""
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -27,6 +27,7 @@
         versions: Prefix of the announced adapter versions.
         instances: Prefix of the entry instances of this deployment.
         leases: Prefix of the leases of cells.
+        streams: Prefix of the records of streams and software versions.
     """
 
     document: str
@@ -35,6 +36,7 @@
     versions: str
     instances: str
     leases: str
+    streams: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -38,6 +38,7 @@
 from tamaracktide.entry import settings_watch
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
+from tamaracktide.entry import stream_records
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.entry import usage as entry_usage
 from tamaracktide.entry import usage_exchange
@@ -143,6 +144,8 @@
             self._peers,
         )
         self._relay = store_relay.StoreRelay(store, self._peers, tasks)
+        self._stream_records = self._make_stream_records()
+        self._resumption.records = self._stream_records
         self._leases = lease_manager.LeaseManager(
             settings,
             store,
@@ -203,6 +206,27 @@
             )
         )
 
+    def _make_stream_records(self) -> stream_records.StreamRecords:
+        return stream_records.StreamRecords(
+            self._settings.instance,
+            self._adapter.collections.streams,
+            self._store,
+            self._store_health,
+            self._resumption.history,
+            self._find_store_rank,
+            self._resumption.apply_restored,
+            self._tasks,
+        )
+
+    def _find_store_rank(self) -> int | None:
+        """Returns the rank among the instances that follow the store."""
+        if not self._peers.is_relay:
+            return None
+        others = [peer.instance for peer in self._peers.list_relays()]
+        return sorted((*others, self._settings.instance)).index(
+            self._settings.instance
+        )
+
     def _make_usage_meter(self) -> entry_usage.UsageMeter:
         bounds = self._settings.bounds
         return entry_usage.UsageMeter(
@@ -269,6 +293,7 @@
             self._refresh_all,
             self._apply_lapsed,
             self._pauses.run,
+            self._stream_records.run,
         ):
             self._tasks.start_soon(restarts.run_with_restarts, run)
         await self._servers.run()
@@ -303,7 +328,9 @@
         self._usage_exchange.handle_loss(instance)
 
     def _is_view_current(self) -> bool:
-        """Whether changes of the upstreams reach this instance."""
+        """Whether changes of the upstreams have reached this instance."""
+        if self._pauses.was_held_up:
+            return False
         silent_s = self._store_health.unreachable_s
         return silent_s < MAX_STORE_SILENCE_S or bool(self._peers.list_linked())
 
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -5,7 +5,7 @@
 announces which version began which stream before the first event reaches the
 client. In a small cluster all others learn it; in a larger one the relay of the
 instance and one more, and an instance that does not know a stream asks its
-relay, which asks the others.
+relay, which asks the others. What all of them have lost is read from the store.
 """
 
 from collections.abc import Callable
@@ -15,17 +15,19 @@
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.core import stream_history
 from tamaracktide.core import stream_origins
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import requests
+from tamaracktide.entry import stream_records
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.protocol import entry_messages
 
 QUERY_TIMEOUT_S = 0.4
-"""Time for which a resumption waits until another instance knows its stream:
-two hops and the links of an instance that has just started."""
+"""Time for which a resumption waits until another instance or the store knows
+its stream: two hops and the links of an instance that has just started."""
 
 RETRY_AFTER_S = 1.0
 MAX_UNSENT = 10_000
@@ -37,6 +39,8 @@
 
     Attributes:
         peers: The links; set after construction.
+        records: The records in the store; set after construction.
+        history: What this instance knows of streams.
     """
 
     def __init__(
@@ -54,16 +58,15 @@
             metrics: Counts the streams that clients resume.
         """
         self.peers: entry_peers.Peers | None = None
+        self.records: stream_records.StreamRecords | None = None
+        self._started_at = anyio.current_time()
+        self.history = stream_history.StreamHistory(self._started_at)
         self._instance = instance
         self._is_view_current = is_view_current
         self._metrics = metrics
-        self._started_at = anyio.current_time()
-        self._versions = stream_origins.SoftwareVersions()
-        self._origins = stream_origins.StreamOrigins()
-        self._own: dict[str, stream_origins.StreamOrigins] = {}
-        self._mixed: frozenset[str] = frozenset()
         self._unsent: dict[str, str] = {}
         self._waiting: dict[str, anyio.Event] = {}
+        self._queries: dict[tuple[str, str], entry_messages.StreamQuery] = {}
 
     def apply_upstreams(
         self,
@@ -76,18 +79,9 @@
         had several versions.
         """
         now = anyio.current_time()
-        for entry in changed:
-            self._versions.set_upstream(entry, now)
-        for name in removed:
-            self._versions.remove_upstream(name, now)
-        before, self._mixed = self._mixed, self._versions.list_mixed(now)
-        for service in self._mixed - before:
-            logs.bind(
-                service=service,
-                versions=sorted(self._versions.list_recent(service, now)),
-            ).info("service has several software versions")
-            if service in self._own:
-                self._announce(self._own[service].list_all(now))
+        self._announce_mixed(
+            self.history.apply_upstreams(changed, removed, now)
+        )
 
     def record_begin(
         self, request: requests.ClientRequest, software: str
@@ -97,17 +91,14 @@
             return
         now = anyio.current_time()
         service = request.service.name
-        own = self._own.setdefault(service, stream_origins.StreamOrigins())
-        own.record(request.request_id, software, now)
-        self._record(request.request_id, software, stream_origins.Source.OWN)
-        if service in self._mixed:
+        self.history.record_begin(service, request.request_id, software, now)
+        self._wake(request.request_id)
+        if service in self.history.mixed:
             self._announce({software: (request.request_id,)})
 
     def record_end(self, request: requests.ClientRequest) -> None:
         """Records that a stream of this instance is complete."""
-        own = self._own.get(request.service.name)
-        if own is not None:
-            own.forget(request.request_id)
+        self.history.record_end(request.service.name, request.request_id)
 
     async def find_software(
         self, request: requests.ClientRequest
@@ -122,12 +113,13 @@
         """
         if not request.resume_after:
             return None
-        begun_as = request.resumed_request
-        found = self._find(request)
+        begun_as, service = request.resumed_request, request.service.name
+        arrived_at = anyio.current_time()
+        found = self._find(begun_as, service, arrived_at)
         if found is None:
-            self._ask(begun_as)
-            await self._wait_for(begun_as)
-            found = self._find(request)
+            self._ask(begun_as, service)
+            with anyio.move_on_after(QUERY_TIMEOUT_S):
+                found = await self._wait_for(begun_as, service, arrived_at)
         self._log_found(request, found)
         if found is None:
             raise errors.RefusalError(
@@ -140,7 +132,7 @@
     def _log_found(
         self,
         request: requests.ClientRequest,
-        found: tuple[str, stream_origins.Source] | None,
+        found: stream_history.Found | None,
     ) -> None:
         now = anyio.current_time()
         service = request.service.name
@@ -151,30 +143,41 @@
             resumed_request=request.resumed_request,
             software=None if found is None else found[0],
             source=source,
-            versions=sorted(self._versions.list_recent(service, now)),
+            versions=self.history.list_versions(now).get(service, ()),
+            complete=self.history.is_complete(now),
             current=self._is_view_current(),
             uptime_s=round(now - self._started_at, 3),
         ).info("version of a resumed stream determined")
 
     def handle_open(self, link: entry_peers.Link) -> None:
-        """Sends the known streams on a new link, if they may be needed."""
-        if not self._mixed:
-            return
-        streams = self._origins.list_all(anyio.current_time())
-        if streams:
-            link.queue.put(entry_messages.StreamsNotice(streams=streams))
+        """Sends what is known of streams on a new link."""
+        now = anyio.current_time()
+        is_complete = self.history.is_complete(now)
+        streams = self.history.list_streams(now) if self.history.mixed else {}
+        if streams or is_complete:
+            link.queue.put(self._make_versions_notice(streams))
 
     def apply_notice(self, notice: entry_messages.StreamsNotice) -> None:
-        """Applies what other instances began."""
-        for software, request_ids in notice.streams.items():
+        """Applies what other instances began, and the versions they know."""
+        now = anyio.current_time()
+        source = stream_origins.Source.PEER
+        self.history.record(notice.streams, source, now)
+        for request_ids in notice.streams.values():
             for request_id in request_ids:
-                self._record(request_id, software, stream_origins.Source.PEER)
+                self._wake(request_id)
+        if notice.versions:
+            self._announce_mixed(
+                self.history.restore_versions(
+                    notice.versions, now, is_complete=notice.is_complete
+                )
+            )
 
     def apply_reply(self, reply: entry_messages.StreamReply) -> None:
         """Applies a reply, or passes it on to the member that asked."""
-        self._record(
-            reply.request_id, reply.software, stream_origins.Source.PEER
-        )
+        streams = {reply.software: (reply.request_id,)}
+        now = anyio.current_time()
+        self.history.record(streams, stream_origins.Source.PEER, now)
+        self._wake(reply.request_id)
         if reply.asker != self._instance:
             self._get_peers().send(reply.asker, reply)
 
@@ -182,19 +185,15 @@
         self, peer: entry_peers.Peer, query: entry_messages.StreamQuery
     ) -> None:
         """Replies to a query, or passes that of a member on to the others."""
-        found = self._origins.find(query.request_id, anyio.current_time())
-        if found is not None:
-            peer.send(
-                entry_messages.StreamReply(
-                    request_id=query.request_id,
-                    software=found[0],
-                    asker=query.asker,
-                )
-            )
-        elif peer.is_member and query.asker == peer.instance:
-            for other in self._get_peers().list_linked():
-                if other is not peer:
-                    other.send(query)
+        if self._reply(query, peer.instance, anyio.current_time()):
+            return
+        if not (peer.is_member and query.asker == peer.instance):
+            return
+        for other in self._get_peers().list_linked():
+            if other is not peer:
+                other.send(query)
+        self._queries[query.asker, query.request_id] = query
+        self._request_load()
 
     def send_unsent(self) -> None:
         """Sends what this instance began since the last report.
@@ -213,27 +212,66 @@
         if receivers and peers.send(receivers[0], notice):
             self._unsent.clear()
 
+    def apply_restored(self, newly_mixed: frozenset[str]) -> None:
+        """Continues what waited until the records in the store were read."""
+        self._announce_mixed(newly_mixed)
+        for event in self._waiting.values():
+            event.set()
+        if not self._get_peers().plan.is_flat:
+            self._tell_versions()
+        queries, self._queries = self._queries, {}
+        for query in queries.values():
+            self._reply(query, query.asker, float("-inf"))
+
+    def _reply(
+        self,
+        query: entry_messages.StreamQuery,
+        receiver: str,
+        arrived_at: float,
+    ) -> bool:
+        """Replies to a query; returns whether the stream is known."""
+        found = self._find(query.request_id, query.service, arrived_at)
+        if found is None:
+            return False
+        self._get_peers().send(
+            receiver,
+            entry_messages.StreamReply(
+                request_id=query.request_id,
+                software=found[0],
+                asker=query.asker,
+            ),
+        )
+        return True
+
     def _find(
-        self, request: requests.ClientRequest
-    ) -> tuple[str, stream_origins.Source] | None:
+        self, begun_as: str, service: str, arrived_at: float
+    ) -> stream_history.Found | None:
         now = anyio.current_time()
-        found = self._origins.find(request.resumed_request, now)
+        found = self.history.find(begun_as, now)
         if found is not None:
             return found
-        versions = self._versions.list_recent(request.service.name, now)
-        if len(versions) == 1 and self._is_view_current():
-            return next(iter(versions)), stream_origins.Source.ONLY_VERSION
+        has_read = self.records and self.records.loaded_at >= arrived_at
+        if self._is_view_current() or has_read:
+            return self.history.find_only_version(service, now)
         return None
 
-    def _record(
-        self, request_id: str, software: str, source: stream_origins.Source
-    ) -> None:
-        now = anyio.current_time()
-        self._origins.record(request_id, software, now, source)
+    def _wake(self, request_id: str) -> None:
         event = self._waiting.get(request_id)
         if event is not None:
             event.set()
 
+    def _announce_mixed(self, services: frozenset[str]) -> None:
+        """Announces the streams of services that have become mixed."""
+        now = anyio.current_time()
+        for service in services:
+            logs.bind(
+                service=service,
+                versions=self.history.list_versions(now)[service],
+            ).info("service has several software versions")
+            self._announce(self.history.list_begun(service, now))
+        if services:
+            self._tell_versions()
+
     def _announce(self, streams: stream_origins.OriginsByVersion) -> None:
         peers = self._get_peers()
         if peers.plan.is_flat:
@@ -244,19 +282,50 @@
         while len(self._unsent) > MAX_UNSENT:
             del self._unsent[next(iter(self._unsent))]
 
-    def _ask(self, request_id: str) -> None:
+    def _tell_versions(self) -> None:
+        """Tells the linked instances which versions there are."""
+        notice = self._make_versions_notice({})
+        for peer in self._get_peers().list_linked():
+            peer.send(notice)
+
+    def _make_versions_notice(
+        self, streams: stream_origins.OriginsByVersion
+    ) -> entry_messages.StreamsNotice:
+        now = anyio.current_time()
+        return entry_messages.StreamsNotice(
+            streams=dict(streams),
+            versions=self.history.list_versions(now),
+            is_complete=self.history.is_complete(now),
+        )
+
+    def _ask(self, request_id: str, service: str) -> None:
         query = entry_messages.StreamQuery(
-            request_id=request_id, asker=self._instance
+            request_id=request_id, asker=self._instance, service=service
         )
         for peer in self._get_peers().list_linked():
             peer.send(query)
+        self._request_load()
+
+    def _request_load(self) -> None:
+        """Reads the records, unless a relay does so for this instance."""
+        peers = self._get_peers()
+        follows_store = peers.is_relay or not peers.is_discovered
+        if self.records is not None and follows_store:
+            self.records.request_load()
 
-    async def _wait_for(self, request_id: str) -> None:
-        event = self._waiting.setdefault(request_id, anyio.Event())
-        with anyio.move_on_after(QUERY_TIMEOUT_S):
-            await event.wait()
-        if self._waiting.get(request_id) is event:
-            del self._waiting[request_id]
+    async def _wait_for(
+        self, begun_as: str, service: str, arrived_at: float
+    ) -> stream_history.Found:
+        while True:
+            event = self._waiting.setdefault(begun_as, anyio.Event())
+            try:
+                await event.wait()
+            finally:
+                if self._waiting.get(begun_as) is event:
+                    del self._waiting[begun_as]
+            found = self._find(begun_as, service, arrived_at)
+            if found is not None:
+                return found
 
     def _get_peers(self) -> entry_peers.Peers:
         assert self.peers is not None
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -257,9 +257,15 @@
 
     Attributes:
         streams: Ids of the requests that began streams, by software version.
+        versions: Recent software versions by service, where they are told.
+        is_complete: Whether `versions` are all that may have begun a stream.
     """
 
     streams: dict[str, tuple[str, ...]]
+    versions: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
+    is_complete: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -269,10 +275,12 @@
     Attributes:
         request_id: Id of the request that began it.
         asker: Instance that needs to know.
+        service: Service of the stream; empty if unknown.
     """
 
     request_id: str
     asker: str
+    service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -127,6 +127,8 @@
         query = dict(urllib.parse.parse_qsl(scope["query_string"].decode()))
         if scope["method"] == "GET":
             await self._read(parts, query, send)
+        elif scope["method"] == "DELETE":
+            await self._delete(parts, query, send)
         else:
             await self._write(scope["method"], parts, receive, send)
 
@@ -174,6 +176,21 @@
             if event_kind == kind and revision > since
         ]
 
+    async def _delete(
+        self, parts: list[str], query: dict[str, str], send: asgi.Send
+    ) -> None:
+        kind, name = parts
+        stored = self.objects.get(kind, {}).get(name)
+        if stored is None:
+            await reply(send, 404)
+            return
+        expected = int(query.get("Revision", stored["Metadata"]["Revision"]))
+        if stored["Metadata"]["Revision"] != expected:
+            await reply(send, 409, json.dumps(stored).encode())
+            return
+        self.remove(kind, name)
+        await reply(send, 200, json.dumps(stored).encode())
+
     async def _write(
         self,
         method: str,
