--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -168,17 +168,22 @@
                     await anyio.sleep(wait_s)
                 case attempts.Abort(limit=limit):
                     run.progress.limit = limit
-                    upstream_response = (
-                        isinstance(result, results.LostResponse)
-                        and result.response
-                    )
-                    if upstream_response and not run.responder.started:
-                        await self._forward_response(
-                            upstream_response, run.responder
-                        )
+                    response = self._find_final_response(run, result)
+                    if response is not None:
+                        await self._forward_response(response, run.responder)
                         return Codes.OK
                     self._raise_final_error(run.request, action)
 
+    def _find_final_response(
+        self, run: runs.Run, result: results.Result | None
+    ) -> calls.Response | None:
+        """Returns the upstream's error response that the client receives."""
+        if not isinstance(result, results.LostResponse):
+            return None
+        if result.response is None or run.responder.started:
+            return None
+        return None if self._misleads(run, result.response) else result.response
+
     def _raise_final_error(
         self, request: requests.ClientRequest, action: attempts.Action
     ) -> None:
@@ -331,7 +336,11 @@
             if isinstance(response, calls.Failure):
                 return results.make_lost_response(response)
             is_retried = opened.status >= 500 and not attempt.is_relayed
-            if is_retried or run.responder.started:
+            if (
+                is_retried
+                or run.responder.started
+                or self._misleads(run, response)
+            ):
                 return results.LostResponse(
                     f"status {opened.status}", response=response
                 )
@@ -341,6 +350,18 @@
         finally:
             await opened.close()
 
+    def _misleads(self, run: runs.Run, response: calls.Response) -> bool:
+        """Whether a status falsely promises that a request has not run.
+
+        The upstream has not said so, or the request would have been retried.
+        """
+        if run.request.route.safe_to_retry:
+            return False
+        fields = self._adapter.parse_response_headers(
+            response.status, response.headers
+        )
+        return fields.promises_not_run
+
     def _has_stalled(
         self,
         run: runs.Run,
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -100,6 +100,8 @@
             instances together; None if it names no limit.
         brittle: Rejections in a second that the sender survives; None for any.
         overloaded: Whether it rejected the request for want of room.
+        promises_not_run: Whether its status tells a client that its request has
+            not run.
     """
 
     request_id: str
@@ -110,6 +112,7 @@
     rate_limit: float | None = None
     brittle: float | None = None
     overloaded: bool = False
+    promises_not_run: bool = False
 
 
 class PlatformAdapter(Protocol):
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -163,8 +163,12 @@
 def check_request_id(
     request: requests.ClientRequest, fields: entry_adapter.ResponseFields
 ) -> results.LostResponse | None:
-    """Returns why a response belongs to another request, or None."""
-    if fields.request_id in ("", request.request_id):
+    """Returns why a response does not belong to a request, or None.
+
+    Upstreams and instances name the request in every response. What names none
+    is an answer to bytes that belong to no request.
+    """
+    if fields.request_id == request.request_id:
         return None
     return results.LostResponse(
         f"response belongs to another request: {fields.request_id!r}"
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -286,6 +286,9 @@
         body: Body of the responses of a plain server; its name if empty.
         status: Status of the responses of a plain server.
         refuses: Whether every request gets 421, as without its adapter.
+        refuses_unnamed: Whether it runs requests and then sends a refusal that
+            names no request.
+        claims_not_run: Whether its responses state that they were not run.
         abandoned: Ids of the requests whose connection was closed during the
             pause, in order.
         crashes_on: Path or part of a prompt; a request with it ends the server,
@@ -323,6 +326,8 @@
     body: bytes = b""
     status: int = 200
     refuses: bool = False
+    refuses_unnamed: bool = False
+    claims_not_run: bool = False
     abandoned: list[str] = dataclasses.field(default_factory=list)
     crashes_on: str = ""
     has_crashed: bool = False
@@ -426,13 +431,21 @@
             self.running -= 1
         self.runs.append(request_id)
         self.headers_by_request[request_id] = head
+        if self.refuses_unnamed:
+            await reply(send, 503, headers=((b"x-not-executed", b"1"),))
+            return
         if self._must_crash(head):
             self.has_crashed = True
             self.close()
             raise ConnectionError("crashed")
         if self.silent_after is None:
             await self._pause(request_id, receive)
-        signed = ((b"x-response-signature", b"1.2.3"), request_id_header)
+        signed: tuple[tuple[bytes, bytes], ...] = (
+            (b"x-response-signature", b"1.2.3"),
+            request_id_header,
+        )
+        if self.claims_not_run:
+            signed = (*signed, (b"x-not-executed", b"1"))
         if self.drop_response:
             await _abort_response(signed, send)
         if not self.slots:
