--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -597,7 +597,8 @@
     """
     store = adapter.open_store(settings.platform_address)
     upstreams = upstream_settings.UpstreamSettings(
-        connect_timeout_s=CONNECT_TIMEOUT_S
+        connect_timeout_s=CONNECT_TIMEOUT_S,
+        max_pending_bytes=settings.bounds.max_pending_bytes,
     )
     async with (
         streams.StreamClient(upstreams) as upstream_client,
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -28,6 +28,9 @@
         usage_window_s: Window of the usage caps of workspaces.
         usage_fraction: Fraction by which a cap may be exceeded in a window.
         usage_slack: Units by which it may be exceeded beyond that.
+        max_pending_bytes: Maximum number of bytes in a response that wait for
+            the end of the headers, or of chunk extensions or trailers. Each
+            header counts for 144 bytes more.
     """
 
     lease_ms: Milliseconds = 3000
@@ -38,6 +41,7 @@
     usage_window_s: Seconds = 10.0
     usage_fraction: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     usage_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_pending_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/upstreams/settings.py
+++ b/src/tamaracktide/upstreams/settings.py
@@ -22,6 +22,9 @@
         service_timeout_s: Maximum time without data from a plain service.
         max_connections: Maximum number of connections to one upstream.
         max_answer_bytes: Maximum size of a response that is read completely.
+        max_pending_bytes: Maximum number of bytes in a response that wait for
+            the end of the headers, or of chunk extensions or trailers. Each
+            header counts for 144 bytes more.
     """
 
     token: str = dataclasses.field(default="", repr=False)
@@ -33,3 +36,4 @@
     service_timeout_s: Seconds = 10.0
     max_connections: Annotated[int, msgspec.Meta(ge=1)] = 1000
     max_answer_bytes: Annotated[int, msgspec.Meta(ge=1)] = 8_000_000
+    max_pending_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -14,12 +14,16 @@
 import httptools
 
 from tamaracktide import sockets
+from tamaracktide.core import pending_bytes
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import network
 from tamaracktide.upstreams import settings as upstream_settings
 
 KEEPALIVE_EXPIRY_S = 30.0
 RECEIVE_BYTES = 262_144
+HEADER_OVERHEAD_BYTES = 144
+"""Memory of a stored header in addition to its name and value."""
+
 FIRST_FINAL_STATUS = 200
 """Lowest status code of a response that no other one follows."""
 
@@ -53,6 +57,7 @@
     __slots__ = (
         "_body",
         "_has_body",
+        "_pending",
         "address",
         "complete",
         "has_failed",
@@ -64,9 +69,14 @@
         "stream",
     )
 
-    def __init__(self, address: str, stream: network.Stream) -> None:
+    def __init__(
+        self, address: str, stream: network.Stream, max_pending_bytes: int
+    ) -> None:
         self.address = address
         self.stream = stream
+        self._pending = pending_bytes.PendingBytes(
+            max_pending_bytes, "the end of the headers, or the next body bytes"
+        )
         self.idle_since = 0.0
         self.reset(has_body=True)
 
@@ -81,6 +91,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.headers: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
+        self._pending.clear()
         self.headers_complete = False
         self.complete = False
         self.keep_alive = False
@@ -96,7 +107,14 @@
             raise ValueError("data after the end of the response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header; called by the parser."""
+        """Stores a header or trailer; called by the parser.
+
+        Raises:
+            ValueError: Too much precedes the end of the headers.
+        """
+        self._pending.add(HEADER_OVERHEAD_BYTES)
+        if self._pending.excess is not None:
+            raise ValueError(self._pending.excess)
         self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -108,6 +126,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Stores a part of the body; called by the parser."""
+        self._pending.clear()
         self._body.append(body)
 
     def on_message_complete(self) -> None:
@@ -165,7 +184,10 @@
             data = await self.stream.read(RECEIVE_BYTES, timeout_s)
             if not data:
                 return self._end()
+            body_parts = len(self._body)
             self.parser.feed_data(data)
+            if len(self._body) == body_parts:
+                self._pending.add(len(data))
         except httpcore.ReadTimeout:
             return calls.Failure(
                 calls.FailureKind.TIMEOUT,
@@ -175,10 +197,17 @@
             if self.complete:
                 self.keep_alive = False
                 return None
-            return calls.Failure(
+            return self._find_excess() or calls.Failure(
                 calls.FailureKind.BROKEN, f"{type(error).__name__} {error}"
             )
-        return None
+        return None if self.complete else self._find_excess()
+
+    def _find_excess(self) -> calls.Failure | None:
+        """Returns the failure of a response that waits for too long an end."""
+        excess = self._pending.excess
+        if excess is None:
+            return None
+        return calls.Failure(calls.FailureKind.TOO_LARGE, excess)
 
     def _end(self) -> calls.Failure | None:
         """Handles the end of the stream, which may end the response."""
@@ -368,7 +397,7 @@
                 calls.FailureKind.UNREACHABLE,
                 f"cannot connect to {address}: {error}",
             )
-        return _Connection(address, stream)
+        return _Connection(address, stream, self._settings.max_pending_bytes)
 
     async def _exchange(
         self,
