Move the connections to upstreams out of the client of their responses

No behaviour changed: the code is moved, `_Connection` is renamed to `connections.Connection`, and its `__init__` has a docstring. tests/upstreams pass.

--- /dev/null
+++ b/src/tamaracktide/upstreams/connections.py
@@ -0,0 +1,208 @@
+"""Connections to upstreams, whose responses httptools parses."""
+
+import select
+
+import httpcore
+import httptools
+
+from tamaracktide.core import pending_bytes
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import network
+
+RECEIVE_BYTES = 262_144
+HEADER_OVERHEAD_BYTES = 144
+"""Memory of a stored header in addition to its name and value."""
+
+FIRST_FINAL_STATUS = 200
+"""Lowest status code of a response that no other one follows."""
+
+FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+"""Headers without which the end of the connection ends a body."""
+
+
+class Connection:
+    """A connection and the parser state of its current response.
+
+    Attributes:
+        address: `host:port` of its peer.
+        stream: The TCP stream.
+        idle_since: When it became idle, seconds of the monotonic clock.
+        headers: Headers of the current response.
+        headers_complete: Whether all of them have arrived.
+        complete: Whether the current response has arrived completely.
+        keep_alive: Whether another request may follow.
+        has_failed: Whether the response cannot be completed.
+    """
+
+    __slots__ = (
+        "_body",
+        "_has_body",
+        "_pending",
+        "address",
+        "complete",
+        "has_failed",
+        "headers",
+        "headers_complete",
+        "idle_since",
+        "keep_alive",
+        "parser",
+        "stream",
+    )
+
+    def __init__(
+        self, address: str, stream: network.Stream, max_pending_bytes: int
+    ) -> None:
+        """Wraps an open stream.
+
+        Args:
+            address: `host:port` of its peer.
+            stream: The TCP stream.
+            max_pending_bytes: Maximum number of bytes that wait for the end of
+                the headers, or of the framing of the body.
+        """
+        self.address = address
+        self.stream = stream
+        self._pending = pending_bytes.PendingBytes(
+            max_pending_bytes, "the end of the headers, or the next body bytes"
+        )
+        self.idle_since = 0.0
+        self.reset(has_body=True)
+
+    def reset(self, *, has_body: bool) -> None:
+        """Resets the parser state for the next response.
+
+        Args:
+            has_body: Whether the response may have a body, which that to a
+                HEAD request has not.
+        """
+        self._has_body = has_body
+        self.parser = httptools.HttpResponseParser(self)
+        self.headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._pending.clear()
+        self.headers_complete = False
+        self.complete = False
+        self.keep_alive = False
+        self.has_failed = False
+
+    def on_message_begin(self) -> None:
+        """Refuses a response that no request asked for; called by the parser.
+
+        Raises:
+            ValueError: The current response is complete.
+        """
+        if self.complete:
+            raise ValueError("data after the end of the response")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Stores a header or trailer; called by the parser.
+
+        Raises:
+            ValueError: Too much precedes the end of the headers.
+        """
+        self._pending.add(HEADER_OVERHEAD_BYTES)
+        if self._pending.excess is not None:
+            raise ValueError(self._pending.excess)
+        self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Records the end of the headers; called by the parser."""
+        if self.parser.get_status_code() < FIRST_FINAL_STATUS:
+            return
+        self.headers_complete = True
+        self.complete = not self._has_body
+
+    def on_body(self, body: bytes) -> None:
+        """Stores a part of the body; called by the parser."""
+        self._pending.clear()
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Records the end of the response; called by the parser."""
+        if not self.headers_complete:
+            # An interim response precedes the final one.
+            self.headers.clear()
+            return
+        self.complete = True
+        self.keep_alive = self.parser.should_keep_alive()
+
+    def drain_body(self) -> bytes:
+        """Returns and clears the body bytes received since the last call."""
+        if not self._body:
+            return b""
+        body = b"".join(self._body)
+        self._body.clear()
+        return body
+
+    def is_readable(self) -> bool:
+        """Whether an idle connection has unexpected data or was closed."""
+        if self.stream.get_extra_info("is_readable"):
+            return True
+        poll = select.poll()
+        poll.register(self.stream.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
+
+    async def send(
+        self, request: bytes, timeout_s: float
+    ) -> calls.Failure | None:
+        """Sends a request; returns the failure, if any.
+
+        A peer may respond before it has received the request and close, so a
+        broken connection only counts when the response is read.
+        """
+        try:
+            await self.stream.write(request, timeout_s)
+        except httpcore.WriteTimeout:
+            return calls.Failure(
+                calls.FailureKind.TIMEOUT,
+                f"request not taken within {timeout_s:g} s",
+            )
+        except httpcore.WriteError:
+            pass
+        return None
+
+    async def receive(self, timeout_s: float) -> calls.Failure | None:
+        """Reads and parses once; returns the failure, if any."""
+        failure = await self._receive(timeout_s)
+        self.has_failed = failure is not None
+        return failure
+
+    async def _receive(self, timeout_s: float) -> calls.Failure | None:
+        try:
+            data = await self.stream.read(RECEIVE_BYTES, timeout_s)
+            if not data:
+                return self._end()
+            body_parts = len(self._body)
+            self.parser.feed_data(data)
+            if len(self._body) == body_parts:
+                self._pending.add(len(data))
+        except httpcore.ReadTimeout:
+            return calls.Failure(
+                calls.FailureKind.TIMEOUT,
+                f"no data received for {timeout_s:g} s",
+            )
+        except (httpcore.ReadError, httptools.HttpParserError) as error:
+            if self.complete:
+                self.keep_alive = False
+                return None
+            return self._find_excess() or calls.Failure(
+                calls.FailureKind.BROKEN, f"{type(error).__name__} {error}"
+            )
+        return None if self.complete else self._find_excess()
+
+    def _find_excess(self) -> calls.Failure | None:
+        """Returns the failure of a response that waits for too long an end."""
+        excess = self._pending.excess
+        if excess is None:
+            return None
+        return calls.Failure(calls.FailureKind.TOO_LARGE, excess)
+
+    def _end(self) -> calls.Failure | None:
+        """Handles the end of the stream, which may end the response."""
+        is_framed = any(name in FRAMING_HEADERS for name, _ in self.headers)
+        if self.headers_complete and not is_framed:
+            self.complete = True
+            return None
+        return calls.Failure(
+            calls.FailureKind.BROKEN, "connection closed within the response"
+        )
