--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -43,6 +43,7 @@
 did not run the request."""
 
 EVENT_STREAM_TYPE = b"text/event-stream"
+CUT_DETAIL = "connection ended with its upstream"
 
 
 class _RetryBudget:
@@ -335,6 +336,8 @@
             response = await opened.read(sending.MAX_RESPONSE_BYTES)
             if isinstance(response, calls.Failure):
                 return results.make_lost_response(response)
+            if await self._was_cut(run, attempt, opened):
+                return results.LostResponse(CUT_DETAIL)
             is_retried = opened.status >= 500 and not attempt.is_relayed
             if (
                 is_retried
@@ -350,6 +353,21 @@
         finally:
             await opened.close()
 
+    async def _was_cut(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        opened: streams.StreamedResponse,
+    ) -> bool:
+        """Whether a response that only its connection ends may be incomplete.
+
+        The kernel ends the connections of a killed process like complete ones.
+        """
+        if attempt.is_relayed or not opened.ended_by_close:
+            return False
+        entry = attempt.placement.entry
+        return await run.cell.reachability.has_ended(entry)
+
     def _misleads(self, run: runs.Run, response: calls.Response) -> bool:
         """Whether a status falsely promises that a request has not run.
 
@@ -435,7 +453,18 @@
             await responder.write(block.data)
         if splitter.pending or progress.last_id is None:
             return results.LostResponse("stream ended within an event")
-        await responder.finish()
+        return await self._finish_stream(run, attempt, opened)
+
+    async def _finish_stream(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        opened: streams.StreamedResponse,
+    ) -> results.Result:
+        """Ends the response to the client, unless its upstream was killed."""
+        if await self._was_cut(run, attempt, opened):
+            return results.LostResponse(CUT_DETAIL)
+        await run.responder.finish()
         self._resumption.record_end(run.request)
         return results.Completed(Codes.OK)
 
--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -166,6 +166,10 @@
         self._checking.add(entry.upstream)
         self._tasks.start_soon(self._check, entry)
 
+    async def has_ended(self, entry: upstream_entries.UpstreamEntry) -> bool:
+        """Returns whether an upstream refuses connections."""
+        return await self._try_connect(entry) is Contact.REFUSED
+
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
             contact = await self._try_connect(entry)
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -32,6 +32,7 @@
         complete: Whether the current response has arrived completely.
         keep_alive: Whether another request may follow.
         has_failed: Whether the response cannot be completed.
+        ended_by_close: Whether the end of the connection has completed it.
     """
 
     __slots__ = (
@@ -40,6 +41,7 @@
         "_pending",
         "address",
         "complete",
+        "ended_by_close",
         "has_failed",
         "headers",
         "headers_complete",
@@ -84,6 +86,7 @@
         self.complete = False
         self.keep_alive = False
         self.has_failed = False
+        self.ended_by_close = False
 
     def on_message_begin(self) -> None:
         """Refuses a response that no request asked for; called by the parser.
@@ -95,7 +98,7 @@
             raise ValueError("data after the end of the response")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Stores a header or trailer; called by the parser.
+        """Stores a header, drops a trailer; called by the parser.
 
         Raises:
             ValueError: Too much precedes the end of the headers.
@@ -103,7 +106,8 @@
         self._pending.add(HEADER_OVERHEAD_BYTES)
         if self._pending.excess is not None:
             raise ValueError(self._pending.excess)
-        self.headers.append((name.lower(), value))
+        if not self.headers_complete:
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Records the end of the headers; called by the parser."""
@@ -134,6 +138,15 @@
         self._body.clear()
         return body
 
+    async def close(self) -> None:
+        """Closes the connection; resets it if its response is not complete.
+
+        A peer that reads nothing while it works notices a reset, and no close.
+        """
+        if not self.complete:
+            self.stream.reset_on_close()
+        await self.stream.aclose()
+
     def is_readable(self) -> bool:
         """Whether an idle connection has unexpected data or was closed."""
         if self.stream.get_extra_info("is_readable"):
@@ -202,6 +215,7 @@
         is_framed = any(name in FRAMING_HEADERS for name, _ in self.headers)
         if self.headers_complete and not is_framed:
             self.complete = True
+            self.ended_by_close = True
             return None
         return calls.Failure(
             calls.FailureKind.BROKEN, "connection closed within the response"
--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 import math
 import socket
+import struct
 from typing import Any
 
 import anyio
@@ -16,6 +17,8 @@
 MAX_READ_AHEAD_BYTES = 64 << 10
 """Received bytes above which reading pauses until they are consumed."""
 
+_NO_LINGER = struct.pack("ii", 1, 0)
+
 
 class _Receiver(asyncio.Protocol):
     """Collects what a connection receives and tracks its state.
@@ -199,6 +202,13 @@
         except OSError as error:
             raise httpcore.WriteError(str(error)) from error
 
+    def reset_on_close(self) -> None:
+        """Has `aclose` reset the connection instead of ending it."""
+        opened: socket.socket = self._transport.get_extra_info("socket")
+        # The socket of a connection that is lost already has no descriptor.
+        if opened.fileno() >= 0:
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+
     async def aclose(self) -> None:
         """Closes the connection; bytes that are not sent yet are discarded."""
         self._transport.abort()
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -65,6 +65,11 @@
         self.status = connection.parser.get_status_code()
         self.headers = tuple(connection.headers)
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether only the end of its connection tells that it is complete."""
+        return self._connection.ended_by_close
+
     def set_timeout(
         self, timeout_s: float, on_silence: OnSilence | None
     ) -> None:
@@ -153,7 +158,7 @@
             response = await self._exchange(connection, call, on_silence)
         finally:
             if not isinstance(response, StreamedResponse):
-                await connection.stream.aclose()
+                await connection.close()
         return response
 
     async def send(self, call: calls.Call) -> calls.Response | calls.Failure:
@@ -184,7 +189,7 @@
             while now - idle[0].idle_since >= KEEPALIVE_EXPIRY_S:
                 await idle.pop(0).stream.aclose()
             return
-        await connection.stream.aclose()
+        await connection.close()
 
     async def _find_idle(self, address: str) -> connections.Connection | None:
         idle = self._idle.get(address, [])
--- /dev/null
+++ b/tests/fleet/raw_servers.py
@@ -0,0 +1,101 @@
+"""Servers that write their responses byte by byte, on real sockets."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import dataclasses
+
+import fleet_cluster
+
+Respond = Callable[
+    [str, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
+"""Responds to the request with an id."""
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class RawServer:
+    """A server whose responses a test scripts.
+
+    Attributes:
+        respond: Responds to a request.
+        runs: Ids of the requests that arrived, in order.
+        listener: Its listening socket; closed, it refuses connections.
+    """
+
+    respond: Respond
+    runs: list[str] = dataclasses.field(default_factory=list)
+    listener: asyncio.Server | None = None
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Handles the requests of one connection."""
+        try:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                while True:
+                    request_id = await _read_request(reader)
+                    self.runs.append(request_id)
+                    await self.respond(request_id, reader, writer)
+        finally:
+            writer.close()
+
+    def stop_listening(self) -> None:
+        """Refuses new connections, as after the end of the process."""
+        assert self.listener is not None
+        self.listener.close()
+
+
+async def _read_request(reader: asyncio.StreamReader) -> str:
+    """Reads a request with a body of known length; returns its id."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    headers = {
+        name.strip().lower(): value.strip()
+        for name, _, value in (
+            line.partition(b":") for line in head.split(b"\r\n")[1:]
+        )
+    }
+    await reader.readexactly(int(headers.get(b"content-length", b"0")))
+    return headers.get(b"x-request-id", b"").decode()
+
+
+@contextlib.asynccontextmanager
+async def run_server(
+    cluster: fleet_cluster.Cluster,
+    name: str,
+    respond: Respond,
+    *,
+    is_engine: bool = False,
+) -> AsyncIterator[RawServer]:
+    """Runs a server and registers it, an engine with one adapter."""
+    server = RawServer(respond)
+    server.listener = await asyncio.start_server(
+        server.handle, fleet_cluster.HOST, 0
+    )
+    registered = fleet_cluster.Server(
+        name,
+        slots=3 if is_engine else 0,
+        adapters={"a1": 1} if is_engine else {},
+        port=server.listener.sockets[0].getsockname()[1],
+    )
+    cluster.servers[name] = registered
+    cluster.register(registered)
+    try:
+        yield server
+    finally:
+        server.listener.close()
+
+
+def make_head(request_id: str, *lines: str, status: str = "200 OK") -> bytes:
+    """Returns the head of a signed response."""
+    head = (
+        f"HTTP/1.1 {status}",
+        f"X-Request-Id: {request_id}",
+        "X-Response-Signature: 1.2.3",
+        *lines,
+        "",
+        "",
+    )
+    return "\r\n".join(head).encode()
--- /dev/null
+++ b/tests/fleet/test_ended_connections.py
@@ -0,0 +1,165 @@
+"""Tests of connections to upstreams that end, on real sockets.
+
+Load pattern: processes of upstreams are killed, and clients leave, while
+responses are under way.
+"""
+
+import asyncio
+
+import anyio
+import entry_instances
+import fleet_cluster
+import httpcore
+import pytest
+import raw_servers
+
+pytestmark = pytest.mark.anyio
+
+STREAM_HEAD = "Content-Type: text/event-stream"
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Entry instances run on asyncio."""
+    return "asyncio"
+
+
+def make_events(*numbers: int) -> bytes:
+    """Returns events with ids."""
+    return b"".join(b"id: %d\ndata: t\n\n" % number for number in numbers)
+
+
+async def test_stream_of_a_killed_upstream_is_not_complete() -> None:
+    """Guards against a stream that ends before its last event (ORDER).
+
+    Without length or chunks, the end of a process ends it like a complete one.
+    """
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+        writer.write(make_events(1, 2))
+        await writer.drain()
+        server.stop_listening()
+        raise ConnectionError("killed")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(
+            cluster, "e1", respond, is_engine=True
+        ) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await instance.generate("r1")
+
+
+async def test_body_of_a_killed_upstream_is_not_complete() -> None:
+    """Guards against a part of a body that passes for all of it (MIXED)."""
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id) + b"par")
+        await writer.drain()
+        server.stop_listening()
+        raise ConnectionError("killed")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(cluster, "p1", respond) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        response = await instance.send("/once/x", "r1")
+        assert response.status == 502
+
+
+async def test_stream_that_ends_with_its_connection_is_complete() -> None:
+    """An upstream that goes on may end a stream in this way."""
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+        writer.write(make_events(1, 2))
+        await writer.drain()
+        raise ConnectionError("complete")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(cluster, "e1", respond, is_engine=True),
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        response = await instance.generate("r1")
+        assert response.content == make_events(1, 2)
+
+
+async def test_upstream_notices_at_once_that_a_client_has_left() -> None:
+    """Guards against work that goes on beside its continuation (TWICE, GONE).
+
+    An upstream that only writes does not notice the end of its peer's side.
+    """
+    ends: list[str] = []
+    begun = anyio.Event()
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+        writer.write(make_events(1))
+        await writer.drain()
+        begun.set()
+        try:
+            await reader.read()
+            ends.append("closed")
+        except ConnectionResetError:
+            ends.append("reset")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(cluster, "e1", respond, is_engine=True),
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(instance.generate, "r1")
+            await begun.wait()
+            tasks.cancel_scope.cancel()
+
+        async def has_ended() -> bool:
+            return bool(ends)
+
+        await entry_instances.wait_until(has_ended)
+        assert ends == ["reset"]
+
+
+async def test_trailer_is_no_header() -> None:
+    """Guards against a run response that a trailer declares not run (TWICE)."""
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = raw_servers.make_head(
+            request_id, "Transfer-Encoding: chunked", status="500 Failed"
+        )
+        writer.write(head + b"2\r\nno\r\n0\r\nX-Not-Executed: 1\r\n\r\n")
+        await writer.drain()
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(cluster, "p1", respond) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        response = await instance.send("/once/x", "r1")
+        assert server.runs == ["r1"]
+        assert response.status == 500
