--- /dev/null
+++ b/src/tamaracktide/core/remaining_tokens.py
@@ -0,0 +1,36 @@
+"""Tokens that are left of a generation that goes on at another engine.
+
+Load pattern: all instances were killed, and clients take up all streams at once
+while engines are full. A stream that is taken for a whole one seems to miss its
+deadline, is refused, and its client has lost what it had received.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tokens:
+    """Tokens of a generation.
+
+    Attributes:
+        prompt: Tokens that its engine reads first.
+        output: Maximum number of tokens that it generates then.
+    """
+
+    prompt: int
+    output: int
+
+
+def estimate_remaining(whole: Tokens, generated: int) -> Tokens:
+    """Returns the tokens left once some were generated elsewhere.
+
+    The next engine reads the prompt and what was generated. At least one token
+    is left: the end of the stream has not arrived.
+
+    Args:
+        whole: Tokens of the whole generation.
+        generated: Number of tokens generated so far.
+    """
+    if generated <= 0:
+        return whole
+    return Tokens(whole.prompt + generated, max(1, whole.output - generated))
--- a/src/tamaracktide/entry/placements.py
+++ b/src/tamaracktide/entry/placements.py
@@ -29,6 +29,7 @@
             run.request,
             avoid,
             software=run.progress.software,
+            resume_after=run.progress.last_id,
             is_hedge=is_hedge,
         )
     if crashes.is_refused(run.request):
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -27,6 +27,7 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import load_margin
 from tamaracktide.core import paces
+from tamaracktide.core import remaining_tokens
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -183,6 +184,7 @@
         avoid: tuple[str, ...] = (),
         *,
         software: str | None = None,
+        resume_after: int | None = None,
         is_hedge: bool = False,
     ) -> Placement:
         """Waits until a request is granted a batch slot and returns it.
@@ -191,6 +193,8 @@
             request: The request.
             avoid: Upstreams that must not run it.
             software: Software version that must run it; None for any.
+            resume_after: Id of the event after which it goes on; None for a new
+                stream.
             is_hedge: Whether it keeps a batch slot that it already has.
 
         Raises:
@@ -199,7 +203,9 @@
         submitted_at = anyio.current_time()
         while True:
             submit = self._make_submit(
-                request, (*avoid, *self._list_other_versions(software))
+                request,
+                (*avoid, *self._list_other_versions(software)),
+                resume_after or 0,
             )
             if is_hedge:
                 # A cell grants one batch slot for an id.
@@ -262,7 +268,10 @@
         )
 
     def _make_submit(
-        self, request: requests.ClientRequest, avoid: tuple[str, ...]
+        self,
+        request: requests.ClientRequest,
+        avoid: tuple[str, ...],
+        events_received: int,
     ) -> cell_events.Submit:
         key = self.find_key(request)
         generation = request.generation
@@ -271,9 +280,7 @@
             customer = request.route.name
         elif not generation.adapter:
             customer = f"{generation.model}:{generation.session}"
-        tokens = 1
-        if generation is not None:
-            tokens = generation.expected_tokens or generation.max_tokens
+        tokens = self._estimate_tokens(generation, events_received)
         weight = 1.0
         if request.caller is not None and request.caller.workspace:
             customer = f"workspace:{request.caller.workspace}"
@@ -283,13 +290,28 @@
             customer=customer,
             weight=weight,
             key=key,
-            prompt_tokens=generation.prompt_tokens if generation else 0,
-            max_tokens=tokens,
+            prompt_tokens=tokens.prompt,
+            max_tokens=tokens.output,
             deadline=request.expires_at,
             prefix=generation.prefix if generation else "",
             avoid=tuple(sorted(set(avoid))),
         )
 
+    def _estimate_tokens(
+        self, generation: requests.Generation | None, events_received: int
+    ) -> remaining_tokens.Tokens:
+        """Returns the tokens that an upstream reads and generates."""
+        if generation is None:
+            return remaining_tokens.Tokens(prompt=0, output=1)
+        whole = remaining_tokens.Tokens(
+            generation.prompt_tokens,
+            generation.expected_tokens or generation.max_tokens,
+        )
+        if self.service.engine is None:
+            return whole
+        generated = events_received * self.service.engine.event_tokens
+        return remaining_tokens.estimate_remaining(whole, generated)
+
     def _make_placement(
         self,
         request: requests.ClientRequest,
