--- a/src/tamaracktide/core/stream_history.py
+++ b/src/tamaracktide/core/stream_history.py
@@ -79,6 +79,10 @@
             self._complete_at = min(self._complete_at, now)
         return self.refresh(now)
 
+    def interrupt(self, now: float) -> None:
+        """Records that a version may now come and go without being seen."""
+        self._complete_at = now + stream_origins.RETENTION_S
+
     def refresh(self, now: float) -> frozenset[str]:
         """Updates `mixed`; returns the services that have become mixed."""
         before, self.mixed = self.mixed, self._versions.list_mixed(now)
--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -98,7 +98,7 @@
     that it began may still be resumed.
     """
 
-    __slots__ = ("_counts", "_known", "_last_seen", "_upstreams")
+    __slots__ = ("_counts", "_expired", "_last_seen", "_upstreams")
 
     def __init__(self) -> None:
         """Starts without upstreams."""
@@ -107,7 +107,7 @@
             collections.Counter()
         )
         self._last_seen: dict[tuple[str, str], float] = {}
-        self._known: set[tuple[str, str]] = set()
+        self._expired: dict[tuple[str, str], float] = {}
 
     def set_upstream(
         self, entry: upstream_entries.UpstreamEntry, now: float
@@ -119,7 +119,6 @@
         self.remove_upstream(entry.upstream, now)
         self._upstreams[entry.upstream] = key
         self._counts[key] += 1
-        self._known.add(key)
 
     def remove_upstream(self, upstream: str, now: float) -> None:
         """Records that an upstream is gone."""
@@ -134,15 +133,15 @@
     def restore(self, versions: VersionsByService, now: float) -> None:
         """Records versions that others observed; those unknown count from now.
 
-        A known one counts as this instance observed it, so that a record of it
-        never keeps it alive.
+        One that this instance has seen expire is ignored for as long again, so
+        that a record of it never keeps it alive.
         """
+        self._expire(now)
         for service, names in versions.items():
             for software in names:
                 key = (service, software)
-                if key not in self._known:
-                    self._known.add(key)
-                    self._last_seen[key] = now
+                if key not in self._expired:
+                    self._last_seen.setdefault(key, now)
 
     def list_recent(self, service: str, now: float) -> frozenset[str]:
         """Returns the versions that may have begun streams of a service."""
@@ -164,14 +163,22 @@
         )
 
     def _list_by_service(self, now: float) -> dict[str, set[str]]:
-        for key, seen_at in list(self._last_seen.items()):
-            if now >= seen_at + RETENTION_S:
-                del self._last_seen[key]
+        self._expire(now)
         found: dict[str, set[str]] = {}
         for service, software in (*self._counts, *self._last_seen):
             found.setdefault(service, set()).add(software)
         return found
 
+    def _expire(self, now: float) -> None:
+        for key, seen_at in list(self._last_seen.items()):
+            if now >= seen_at + RETENTION_S:
+                del self._last_seen[key]
+                if key not in self._counts:
+                    self._expired[key] = now
+        for key, expired_at in list(self._expired.items()):
+            if now >= expired_at + RETENTION_S or key in self._counts:
+                del self._expired[key]
+
 
 def group_by_version(
     streams: Iterable[tuple[str, str]],
--- a/src/tamaracktide/entry/pauses.py
+++ b/src/tamaracktide/entry/pauses.py
@@ -16,7 +16,7 @@
 MIN_PAUSE_S = 0.6
 """Time between two ticks from which on the process counts as held up."""
 
-SETTLE_S = 0.5
+SETTLE_S = 1.0
 """Time after a pause in which what has arrived meanwhile is read."""
 
 
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -208,12 +208,13 @@
 
     def _make_stream_records(self) -> stream_records.StreamRecords:
         return stream_records.StreamRecords(
-            self._settings.instance,
+            self._settings,
             self._adapter.collections.streams,
             self._store,
             self._store_health,
             self._resumption.history,
             self._find_store_rank,
+            self._resumption.check_view,
             self._resumption.apply_restored,
             self._tasks,
         )
--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -167,8 +167,23 @@
         self._tasks.start_soon(self._check, entry)
 
     async def has_ended(self, entry: upstream_entries.UpstreamEntry) -> bool:
-        """Returns whether an upstream refuses connections."""
-        return await self._try_connect(entry) is Contact.REFUSED
+        """Returns whether an upstream that was to go on refuses connections.
+
+        One that leaves may listen no more while it completes its responses. And
+        an instance that is cut off is refused by all of them.
+        """
+        listed = self._entries().get(entry.upstream)
+        if listed is None or listed.leaving:
+            return False
+        if await self._try_connect(entry) is not Contact.REFUSED:
+            return False
+        others = [
+            name for name in self._list_reachable() if name != entry.upstream
+        ]
+        if not others:
+            return not self.is_cut_off
+        other = self._entries()[random.choice(others)]
+        return await self._try_connect(other) is Contact.REACHED
 
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -117,7 +117,7 @@
         arrived_at = anyio.current_time()
         found = self._find(begun_as, service, arrived_at)
         if found is None:
-            self._ask(begun_as, service)
+            self._ask(begun_as)
             with anyio.move_on_after(QUERY_TIMEOUT_S):
                 found = await self._wait_for(begun_as, service, arrived_at)
         self._log_found(request, found)
@@ -185,7 +185,7 @@
         self, peer: entry_peers.Peer, query: entry_messages.StreamQuery
     ) -> None:
         """Replies to a query, or passes that of a member on to the others."""
-        if self._reply(query, peer.instance, anyio.current_time()):
+        if self._reply(query, peer.instance):
             return
         if not (peer.is_member and query.asker == peer.instance):
             return
@@ -212,6 +212,11 @@
         if receivers and peers.send(receivers[0], notice):
             self._unsent.clear()
 
+    def check_view(self) -> None:
+        """Gives up the history's completeness while changes may be missed."""
+        if not self._is_view_current():
+            self.history.interrupt(anyio.current_time())
+
     def apply_restored(self, newly_mixed: frozenset[str]) -> None:
         """Continues what waited until the records in the store were read."""
         self._announce_mixed(newly_mixed)
@@ -221,16 +226,15 @@
             self._tell_versions()
         queries, self._queries = self._queries, {}
         for query in queries.values():
-            self._reply(query, query.asker, float("-inf"))
+            self._reply(query, query.asker)
 
-    def _reply(
-        self,
-        query: entry_messages.StreamQuery,
-        receiver: str,
-        arrived_at: float,
-    ) -> bool:
-        """Replies to a query; returns whether the stream is known."""
-        found = self._find(query.request_id, query.service, arrived_at)
+    def _reply(self, query: entry_messages.StreamQuery, receiver: str) -> bool:
+        """Replies to a query; returns whether the stream is recorded.
+
+        The only version that this instance knows of is no reply: the asker may
+        know of another one.
+        """
+        found = self.history.find(query.request_id, anyio.current_time())
         if found is None:
             return False
         self._get_peers().send(
@@ -250,7 +254,7 @@
         found = self.history.find(begun_as, now)
         if found is not None:
             return found
-        has_read = self.records and self.records.loaded_at >= arrived_at
+        has_read = self._get_records().loaded_at >= arrived_at
         if self._is_view_current() or has_read:
             return self.history.find_only_version(service, now)
         return None
@@ -271,6 +275,7 @@
             self._announce(self.history.list_begun(service, now))
         if services:
             self._tell_versions()
+            self._get_records().record_soon()
 
     def _announce(self, streams: stream_origins.OriginsByVersion) -> None:
         peers = self._get_peers()
@@ -298,9 +303,9 @@
             is_complete=self.history.is_complete(now),
         )
 
-    def _ask(self, request_id: str, service: str) -> None:
+    def _ask(self, request_id: str) -> None:
         query = entry_messages.StreamQuery(
-            request_id=request_id, asker=self._instance, service=service
+            request_id=request_id, asker=self._instance
         )
         for peer in self._get_peers().list_linked():
             peer.send(query)
@@ -310,8 +315,8 @@
         """Reads the records, unless a relay does so for this instance."""
         peers = self._get_peers()
         follows_store = peers.is_relay or not peers.is_discovered
-        if self.records is not None and follows_store:
-            self.records.request_load()
+        if follows_store:
+            self._get_records().request_load()
 
     async def _wait_for(
         self, begun_as: str, service: str, arrived_at: float
@@ -327,6 +332,10 @@
             if found is not None:
                 return found
 
+    def _get_records(self) -> stream_records.StreamRecords:
+        assert self.records is not None
+        return self.records
+
     def _get_peers(self) -> entry_peers.Peers:
         assert self.peers is not None
         return self.peers
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -62,6 +62,8 @@
         platform_address: Address of the platform's store.
         slow_start_min_instances: Number of instances from which on requests to
             upstreams that have started begin slowly.
+        is_first_start: Whether the deployment starts for the first time, so
+            that no stream has begun before.
         inner_token: Secret that all instances share; empty for none.
         bounds: Guarantees of the deployment, and limits of its parts.
         observability: Logs and traces.
@@ -78,6 +80,7 @@
     forward_port: Port | None = None
     seeds: tuple[Address, ...] = ()
     slow_start_min_instances: Annotated[int, msgspec.Meta(ge=1)] = 13
+    is_first_start: bool = False
     inner_token: str = dataclasses.field(default="", repr=False)
     bounds: Bounds = dataclasses.field(default_factory=Bounds)
     observability: observability_settings.ObservabilitySettings = (
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -6,7 +6,9 @@
 """
 
 from collections.abc import Callable
+import dataclasses
 import random
+from typing import TypeVar
 
 import anyio
 import anyio.abc
@@ -15,6 +17,7 @@
 from tamaracktide import errors
 from tamaracktide.core import stream_history
 from tamaracktide.core import stream_origins
+from tamaracktide.entry import settings as entry_settings
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
 from tamaracktide.object_api import object_store
@@ -35,7 +38,25 @@
 STREAMS_NAME = "begun."
 """Start of the names of the records of instances."""
 
-_Record = dict[str, tuple[str, ...]]
+_Streams = dict[str, tuple[str, ...]]
+"""Ids of the requests that began streams, by software version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Versions:
+    """The recorded software versions.
+
+    Attributes:
+        services: Versions by service.
+        is_complete: Whether they are all that may have begun a stream.
+    """
+
+    services: dict[str, tuple[str, ...]]
+    is_complete: bool
+
+
+_UNREADABLE = _Versions({}, is_complete=False)
+_T = TypeVar("_T")
 
 
 class StreamRecords:
@@ -48,49 +69,58 @@
 
     def __init__(
         self,
-        instance: str,
+        settings: entry_settings.EntrySettings,
         prefix: str,
         store: object_store.ValueStore,
         store_health: store_follower.StoreHealth,
         history: stream_history.StreamHistory,
         find_rank: Callable[[], int | None],
+        check_view: Callable[[], None],
         on_restore: Callable[[frozenset[str]], None],
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Starts without records; `run` must be running.
 
         Args:
-            instance: Id of this instance.
+            settings: The instance's settings.
             prefix: Prefix of the records' keys.
             store: The store.
             store_health: Tracks whether the store is reachable.
             history: What this instance knows of streams.
             find_rank: Returns the rank of this instance among those that follow
                 the store, None if it does not.
+            check_view: Called before records are written.
             on_restore: Called after records were read, with the services that
                 have thereby become mixed.
             tasks: Task group that reads the records.
         """
         self.loaded_at = float("-inf")
         self._prefix = prefix
-        self._key = f"{prefix}{STREAMS_NAME}{instance}"
+        self._key = f"{prefix}{STREAMS_NAME}{settings.instance}"
+        # Without a record, versions may have served before, unless nothing has.
+        self._not_recorded = _Versions({}, settings.is_first_start)
         self._versions_key = prefix + VERSIONS_NAME
         self._store = store
         self._store_health = store_health
         self._history = history
         self._find_rank = find_rank
+        self._check_view = check_view
         self._on_restore = on_restore
         self._tasks = tasks
         self._is_loading = False
-        self._versions: _Record | None = None
+        self._versions: _Versions | None = None
         self._differs_since: float | None = None
         self._revision: int | None = None
-        self._streams: _Record = {}
+        self._streams: _Streams = {}
+        self._is_due = anyio.Event()
 
     async def run(self) -> None:
         """Records changes until cancelled."""
         while True:
-            await anyio.sleep(RECORD_PERIOD_S * random.uniform(0.9, 1.1))
+            with anyio.move_on_after(RECORD_PERIOD_S * random.uniform(0.9, 1)):
+                await self._is_due.wait()
+            self._is_due = anyio.Event()
+            self._check_view()
             self._history.refresh(anyio.current_time())
             if not self._store_health.allows_calls:
                 continue
@@ -113,6 +143,10 @@
                     "record of streams rejected: {}", error.detail
                 )
 
+    def record_soon(self) -> None:
+        """Records changes without waiting for the end of the period."""
+        self._is_due.set()
+
     def forget(self) -> None:
         """Reads the records again before the next write."""
         self._versions = None
@@ -142,48 +176,70 @@
 
     def _apply(self, found: object_store.Items) -> None:
         now = anyio.current_time()
-        versions: _Record = {}
+        versions = self._not_recorded
         streams = 0
         for item in found.items:
-            record = _decode(item.key, item.value or b"")
+            value = item.value or b""
             if item.key == self._versions_key:
-                versions = record
+                versions = self._decode_versions(value)
                 continue
+            record = _decode(item.key, value, _Streams) or {}
             streams += sum(map(len, record.values()))
             self._history.record(record, stream_origins.Source.STORE, now)
-        logs.bind(versions=versions, streams=streams).info(
-            "records of streams read"
-        )
+        logs.bind(
+            versions=versions.services,
+            complete=versions.is_complete,
+            streams=streams,
+        ).info("records of streams read")
         self._restore(versions)
 
-    def _restore(self, versions: _Record) -> None:
-        now = anyio.current_time()
+    def _restore(self, versions: _Versions) -> None:
         self._on_restore(
-            self._history.restore_versions(versions, now, is_complete=True)
+            self._history.restore_versions(
+                versions.services,
+                anyio.current_time(),
+                is_complete=versions.is_complete,
+            )
+        )
+
+    def _decode_versions(self, value: bytes) -> _Versions:
+        if not value:
+            return self._not_recorded
+        return _decode(self._versions_key, value, _Versions) or _UNREADABLE
+
+    def _make_versions(self) -> _Versions:
+        now = anyio.current_time()
+        return _Versions(
+            self._history.list_versions(now), self._history.is_complete(now)
         )
 
     async def _record_versions(self) -> None:
         """Records the versions of all services, if they have changed."""
         rank = self._find_rank()
-        now = anyio.current_time()
-        wanted = self._history.list_versions(now)
-        if rank is None or not wanted or wanted == self._versions:
+        wanted = self._make_versions()
+        if rank is None or not wanted.services or wanted == self._versions:
             self._differs_since = None
             return
+        now = anyio.current_time()
         if self._differs_since is None:
             self._differs_since = now
         if now < self._differs_since + rank * RANK_DELAY_S:
             return
-        stored, revision = await self._read(self._versions_key)
+        value, revision = await self._read(self._versions_key)
+        stored = self._decode_versions(value)
         self._restore(stored)
-        wanted = self._history.list_versions(anyio.current_time())
-        if stored != wanted:
-            await self._write(self._versions_key, wanted, revision)
-            logs.bind(versions=wanted, before=stored).info(
-                "software versions recorded"
+        wanted = self._make_versions()
+        if not revision or stored != wanted:
+            await self._write(
+                self._versions_key, msgspec.json.encode(wanted), revision
             )
+            logs.bind(
+                versions=wanted.services,
+                complete=wanted.is_complete,
+                before=stored.services,
+            ).info("software versions recorded")
         self._versions = wanted
-        if rank == 0 and stored and not self._history.mixed:
+        if rank == 0 and stored.services and not self._history.mixed:
             await self._delete_streams()
 
     async def _record_streams(self) -> None:
@@ -191,33 +247,32 @@
         if not (self._history.mixed or self._streams):
             return
         if self._revision is None:
-            self._streams, self._revision = await self._read(self._key)
+            value, self._revision = await self._read(self._key)
+            self._streams = _decode(self._key, value, _Streams) or {}
             self._history.inherit(self._streams, anyio.current_time())
         wanted = self._history.list_to_record(anyio.current_time())
         if wanted == self._streams:
             return
         if wanted:
-            self._revision = await self._write(
-                self._key, wanted, self._revision
-            )
+            value = msgspec.json.encode(wanted)
+            self._revision = await self._write(self._key, value, self._revision)
         elif self._revision:
             await self._store.delete(self._key, self._revision)
             self._store_health.record_response()
             self._revision = 0
         self._streams = wanted
 
-    async def _read(self, key: str) -> tuple[_Record, int]:
-        """Returns a record and its revision, 0 if there is none."""
+    async def _read(self, key: str) -> tuple[bytes, int]:
+        """Returns a record and its revision, empty and 0 if there is none."""
         try:
             found = await self._store.read(key)
         except errors.ObjectMissingError:
             self._store_health.record_response()
-            return {}, 0
+            return b"", 0
         self._store_health.record_response()
-        return _decode(key, found.value), found.version
+        return found.value, found.version
 
-    async def _write(self, key: str, record: _Record, revision: int) -> int:
-        value = msgspec.json.encode(record)
+    async def _write(self, key: str, value: bytes, revision: int) -> int:
         written = await store_relay.write_object(
             self._store, key, value, revision
         )
@@ -236,10 +291,12 @@
                 continue
 
 
-def _decode(key: str, value: bytes) -> _Record:
-    """Decodes a record; one that cannot be decoded counts as empty."""
+def _decode(key: str, value: bytes, kind: type[_T]) -> _T | None:
+    """Decodes a record; None if there is none or it cannot be decoded."""
+    if not value:
+        return None
     try:
-        return msgspec.json.decode(value, type=_Record)
+        return msgspec.json.decode(value, type=kind)
     except msgspec.DecodeError as error:
         logs.bind(key=key).error("record cannot be decoded: {}", error)
-        return {}
+        return None
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -275,12 +275,10 @@
     Attributes:
         request_id: Id of the request that began it.
         asker: Instance that needs to know.
-        service: Service of the stream; empty if unknown.
     """
 
     request_id: str
     asker: str
-    service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/core/test_stream_history.py
+++ b/tests/core/test_stream_history.py
@@ -63,6 +63,26 @@
     assert history.list_versions(RETENTION_S + 1.0) == {"llm": ("v2",)}
 
 
+def test_version_that_returns_is_known_again() -> None:
+    """Guards against a rollback that notices and records do not tell of."""
+    history = make_history("v1", "v2")
+    history.apply_upstreams((), ("e-v1",), 0.0)
+    history.refresh(RETENTION_S)
+    history.refresh(2 * RETENTION_S)
+    now = 2 * RETENTION_S + 1.0
+    assert history.restore_versions({"llm": ("v1",)}, now, is_complete=True)
+
+
+def test_interrupted_view_ends_the_completeness() -> None:
+    """Guards against a version that comes and goes while nothing is seen."""
+    history = make_history("v1")
+    history.restore_versions({"llm": ("v1",)}, 1.0, is_complete=True)
+    history.interrupt(2.0)
+    assert history.find_only_version("llm", 3.0) is None
+    history.restore_versions({"llm": ("v1",)}, 3.0, is_complete=True)
+    assert history.find_only_version("llm", 3.0) == ("v1", ONLY_VERSION)
+
+
 def test_unfinished_streams_of_mixed_services_are_recorded() -> None:
     """What is complete, or has one version only, needs no record."""
     history = make_history("v1")
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -121,6 +121,7 @@
     zone: str = "z1",
     bounds: entry_settings.Bounds | None = None,
     backend: network.Backend | None = None,
+    is_first_start: bool = True,
 ) -> AsyncIterator[Instance]:
     """Runs an instance and waits until the cell's lease is held."""
     ports = [deployment.find_port() for _ in range(4)]
@@ -134,6 +135,7 @@
         metrics_port=ports[3],
         forward_port=cluster.forward_port,
         platform_address=store_address or cluster.address,
+        is_first_start=is_first_start,
         bounds=bounds or entry_settings.Bounds(),
     )
     fleet_adapter = adapter.FleetAdapter()
--- a/tests/fleet/test_rejoined_streams.py
+++ b/tests/fleet/test_rejoined_streams.py
@@ -66,6 +66,22 @@
             assert versioned_streams.find_versions([old, new], "s0") == set()
 
 
+async def test_missing_record_says_nothing_of_versions() -> None:
+    """Guards against a start that takes what it lists for all (ORDER).
+
+    An earlier build wrote no record, or the store has lost it.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        new = await versioned_streams.add_engine(cluster, "new", "v2")
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await anyio.sleep(RECORD_S)
+            response = await versioned_streams.resume(instance, "s0", "r0")
+            assert response.status == 503
+            assert new.runs == []
+
+
 async def test_streams_go_on_at_their_version_after_all_were_killed() -> None:
     """Guards against streams that nobody takes up while both versions serve.
 
