--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -378,7 +378,9 @@
     ) -> results.Result:
         """Forwards complete events as they arrive."""
         responder, progress = run.responder, run.progress
-        splitter = event_stream.EventSplitter(progress.last_id or 0)
+        splitter = event_stream.EventSplitter(
+            progress.last_id or 0, opened.max_pending_bytes
+        )
         if responder.started:
             logs.bind(
                 request_id=run.request.request_id,
@@ -397,16 +399,15 @@
             if not chunk:
                 break
             block = splitter.feed(chunk)
+            fault = _find_fault(splitter, block)
+            if fault is not None:
+                return results.LostResponse(fault)
             if self._has_stalled(run, attempt, stall, block):
                 return results.LostResponse(
                     "bytes, but no event for too long", timed_out=True
                 )
             if block is None:
                 continue
-            if not block.in_order:
-                return results.LostResponse(
-                    f"event {block.last_id} is out of order"
-                )
             if progress.software is None and not attempt.is_relayed:
                 progress.software = attempt.placement.entry.software
                 self._resumption.record_begin(run.request, progress.software)
@@ -419,6 +420,17 @@
         return results.Completed(Codes.OK)
 
 
+def _find_fault(
+    splitter: event_stream.EventSplitter, block: event_stream.EventBatch | None
+) -> str | None:
+    """Returns why a stream must not be forwarded further, or None."""
+    if splitter.excess is not None:
+        return splitter.excess
+    if block is not None and not block.in_order:
+        return f"event {block.last_id} is out of order"
+    return None
+
+
 def _record_events(
     run: runs.Run, attempt: runs.Attempt, block: event_stream.EventBatch
 ) -> None:
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -29,8 +29,8 @@
         usage_fraction: Fraction by which a cap may be exceeded in a window.
         usage_slack: Units by which it may be exceeded beyond that.
         max_pending_bytes: Maximum number of bytes in a response that wait for
-            the end of the headers, or of chunk extensions or trailers. Each
-            header counts for 144 bytes more.
+            the end of the headers, of an event, or of chunk extensions or
+            trailers. Each header counts for 144 bytes more.
     """
 
     lease_ms: Milliseconds = 3000
--- a/src/tamaracktide/gateway/response_sinks.py
+++ b/src/tamaracktide/gateway/response_sinks.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from tamaracktide import result_codes
+from tamaracktide.core import event_stream
 from tamaracktide.gateway import asgi
-from tamaracktide.gateway import streams
 
 
 class _Delta(msgspec.Struct):
@@ -137,7 +137,7 @@
 def split_events(events: bytes) -> list[bytes]:
     """Returns the data of server-sent events, without `[DONE]`."""
     found = []
-    for event in events.split(streams.EVENT_END):
+    for event in events.split(event_stream.EVENT_END):
         for line in event.split(b"\n"):
             if line.startswith(b"data:"):
                 data = line[5:].strip()
--- a/src/tamaracktide/gateway/streams.py
+++ b/src/tamaracktide/gateway/streams.py
@@ -6,13 +6,13 @@
 import anyio
 import msgspec
 
+from tamaracktide.core import event_stream
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import streams as upstream_streams
 
 READ_INTERVAL_PER_STREAM_S = 0.0002
 MAX_READ_INTERVAL_S = 0.05
 
-EVENT_END = b"\n\n"
 DONE_EVENT = b"data: [DONE]\n\n"
 
 
@@ -140,7 +140,7 @@
         self, response: upstream_streams.StreamedResponse
     ) -> RelayResult:
         first = True
-        pending = b""
+        events = event_stream.EventBuffer(response.max_pending_bytes)
         while True:
             part = await response.receive()
             if isinstance(part, calls.Failure):
@@ -149,11 +149,11 @@
                 return calls.Failure(
                     calls.FailureKind.BROKEN, "stream closed before [DONE]"
                 )
-            pending = pending + part if pending else part
-            cut = pending.rfind(EVENT_END) + len(EVENT_END)
-            if cut < len(EVENT_END):
+            block = events.feed(part)
+            if events.excess is not None:
+                return calls.Failure(calls.FailureKind.TOO_LARGE, events.excess)
+            if not block:
                 continue
-            block, pending = pending[:cut], pending[cut:]
             if first:
                 mismatch = self._check(block)
                 if mismatch:
@@ -171,13 +171,13 @@
         if old:
             block = block.replace(old, new)
         done = block.endswith(DONE_EVENT)
-        self.offset += block.count(EVENT_END) - done
+        self.offset += block.count(event_stream.EVENT_END) - done
         await self._sink.write(block)
         return done
 
     def _check(self, block: bytes) -> str:
         """Returns the mismatch of the first event, or an empty string."""
-        event = block[: block.find(EVENT_END)]
+        event = block[: block.find(event_stream.EVENT_END)]
         if event == DONE_EVENT[:-2]:
             return ""
         data = b""
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -26,6 +26,7 @@
     Attributes:
         address: `host:port` of its peer.
         stream: The TCP stream.
+        max_pending_bytes: Maximum number of bytes that wait for a boundary.
         idle_since: When it became idle, seconds of the monotonic clock.
         headers: Headers of the current response.
         headers_complete: Whether all of them have arrived.
@@ -45,6 +46,7 @@
         "headers_complete",
         "idle_since",
         "keep_alive",
+        "max_pending_bytes",
         "parser",
         "stream",
     )
@@ -62,6 +64,7 @@
         """
         self.address = address
         self.stream = stream
+        self.max_pending_bytes = max_pending_bytes
         self._pending = pending_bytes.PendingBytes(
             max_pending_bytes, "the end of the headers, or the next body bytes"
         )
--- a/src/tamaracktide/upstreams/settings.py
+++ b/src/tamaracktide/upstreams/settings.py
@@ -23,8 +23,8 @@
         max_connections: Maximum number of connections to one upstream.
         max_answer_bytes: Maximum size of a response that is read completely.
         max_pending_bytes: Maximum number of bytes in a response that wait for
-            the end of the headers, or of chunk extensions or trailers. Each
-            header counts for 144 bytes more.
+            the end of the headers, of an event, or of chunk extensions or
+            trailers. Each header counts for 144 bytes more.
     """
 
     token: str = dataclasses.field(default="", repr=False)
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -65,6 +65,11 @@
         self.status = connection.parser.get_status_code()
         self.headers = tuple(connection.headers)
 
+    @property
+    def max_pending_bytes(self) -> int:
+        """Maximum number of bytes that wait for the end of an event."""
+        return self._connection.max_pending_bytes
+
     def set_timeout(
         self, timeout_s: float, on_silence: OnSilence | None
     ) -> None:
