--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -327,7 +327,7 @@
         try:
             if 200 <= opened.status < 300 and _is_event_stream(opened):
                 return await self._forward_stream(run, attempt, opened)
-            response = await opened.read(sending.MAX_RESPONSE_BYTES)
+            response = await opened.read(opened.max_answer_bytes)
             if isinstance(response, calls.Failure):
                 return results.make_lost_response(response)
             is_retried = opened.status >= 500 and not attempt.is_relayed
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -598,7 +598,9 @@
     store = adapter.open_store(settings.platform_address)
     upstreams = upstream_settings.UpstreamSettings(
         connect_timeout_s=CONNECT_TIMEOUT_S,
+        max_answer_bytes=settings.bounds.max_answer_bytes,
         max_pending_bytes=settings.bounds.max_pending_bytes,
+        max_total_answer_bytes=settings.bounds.max_total_answer_bytes,
     )
     async with (
         streams.StreamClient(upstreams) as upstream_client,
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -28,8 +28,6 @@
 REFUSAL_TIMEOUT_S = 0.2
 """Time without data after which the rest of a refusal is not awaited."""
 
-MAX_RESPONSE_BYTES = 8 << 20
-
 OpenResult = streams.StreamedResponse | results.NotRun | results.LostResponse
 
 
@@ -117,7 +115,7 @@
             if isinstance(failure, results.NotRun):
                 # The connection can be used again once the refusal is read.
                 opened.set_timeout(REFUSAL_TIMEOUT_S, None)
-                await opened.read(MAX_RESPONSE_BYTES)
+                await opened.read(opened.max_pending_bytes)
         finally:
             await opened.close()
         return failure
--- a/src/tamaracktide/entry/settings.py
+++ b/src/tamaracktide/entry/settings.py
@@ -28,9 +28,13 @@
         usage_window_s: Window of the usage caps of workspaces.
         usage_fraction: Fraction by which a cap may be exceeded in a window.
         usage_slack: Units by which it may be exceeded beyond that.
+        max_answer_bytes: Maximum size of a response that is read completely.
         max_pending_bytes: Maximum number of bytes in a response that wait for
             the end of the headers, of an event, or of chunk extensions or
             trailers. Each header counts for 144 bytes more.
+        max_total_answer_bytes: Maximum size of all responses that are being
+            read completely, together; beyond it, those that are larger than
+            `max_pending_bytes` are given up.
     """
 
     lease_ms: Milliseconds = 3000
@@ -41,7 +45,9 @@
     usage_window_s: Seconds = 10.0
     usage_fraction: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     usage_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    max_answer_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 8 << 20
     max_pending_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
+    max_total_answer_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 64 << 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/upstreams/calls.py
+++ b/src/tamaracktide/upstreams/calls.py
@@ -15,6 +15,7 @@
 import httpcore
 
 from tamaracktide import sockets
+from tamaracktide.core import pending_bytes
 from tamaracktide.upstreams import network
 from tamaracktide.upstreams import settings as upstream_settings
 
@@ -112,6 +113,15 @@
             return Failure(FailureKind.BROKEN, detail)
 
 
+def make_total(
+    settings: upstream_settings.UpstreamSettings,
+) -> pending_bytes.TotalBytes:
+    """Returns the count of all bodies that a client is reading."""
+    return pending_bytes.TotalBytes(
+        settings.max_total_answer_bytes, settings.max_pending_bytes
+    )
+
+
 def make_headers(
     settings: upstream_settings.UpstreamSettings, call: Call
 ) -> Headers:
@@ -137,11 +147,13 @@
     Attributes:
         status: HTTP status code.
         headers: Pairs of lower-case header name and value.
+        total: Counts the bytes of all bodies that are being read.
     """
 
-    __slots__ = ("headers", "status")
+    __slots__ = ("headers", "status", "total")
 
     status: int
+    total: pending_bytes.TotalBytes
     headers: tuple[tuple[bytes, bytes], ...]
 
     @abc.abstractmethod
@@ -154,20 +166,27 @@
 
     async def read(self, max_bytes: int) -> Response | Failure:
         """Reads the body; returns the complete response or the failure."""
+        pending = pending_bytes.PendingBytes(
+            max_bytes, "the end of the body", self.total
+        )
+        try:
+            return await self._read(pending)
+        finally:
+            pending.clear()
+
+    async def _read(
+        self, pending: pending_bytes.PendingBytes
+    ) -> Response | Failure:
         parts: list[bytes] = []
-        size = 0
         while True:
             part = await self.receive()
             if isinstance(part, Failure):
                 return part
             if not part:
                 return Response(self.status, self.headers, b"".join(parts))
-            size += len(part)
-            if size > max_bytes:
-                return Failure(
-                    FailureKind.TOO_LARGE,
-                    f"response body exceeds {max_bytes} bytes",
-                )
+            pending.add(len(part))
+            if pending.excess is not None:
+                return Failure(FailureKind.TOO_LARGE, pending.excess)
             parts.append(part)
 
     async def read_and_close(self, max_bytes: int) -> Response | Failure:
@@ -186,15 +205,18 @@
     def __init__(
         self,
         response: httpcore.Response,
+        total: pending_bytes.TotalBytes,
         own_pool: httpcore.AsyncConnectionPool | None = None,
     ) -> None:
         """Wraps a response whose headers have arrived.
 
         Args:
             response: Response with an unread body.
+            total: Counts the bytes of all bodies that are being read.
             own_pool: Connection pool to close together with the response.
         """
         self._own_pool = own_pool
+        self.total = total
         self.status = response.status
         self.headers = tuple(
             (name.lower(), value) for name, value in response.headers
@@ -229,6 +251,7 @@
     def __init__(self, settings: upstream_settings.UpstreamSettings) -> None:
         """Creates a client without opening connections."""
         self._settings = settings
+        self._total = make_total(settings)
         self._pools: dict[str, httpcore.AsyncConnectionPool] = {}
 
     async def __aenter__(self) -> Self:
@@ -265,7 +288,7 @@
             httpcore.ProtocolError,
         ) as error:
             return classify_failure(error)
-        return OpenResponse(response, pool if fresh else None)
+        return OpenResponse(response, self._total, pool if fresh else None)
 
     async def send(
         self, call: Call, *, fresh: bool = False
--- a/src/tamaracktide/upstreams/settings.py
+++ b/src/tamaracktide/upstreams/settings.py
@@ -25,6 +25,9 @@
         max_pending_bytes: Maximum number of bytes in a response that wait for
             the end of the headers, of an event, or of chunk extensions or
             trailers. Each header counts for 144 bytes more.
+        max_total_answer_bytes: Maximum size of all responses that are being
+            read completely, together; beyond it, those that are larger than
+            `max_pending_bytes` are given up.
     """
 
     token: str = dataclasses.field(default="", repr=False)
@@ -37,3 +40,4 @@
     max_connections: Annotated[int, msgspec.Meta(ge=1)] = 1000
     max_answer_bytes: Annotated[int, msgspec.Meta(ge=1)] = 8_000_000
     max_pending_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 1 << 20
+    max_total_answer_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 64 << 20
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -60,6 +60,7 @@
     ) -> None:
         """Wraps a connection on which the headers have arrived."""
         self._client = client
+        self.total = client.total
         self._connection = connection
         self.set_timeout(timeout_s, on_silence)
         self.status = connection.parser.get_status_code()
@@ -70,6 +71,11 @@
         """Maximum number of bytes that wait for the end of an event."""
         return self._connection.max_pending_bytes
 
+    @property
+    def max_answer_bytes(self) -> int:
+        """Maximum size of a body that is read completely."""
+        return self._client.settings.max_answer_bytes
+
     def set_timeout(
         self, timeout_s: float, on_silence: OnSilence | None
     ) -> None:
@@ -105,6 +111,8 @@
 
     Attributes:
         backend: Opens its connections.
+        settings: Settings of its calls.
+        total: Counts the bytes of all bodies that are being read.
     """
 
     def __init__(
@@ -119,7 +127,8 @@
             backend: Opens its connections.
         """
         self.backend = backend or network.Backend()
-        self._settings = settings
+        self.settings = settings
+        self.total = calls.make_total(settings)
         self._idle: dict[str, list[connections.Connection]] = {}
 
     async def __aenter__(self) -> Self:
@@ -166,7 +175,7 @@
         response = await self.open(call)
         if isinstance(response, calls.Failure):
             return response
-        return await response.read_and_close(self._settings.max_answer_bytes)
+        return await response.read_and_close(self.settings.max_answer_bytes)
 
     def count_idle(self, address: str) -> int:
         """Returns the number of idle connections to an address."""
@@ -209,7 +218,7 @@
             stream = await self.backend.connect_tcp(
                 host,
                 int(port),
-                self._settings.connect_timeout_s,
+                self.settings.connect_timeout_s,
                 socket_options=sockets.KEEPALIVE_OPTIONS,
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
@@ -218,7 +227,7 @@
                 f"cannot connect to {address}: {error}",
             )
         return connections.Connection(
-            address, stream, self._settings.max_pending_bytes
+            address, stream, self.settings.max_pending_bytes
         )
 
     async def _exchange(
@@ -227,7 +236,7 @@
         call: calls.Call,
         on_silence: OnSilence | None,
     ) -> StreamedResponse | calls.Failure:
-        headers = calls.make_headers(self._settings, call)
+        headers = calls.make_headers(self.settings, call)
         request_line = f"{call.method} {call.target} HTTP/1.1\r\n".encode()
         header_lines = b"".join(b"%s: %s\r\n" % pair for pair in headers)
         connection.reset(has_body=call.method != "HEAD")
--- a/tests/upstreams/test_endless_responses.py
+++ b/tests/upstreams/test_endless_responses.py
@@ -32,6 +32,11 @@
 """Memory of one response within the bounds, and of the buffers of both sides.
 Without a bound, all that the upstream sends is held."""
 
+RESPONSES = 12
+MAX_TOGETHER_BYTES = 9 << 20
+"""Memory of that many responses within the bound of all, and of the buffers of
+their connections, 640 KiB each."""
+
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = STATUS_LINE + b"Transfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
@@ -116,7 +121,7 @@
 
 
 @contextlib.contextmanager
-def check_memory() -> Iterator[None]:
+def check_memory(max_bytes: int = MAX_MEMORY_BYTES) -> Iterator[None]:
     """Checks the memory that is allocated at a time."""
     tracemalloc.start()
     try:
@@ -124,7 +129,7 @@
         _, peak = tracemalloc.get_traced_memory()
     finally:
         tracemalloc.stop()
-    assert peak < MAX_MEMORY_BYTES
+    assert peak < max_bytes
 
 
 @pytest.mark.parametrize("name", [*ENDLESS_HEADS, *ENDLESS_BODIES])
@@ -184,3 +189,49 @@
         response = await client.send(make_call(upstream))
         assert isinstance(response, calls.Response)
         assert response.body == b"n" * chunks
+
+
+async def test_endless_bodies_together_are_bounded() -> None:
+    """Guards against a process that ends over its memory (review, case 5).
+
+    Each of the bodies alone would be within its bound for longer.
+    """
+    settings = upstream_settings.UpstreamSettings(
+        max_pending_bytes=MAX_PENDING_BYTES,
+        max_answer_bytes=8 << 20,
+        max_total_answer_bytes=1 << 20,
+    )
+    failures: list[calls.Response | calls.Failure] = []
+
+    async def send(client: streams.StreamClient, call: calls.Call) -> None:
+        failures.append(await client.send(call))
+
+    async with (
+        run_upstream(*ENDLESS_BODIES["body"]) as upstream,
+        streams.StreamClient(settings) as client,
+    ):
+        with check_memory(MAX_TOGETHER_BYTES):
+            async with anyio.create_task_group() as tasks:
+                for _ in range(RESPONSES):
+                    tasks.start_soon(send, client, make_call(upstream))
+        assert client.total.size == 0
+    details = {
+        failure.detail
+        for failure in failures
+        if isinstance(failure, calls.Failure)
+    }
+    assert len(failures) == RESPONSES
+    assert details == {f"more than {1 << 20} bytes in all responses together"}
+
+
+async def test_small_response_is_received_beside_endless_ones() -> None:
+    """A full count of all bodies costs only the larger ones."""
+    small = STATUS_LINE + b"Content-Length: 2\r\n\r\nok"
+    async with (
+        run_upstream(small, b"") as upstream,
+        streams.StreamClient(SETTINGS) as client,
+    ):
+        client.total.size = 1 << 40
+        response = await client.send(make_call(upstream))
+        assert isinstance(response, calls.Response)
+        assert response.body == b"ok"
