--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -333,7 +333,7 @@
         try:
             if 200 <= opened.status < 300 and _is_event_stream(opened):
                 return await self._forward_stream(run, attempt, opened)
-            response = await opened.read(sending.MAX_RESPONSE_BYTES)
+            response = await opened.read(opened.max_answer_bytes)
             if isinstance(response, calls.Failure):
                 return results.make_lost_response(response)
             if await self._was_cut(run, attempt, opened):
@@ -417,7 +417,9 @@
     ) -> results.Result:
         """Forwards complete events as they arrive."""
         responder, progress = run.responder, run.progress
-        splitter = event_stream.EventSplitter(progress.last_id or 0)
+        splitter = event_stream.EventSplitter(
+            progress.last_id or 0, opened.max_pending_bytes
+        )
         if responder.started:
             logs.bind(
                 request_id=run.request.request_id,
@@ -436,16 +438,15 @@
             if not chunk:
                 break
             block = splitter.feed(chunk)
+            fault = _find_fault(splitter, block)
+            if fault is not None:
+                return results.LostResponse(fault)
             if self._has_stalled(run, attempt, stall, block):
                 return results.LostResponse(
                     "bytes, but no event for too long", timed_out=True
                 )
             if block is None:
                 continue
-            if not block.in_order:
-                return results.LostResponse(
-                    f"event {block.last_id} is out of order"
-                )
             if progress.software is None and not attempt.is_relayed:
                 progress.software = attempt.placement.entry.software
                 self._resumption.record_begin(run.request, progress.software)
@@ -469,6 +470,17 @@
         return results.Completed(Codes.OK)
 
 
+def _find_fault(
+    splitter: event_stream.EventSplitter, block: event_stream.EventBatch | None
+) -> str | None:
+    """Returns why a stream must not be forwarded further, or None."""
+    if splitter.excess is not None:
+        return splitter.excess
+    if block is not None and not block.in_order:
+        return f"event {block.last_id} is out of order"
+    return None
+
+
 def _record_events(
     run: runs.Run, attempt: runs.Attempt, block: event_stream.EventBatch
 ) -> None:
