Cell: a slot stays while a load, a grant or a count refers to it

Cells were also reset ("e0: 1 counted, slots add up to 0"), which refuses what waits.

Cause: a slot that an engine had turned a request away from became RESERVED and left the index, so the planner could load the same adapter there again. Where names stand for keys, `_add_slot` then replaced the slot that requests still pinned. Their ends unpinned, reserved and dropped the slot of the load in flight, and a second load of the same name could start. Dropping a slot with requests of other instances (a load that failed or was declined) left these counted as running, and dropping the first of two slots of one adapter hid the second.

Ruled out: loads of a restarted or removed engine (their records go with it), orders that are carried out late, and reports that contradict each other: the state machine reaches none of them without the transitions above.

Invariant (`Cell.check_state`): each load in flight has a slot of its own name that is LOADING, no two loads have one name, each grant pins a slot that exists, and an engine's count is the sum over its slots. So: - a slot whose adapter is missing is MISSING, and apart from the RESERVED ones; it is loaded again in place, with its pins, without an eviction, and a load in flight decides about its slot itself; - a slot that goes takes its requests out of the engine's count; - the index finds any slot of an adapter that is left.

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -81,6 +81,18 @@
         self._schedule_wake_up(now)
         return self._actions
 
+    def check_state(self) -> None:
+        """Checks that all parts of the state agree.
+
+        Raises:
+            errors.InvariantError: They do not.
+        """
+        inventory = self._parts.inventory
+        cell_invariants.check_inventory(inventory)
+        cell_invariants.check_queue(
+            self._parts.queue, inventory.grants.values()
+        )
+
     def measure_utilization(self) -> routing.CellUtilization:
         """Returns the utilization by which gateways choose between cells.
 
--- a/src/tamaracktide/core/cell_state.py
+++ b/src/tamaracktide/core/cell_state.py
@@ -26,12 +26,14 @@
     """State of an adapter slot.
 
     Only a READY slot is granted. A RESERVED slot may still be unloaded by an
-    outstanding order, or its adapter is missing from the engine.
+    outstanding order. The engine said that it lacks the adapter of a MISSING
+    slot; requests that were sent before may still use it.
     """
 
     LOADING = "loading"
     READY = "ready"
     RESERVED = "reserved"
+    MISSING = "missing"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -58,12 +60,20 @@
     remote: int = 0
     retiring: bool = False
 
+    @property
+    def running(self) -> int:
+        """Running requests that use it."""
+        return self.pins + self.remote
+
     @property
     def in_use(self) -> bool:
         """Whether a running request or a load occupies the slot."""
-        return (
-            self.pins > 0 or self.remote > 0 or self.state is SlotState.LOADING
-        )
+        return self.running > 0 or self.state is SlotState.LOADING
+
+    @property
+    def is_offered(self) -> bool:
+        """Whether its adapter is there, or will be."""
+        return self.state in (SlotState.LOADING, SlotState.READY)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -84,6 +84,14 @@
         """Returns an engine's slot that serves or is loading an adapter."""
         return self._slots_by_adapter.get(key, {}).get(engine.name)
 
+    def list_keys(self, engine: cell_state.Engine) -> list[rows.AdapterKey]:
+        """Returns the adapters that an engine serves or is loading."""
+        return [
+            key
+            for key, slots in self._slots_by_adapter.items()
+            if engine.name in slots
+        ]
+
     def count_replicas(self, key: rows.AdapterKey) -> int:
         """Returns how many engines serve or are loading an adapter."""
         return len(self._slots_by_adapter.get(key, {}))
@@ -147,27 +155,19 @@
             for name in self._slots_by_adapter.get(key, {})
         )
 
-    def reserve(self, engine: cell_state.Engine, slot: cell_state.Slot) -> None:
-        """Excludes a slot from grants, so that it is evicted once idle."""
-        self.changes += 1
-        slot.state = cell_state.SlotState.RESERVED
-        self._unindex(engine, slot)
-
     def _add_slot(
         self, engine: cell_state.Engine, slot: cell_state.Slot
     ) -> None:
         engine.slots[slot.lora_name] = slot
         if slot.customer:
             self.slots_by_customer[slot.customer] += 1
-        if slot.state is not cell_state.SlotState.RESERVED:
-            self._slots_by_adapter.setdefault(slot.key, {}).setdefault(
-                engine.name, slot
-            )
+        self._index(engine, slot)
 
     def _drop_slot(self, engine: cell_state.Engine, lora_name: str) -> None:
         slot = engine.slots.pop(lora_name, None)
         if slot is None:
             return
+        engine.running -= slot.running
         if slot.state is cell_state.SlotState.READY:
             engine.record_eviction(slot.key)
         if slot.customer:
@@ -176,14 +176,39 @@
                 del self.slots_by_customer[slot.customer]
         self._unindex(engine, slot)
 
+    def _index(self, engine: cell_state.Engine, slot: cell_state.Slot) -> None:
+        if slot.is_offered:
+            slots_by_engine = self._slots_by_adapter.setdefault(slot.key, {})
+            slots_by_engine.setdefault(engine.name, slot)
+
     def _unindex(
         self, engine: cell_state.Engine, slot: cell_state.Slot
     ) -> None:
         slots_by_engine = self._slots_by_adapter.get(slot.key, {})
-        if slots_by_engine.get(engine.name) is slot:
-            del slots_by_engine[engine.name]
-            if not slots_by_engine:
-                del self._slots_by_adapter[slot.key]
+        if slots_by_engine.get(engine.name) is not slot:
+            return
+        del slots_by_engine[engine.name]
+        if not slots_by_engine:
+            del self._slots_by_adapter[slot.key]
+        for other in engine.slots.values():
+            if other is not slot and other.key == slot.key:
+                self._index(engine, other)
+
+    def _record_missing(
+        self, engine: cell_state.Engine, slot: cell_state.Slot
+    ) -> None:
+        """Excludes a slot from grants, or drops it if it is idle.
+
+        A load in flight decides about its slot itself.
+        """
+        match slot.state:
+            case cell_state.SlotState.LOADING:
+                return
+            case cell_state.SlotState.READY:
+                slot.state = cell_state.SlotState.MISSING
+                self._unindex(engine, slot)
+        if not slot.running:
+            self._drop_slot(engine, slot.lora_name)
 
     def charge_slot(self, slot: cell_state.Slot, customer: str) -> None:
         """Charges a slot to the customer that uses it now."""
@@ -255,6 +280,7 @@
                 tracked.remote = max(0, loaded.running - tracked.pins)
                 if name not in loading:
                     _reconcile_state(tracked, loaded)
+                    self._index(engine, tracked)
             elif name not in evicting:
                 self._add_reported(engine, loaded, event, now)
         _count_remote(engine, event)
@@ -370,33 +396,46 @@
         if grant is None:
             return None
         engine = self.engines[grant.upstream]
-        engine.running = max(0, engine.running - 1)
         if engine.exclusive == grant.request_id:
             engine.exclusive = ""
-        slot = engine.slots.get(grant.lora_name)
-        if slot is None:
-            return grant
+        slot = engine.slots[grant.lora_name]
         slot.pins -= 1
+        engine.running -= 1
         if event.adapter_missing:
-            self.reserve(engine, slot)
-            if not slot.in_use:
-                self._drop_slot(engine, slot.lora_name)
+            self._record_missing(engine, slot)
         return grant
 
+    def find_reloadable(
+        self, engine: cell_state.Engine, lora_name: str
+    ) -> cell_state.Slot | None:
+        """Returns the slot of a name whose adapter is missing, or None."""
+        slot = engine.slots.get(lora_name)
+        if slot is None or slot.state is not cell_state.SlotState.MISSING:
+            return None
+        return slot
+
     def start_load(self, load: cell_state.LoadRecord) -> None:
-        """Occupies an adapter slot, after the eviction if one is named."""
+        """Occupies an adapter slot, after the eviction if one is named.
+
+        An adapter that is missing is loaded into its slot again, where the
+        requests that use it stay counted.
+        """
         self.changes += 1
         engine = self.engines[load.upstream]
         if load.evicted:
             self._drop_slot(engine, load.evicted)
-        slot = cell_state.Slot(
-            lora_name=load.lora_name,
-            key=load.key,
-            state=cell_state.SlotState.LOADING,
-            customer=load.customer,
-            used_at=load.started_at,
-        )
-        self._add_slot(engine, slot)
+        slot = self.find_reloadable(engine, load.lora_name)
+        if slot is None:
+            slot = cell_state.Slot(
+                lora_name=load.lora_name,
+                key=load.key,
+                state=cell_state.SlotState.LOADING,
+                customer=load.customer,
+                used_at=load.started_at,
+            )
+            self._add_slot(engine, slot)
+        slot.state = cell_state.SlotState.LOADING
+        self._index(engine, slot)
         engine.pending += 1
         self.loads[load.load_id] = load
 
@@ -410,12 +449,15 @@
             return None
         engine = self.engines[load.upstream]
         engine.pending -= 1
-        if not event.succeeded:
-            self._drop_slot(engine, load.lora_name)
-            return load
         slot = engine.slots[load.lora_name]
-        slot.state = cell_state.SlotState.READY
-        slot.used_at = now
+        if event.succeeded:
+            slot.state = cell_state.SlotState.READY
+            slot.used_at = now
+        elif slot.pins:
+            slot.state = cell_state.SlotState.MISSING
+            self._unindex(engine, slot)
+        else:
+            self._drop_slot(engine, load.lora_name)
         return load
 
     def set_leaving(self, event: cell_events.UpstreamLeaving) -> None:
@@ -525,15 +567,20 @@
 
 def count_running(engine: cell_state.Engine) -> int:
     """Returns the number of running requests according to the slots."""
-    pinned = sum(slot.pins + slot.remote for slot in engine.slots.values())
-    return pinned + engine.unattributed
+    return engine.unattributed + sum(
+        slot.running for slot in engine.slots.values()
+    )
 
 
 def _reconcile_state(
     slot: cell_state.Slot, loaded: cell_events.LoadedAdapter
 ) -> None:
-    if slot.state is cell_state.SlotState.RESERVED:
-        return
+    """Sets the state that an engine reports, unless it is known better."""
+    match slot.state:
+        case cell_state.SlotState.RESERVED:
+            return
+        case cell_state.SlotState.MISSING if slot.running:
+            return
     ready = cell_state.SlotState.READY
     slot.state = ready if loaded.ready else cell_state.SlotState.LOADING
 
--- a/src/tamaracktide/core/load_planner.py
+++ b/src/tamaracktide/core/load_planner.py
@@ -104,7 +104,7 @@
         self._recheck(now + RECHECK_PERIOD_S)
         if parts.placer.backoff.blocks(key, engine.name, now):
             return []
-        victim = parts.placer.find_victim(engine, now)
+        victim = parts.placer.find_room(engine, key, now)
         if victim is None or not self._can_start(False, now):
             return []
         plan = placement.LoadPlan(engine, key, "", victim.lora_name)
@@ -138,7 +138,7 @@
             lora_name = parts.make_id(f"{lora_name}#")
         cell_invariants.check_load(
             engine,
-            plan.key,
+            lora_name,
             plan.evict,
             len(parts.inventory.loads),
             parts.budget.max_in_flight,
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -312,7 +312,7 @@
             return False
         if not self._budget.allows(len(self._inventory.loads), now):
             return False
-        return self.find_victim(engine, now) is not None
+        return self.find_room(engine, key, now) is not None
 
     def needs_load(
         self, group_key: fairness.GroupKey, waiting: int, now: float
@@ -367,7 +367,7 @@
             wait_s = self._predict_batch_wait_s(engine, over_share, replica)
             if wait_s is None:
                 continue
-            victim = self.find_victim(engine, now)
+            victim = self.find_room(engine, key, now)
             if victim is None:
                 continue
             if over_share and not self._can_use_slot(
@@ -468,6 +468,19 @@
             for engine in engines
         )
 
+    def find_room(
+        self, engine: cell_state.Engine, key: rows.AdapterKey, now: float
+    ) -> Victim | None:
+        """Returns what the load of an adapter evicts, or None.
+
+        An adapter that is missing from its slot is loaded into it again.
+        """
+        if self._settings.named_by_key and self._inventory.find_reloadable(
+            engine, key.text
+        ):
+            return Victim(0.0, "")
+        return self.find_victim(engine, now)
+
     def find_victim(
         self, engine: cell_state.Engine, now: float
     ) -> Victim | None:
@@ -487,7 +500,7 @@
 
     def _predict_slot_rate(self, slot: cell_state.Slot, now: float) -> float:
         """Returns the expected requests per second that a slot serves."""
-        if slot.state is cell_state.SlotState.RESERVED or slot.retiring:
+        if not slot.is_offered or slot.retiring:
             return 0.0
         rate = self.popularity.predict(slot.key, now)
         rate /= max(1, self._inventory.count_unlimited_replicas(slot.key))
@@ -544,7 +557,7 @@
                 continue
             spare_rate = likely.rate / (replicas + 1)
             for engine in self.list_loadable(likely.key, (), now):
-                victim = self.find_victim(engine, now)
+                victim = self.find_room(engine, likely.key, now)
                 if victim is not None and victim.rate < spare_rate:
                     return LoadPlan(
                         engine,
@@ -574,7 +587,7 @@
         best: LoadPlan | None = None
         best_rate = rate / PREFETCH_FACTOR
         for engine in self.list_loadable(likely.key, (), now):
-            victim = self.find_victim(engine, now)
+            victim = self.find_room(engine, likely.key, now)
             if victim is not None and victim.rate < best_rate:
                 best_rate = victim.rate
                 best = LoadPlan(
