Cell: an engine that leaves is not kept free for a request any more

An engine that was kept free for a request that must run alone, drained and resumed, got no request again: the request had been given another engine, and only that one was released at its end. Found by the state machine of a cell (`UpstreamLeaving` while the request waits); entry instances submit no such requests, schedulers do.

`set_leaving` now gives the engine up unless the request runs there, and `check_state` checks that each such engine is kept for a request that waits or runs there. Before: "e0: kept free for r1, which has ended" in test_drained_engine_is_not_kept_for_a_request; after: it and the state machine pass.

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -92,6 +92,7 @@
         cell_invariants.check_queue(
             self._parts.queue, inventory.grants.values()
         )
+        self._granter.check_exclusive()
 
     def measure_utilization(self) -> routing.CellUtilization:
         """Returns the utilization by which gateways choose between cells.
--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -2,6 +2,7 @@
 
 import heapq
 
+from tamaracktide import invariants
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_invariants
@@ -168,6 +169,22 @@
         self._parts.inventory.changes += 1
         return chosen
 
+    def check_exclusive(self) -> None:
+        """Checks that each exclusive engine is kept for a request."""
+        inventory = self._parts.inventory
+        granted = {
+            (grant.upstream, grant.request_id)
+            for grant in inventory.grants.values()
+        }
+        for engine in inventory.engines.values():
+            kept = engine.exclusive
+            invariants.check(
+                not kept
+                or kept in self.exclusive_waiters
+                or (engine.name, kept) in granted,
+                f"{engine.name}: kept free for {kept}, which has ended",
+            )
+
     def remove_exclusive(self, request_id: str) -> cell_state.Waiter | None:
         """Removes a request that waits to run alone; None if unknown."""
         waiter = self.exclusive_waiters.pop(request_id, None)
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -470,6 +470,17 @@
         if engine.leaving != event.leaving:
             engine.leaving = event.leaving
             self._capacity = None
+        if engine.leaving and not self._runs(engine, engine.exclusive):
+            # The request gets another engine.
+            engine.exclusive = ""
+
+    def _runs(self, engine: cell_state.Engine, request_id: str) -> bool:
+        """Whether a request of this cell runs on an engine."""
+        return any(
+            grant.request_id == request_id
+            for grant in self.grants.values()
+            if grant.upstream == engine.name
+        )
 
     def set_send_limit(
         self,
--- a/tests/core/test_inventory.py
+++ b/tests/core/test_inventory.py
@@ -169,3 +169,26 @@
     turn_away(made, first)
     made.check_state()
     grant(made, "r2")
+
+
+def test_drained_engine_is_not_kept_for_a_request() -> None:
+    """An engine whose drain is cancelled gets requests again."""
+    made = make_cell(1)
+    made.handle(
+        cell_events.UpstreamSnapshot(
+            upstream="e1", incarnation="1", slots=1, batch_limit=8
+        ),
+        0.0,
+    )
+    alone = cell_events.Submit(
+        request_id="r1", customer="c", key=KEY, alone=True
+    )
+    made.handle(alone, 0.0)
+    leaving = cell_events.UpstreamLeaving("e0")
+    (other,) = made.handle(leaving, 0.0)[:1]
+    assert isinstance(other, cell_actions.Load)
+    (granted,) = made.handle(cell_events.LoadEnded(other.load_id, True), 0.0)
+    assert isinstance(granted, cell_actions.Grant)
+    made.handle(cell_events.GrantEnded(grant_id=granted.grant_id), 0.0)
+    made.handle(cell_events.UpstreamLeaving("e0", leaving=False), 0.0)
+    made.check_state()
