Cell: customers that no slot is charged to are forgotten

`charge_slot` left a count of 0 for the customer that a slot was charged to before. The resident model's slot is charged to one session or workspace after the other, so the table grew by an entry for each of them, and `Placer.find_slot_factor` divides by its length. Found by `check_state`.

--- a/src/tamaracktide/core/cell_invariants.py
+++ b/src/tamaracktide/core/cell_invariants.py
@@ -156,7 +156,7 @@
         if slot.customer
     )
     invariants.check(
-        customers == inventory_.slots_by_customer,
+        dict(customers) == dict(inventory_.slots_by_customer),
         f"{inventory_.slots_by_customer} are charged with slots, not "
         f"{customers}",
     )
--- a/src/tamaracktide/core/inventory.py
+++ b/src/tamaracktide/core/inventory.py
@@ -170,10 +170,7 @@
         engine.running -= slot.running
         if slot.state is cell_state.SlotState.READY:
             engine.record_eviction(slot.key)
-        if slot.customer:
-            self.slots_by_customer[slot.customer] -= 1
-            if not self.slots_by_customer[slot.customer]:
-                del self.slots_by_customer[slot.customer]
+        self.charge_slot(slot, "")
         self._unindex(engine, slot)
 
     def _index(self, engine: cell_state.Engine, slot: cell_state.Slot) -> None:
@@ -211,13 +208,15 @@
             self._drop_slot(engine, slot.lora_name)
 
     def charge_slot(self, slot: cell_state.Slot, customer: str) -> None:
-        """Charges a slot to the customer that uses it now."""
-        if slot.customer == customer:
-            return
+        """Charges a slot to the customer that uses it now, empty for none."""
+        charged = self.slots_by_customer
         if slot.customer:
-            self.slots_by_customer[slot.customer] -= 1
+            charged[slot.customer] -= 1
+            if not charged[slot.customer]:
+                del charged[slot.customer]
         slot.customer = customer
-        self.slots_by_customer[customer] += 1
+        if customer:
+            charged[customer] += 1
 
     def apply_snapshot(
         self, event: cell_events.UpstreamSnapshot, now: float
--- a/tests/core/test_inventory.py
+++ b/tests/core/test_inventory.py
@@ -192,3 +192,12 @@
     made.handle(cell_events.GrantEnded(grant_id=granted.grant_id), 0.0)
     made.handle(cell_events.UpstreamLeaving("e0", leaving=False), 0.0)
     made.check_state()
+
+
+def test_customers_without_slots_are_forgotten() -> None:
+    """A slot that many customers use in turn is charged to the last."""
+    made = make_cell(1, KEY)
+    for number in range(4):
+        (granted,) = grant(made, f"r{number}")
+        made.handle(cell_events.GrantEnded(grant_id=granted.grant_id), 0.0)
+    made.check_state()
