--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -184,6 +184,8 @@
         avoid: Upstreams that must not run this attempt.
         alone: Whether no other request may run beside it, as it is suspected
             of crashing upstreams.
+        lead: Tokens that its customer has been charged for it before; an idle
+            customer starts so much earlier.
     """
 
     request_id: str
@@ -196,6 +198,7 @@
     prefix: str = ""
     avoid: tuple[str, ...] = ()
     alone: bool = False
+    lead: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -169,9 +169,13 @@
     def add(self, waiter: cell_state.Waiter) -> None:
         """Adds a request to its customer's queue."""
         submit = waiter.submit
+        earliest = self.virtual_time - submit.lead / submit.weight
+        is_new = submit.customer not in self.accounts
         account = self.get_account(submit.customer)
-        if not account.active:
-            account.start = max(account.start, self.virtual_time)
+        if is_new:
+            account.start = earliest
+        elif not account.active:
+            account.start = max(account.start, earliest)
         account.weight = submit.weight
         account.start_order.add((*get_start_order(waiter), waiter.expires_at))
         self.demand += 1
--- a/src/tamaracktide/core/remaining_tokens.py
+++ b/src/tamaracktide/core/resumed_streams.py
@@ -1,8 +1,9 @@
-"""Tokens that are left of a generation that goes on at another engine.
+"""Scheduling of streams that go on at another engine.
 
 Load pattern: all instances were killed, and clients take up all streams at once
-while engines are full. A stream that is taken for a whole one seems to miss its
-deadline, is refused, and its client has lost what it had received.
+while engines are full. A stream that is taken for a new one waits behind those,
+or seems to miss its deadline; it is refused, and its client has lost what it
+had received.
 """
 
 import dataclasses
@@ -34,3 +35,13 @@
     if generated <= 0:
         return whole
     return Tokens(whole.prompt + generated, max(1, whole.output - generated))
+
+
+def name_account(customer: str) -> str:
+    """Returns the account of a customer's resumed streams in fair queueing.
+
+    It is idle before they come, so they do not wait for new requests of the
+    customer, and start earlier by what was charged for them before. Its share
+    is that of a customer.
+    """
+    return f"resumed:{customer}"
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -27,7 +27,7 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import load_margin
 from tamaracktide.core import paces
-from tamaracktide.core import remaining_tokens
+from tamaracktide.core import resumed_streams
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -285,6 +285,10 @@
         if request.caller is not None and request.caller.workspace:
             customer = f"workspace:{request.caller.workspace}"
             weight = request.caller.weight
+        lead = 0.0
+        if events_received:
+            customer = resumed_streams.name_account(customer)
+            lead = float(tokens.prompt)
         return cell_events.Submit(
             request_id=request.request_id,
             customer=customer,
@@ -295,22 +299,23 @@
             deadline=request.expires_at,
             prefix=generation.prefix if generation else "",
             avoid=tuple(sorted(set(avoid))),
+            lead=lead,
         )
 
     def _estimate_tokens(
         self, generation: requests.Generation | None, events_received: int
-    ) -> remaining_tokens.Tokens:
+    ) -> resumed_streams.Tokens:
         """Returns the tokens that an upstream reads and generates."""
         if generation is None:
-            return remaining_tokens.Tokens(prompt=0, output=1)
-        whole = remaining_tokens.Tokens(
+            return resumed_streams.Tokens(prompt=0, output=1)
+        whole = resumed_streams.Tokens(
             generation.prompt_tokens,
             generation.expected_tokens or generation.max_tokens,
         )
         if self.service.engine is None:
             return whole
         generated = events_received * self.service.engine.event_tokens
-        return remaining_tokens.estimate_remaining(whole, generated)
+        return resumed_streams.estimate_remaining(whole, generated)
 
     def _make_placement(
         self,
--- a/tests/core/test_fairness.py
+++ b/tests/core/test_fairness.py
@@ -11,7 +11,11 @@
 
 
 def add(
-    queue: fairness.FairQueue, name: str, customer: str, weight: float = 1.0
+    queue: fairness.FairQueue,
+    name: str,
+    customer: str,
+    weight: float = 1.0,
+    lead: float = 0.0,
 ) -> None:
     """Adds a request with a cost of 100 tokens."""
     submit = cell_events.Submit(
@@ -19,6 +23,7 @@
         customer=customer,
         key=rows.AdapterKey(customer, "1"),
         weight=weight,
+        lead=lead,
     )
     queue.add(
         cell_state.Waiter(
@@ -79,3 +84,24 @@
     assert fair_shares.batch_slots == pytest.approx(9.0)
     assert fair_shares.is_exceeded_by(queue.accounts["large"])
     assert not fair_shares.is_exceeded_by(queue.accounts["small"])
+
+
+def test_request_that_was_charged_before_starts_earlier() -> None:
+    """Guards against resumed streams that wait behind new requests (LOST)."""
+    queue = fairness.FairQueue()
+    for number in range(20):
+        add(queue, f"a{number}", "a")
+        add(queue, f"b{number}", "b")
+    serve(queue, 10)
+    add(queue, "resumed", "c", lead=100.0)
+    assert serve(queue, 1) == ["c"]
+
+
+def test_lead_is_never_saved_up() -> None:
+    """Guards against a customer that claims to resume streams all the time."""
+    queue = fairness.FairQueue()
+    for number in range(40):
+        add(queue, f"a{number}", "a")
+        add(queue, f"c{number}", "c", lead=100.0)
+    served = serve(queue, 40)
+    assert served.count("c") <= served.count("a") + 2
--- a/tests/entry/test_pauses.py
+++ b/tests/entry/test_pauses.py
@@ -35,9 +35,11 @@
     clock.now += 3.0
     detector.tick()
     assert detector.was_held_up
-    clock.now += pauses.TICK_S
-    detector.tick()
-    assert detector.was_held_up
+    ticks = round(pauses.SETTLE_S / pauses.TICK_S)
+    for _ in range(ticks - 1):
+        clock.now += pauses.TICK_S
+        detector.tick()
+        assert detector.was_held_up
     clock.now += pauses.TICK_S
     detector.tick()
     assert not detector.was_held_up
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -427,3 +427,44 @@
         late = await cell.acquire_placement(make_request("late", "a"))
         assert late.entry.upstream == "e2"
         tasks.cancel_scope.cancel()
+
+
+async def test_resumed_stream_does_not_wait_behind_new_ones() -> None:
+    """Guards against streams that nobody takes up after a kill of all (LOST).
+
+    All clients come back at once, with new requests among them.
+    """
+    async with anyio.create_task_group() as tasks:
+        harness = Harness(tasks)
+        harness.add_engine("e1", a=0)
+        cell = harness.make_cell()
+        generation = requests.Generation(
+            model=MODEL, adapter="a", prompt_tokens=100, max_tokens=40
+        )
+        first = [
+            await cell.acquire_placement(
+                dataclasses.replace(
+                    make_request(f"r{index}", "a"), generation=generation
+                )
+            )
+            for index in range(BATCH_LIMIT)
+        ]
+        granted: list[str] = []
+
+        async def wait_for_placement(name: str, after: int | None) -> None:
+            request = dataclasses.replace(
+                make_request(name, "a"),
+                generation=generation,
+                expires_at=anyio.current_time() + 60.0,
+            )
+            await cell.acquire_placement(request, resume_after=after)
+            granted.append(name)
+
+        for name, after in (("new1", None), ("new2", None), ("resumed", 9)):
+            tasks.start_soon(wait_for_placement, name, after)
+            await run_ready_tasks()
+        assert cell.count_waiting() == 3
+        cell.release(first.pop(), tokens=20, missing=False)
+        await run_ready_tasks()
+        assert granted == ["resumed"]
+        tasks.cancel_scope.cancel()
