--- a/tests/core/test_stream_history.py
+++ b/tests/core/test_stream_history.py
@@ -63,6 +63,19 @@
     assert history.list_versions(RETENTION_S + 1.0) == {"llm": ("v2",)}
 
 
+def test_version_that_has_come_back_may_have_begun_a_stream() -> None:
+    """Guards against a rollback that one instance does not see yet (ORDER).
+
+    Its version ended long ago, and a peer observes it again.
+    """
+    history = make_history("v1", "v2")
+    history.apply_upstreams((), ("e-v1",), 1.0)
+    later = 2 * RETENTION_S
+    assert history.list_versions(later) == {"llm": ("v2",)}
+    history.restore_versions({"llm": ("v1", "v2")}, later, is_complete=True)
+    assert history.find_only_version("llm", later + 1.0) is None
+
+
 def test_unfinished_streams_of_mixed_services_are_recorded() -> None:
     """What is complete, or has one version only, needs no record."""
     history = make_history("v1")
--- /dev/null
+++ b/tests/entry/test_resumption.py
@@ -0,0 +1,193 @@
+"""Tests of what instances tell each other of streams, without a network.
+
+Load pattern: a release replaces upstreams while instances differ in what they
+have observed.
+"""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+import anyio
+import pytest
+
+from tamaracktide import errors
+from tamaracktide.core import routing_document
+from tamaracktide.core import upstream_entries
+from tamaracktide.entry import requests
+from tamaracktide.entry import resumption
+from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.protocol import entry_messages
+
+pytestmark = pytest.mark.anyio
+
+DEADLINE_S = 30.0
+
+
+@pytest.fixture
+def anyio_backend() -> str:
+    """Entry instances run on asyncio."""
+    return "asyncio"
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Peer:
+    """An instance as another one sees it; messages arrive in order.
+
+    Attributes:
+        instance: Its id.
+        sender: Who sends to it.
+        links: Links of all instances, by id.
+        is_member: Whether it uses the sender as its relay.
+    """
+
+    instance: str
+    sender: str
+    links: dict[str, "_Links"]
+    is_member: bool = False
+
+    def send(self, message: object) -> bool:
+        """Delivers a message."""
+        receiver = self.links[self.instance]
+        loop = asyncio.get_running_loop()
+        loop.call_soon(receiver.deliver, self.sender, message)
+        return True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Queue:
+    """Messages to a peer."""
+
+    peer: _Peer
+
+    def put(self, message: object) -> bool:
+        """Sends a message."""
+        return self.peer.send(message)
+
+
+class _Link:
+    """A link that has just opened."""
+
+    def __init__(self, peer: _Peer) -> None:
+        self.queue = _Queue(peer)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Plan:
+    is_flat: bool = True
+
+
+class _Links:
+    """The links of one instance to all others."""
+
+    def __init__(self, instance: str, links: dict[str, "_Links"]) -> None:
+        self.plan = _Plan()
+        self.relay = ""
+        self.is_relay = self.is_discovered = True
+        self.resumption = resumption.Resumption(
+            instance, lambda: True, metrics_module.Metrics()
+        )
+        self.resumption.peers = self  # type: ignore[assignment]
+        self._instance = instance
+        self._links = links
+        links[instance] = self
+
+    def list_linked(self) -> list[_Peer]:
+        """Returns all others."""
+        return [
+            _Peer(name, self._instance, self._links)
+            for name in self._links
+            if name != self._instance
+        ]
+
+    def send(self, instance: str, message: object) -> bool:
+        """Delivers a message to one of them."""
+        return _Peer(instance, self._instance, self._links).send(message)
+
+    def broadcast(self, message: object) -> None:
+        """Delivers a message to all of them."""
+        for peer in self.list_linked():
+            peer.send(message)
+
+    def deliver(self, sender: str, message: Any) -> None:  # noqa: ANN401
+        """Handles a message."""
+        match message:
+            case entry_messages.StreamQuery():
+                peer: Any = _Peer(sender, self._instance, self._links)
+                self.resumption.handle_query(peer, message)
+            case entry_messages.StreamReply():
+                self.resumption.apply_reply(message)
+            case entry_messages.StreamsNotice():
+                self.resumption.apply_notice(message)
+
+    def link(self, links: dict[str, "_Links"]) -> None:
+        """Opens links to other instances, which so open theirs."""
+        self._links = links
+        others, links[self._instance] = list(links.values()), self
+        for other in others:
+            self.open(other._instance)
+            other.open(self._instance)
+
+    def open(self, instance: str) -> None:
+        """Opens the link to another instance."""
+        link: Any = _Link(_Peer(instance, self._instance, self._links))
+        self.resumption.handle_open(link)
+
+
+def _list_upstreams(instance: _Links, *versions: str) -> None:
+    """Has an instance list an upstream of each version."""
+    entries = [
+        upstream_entries.UpstreamEntry(
+            upstream=f"e-{name}",
+            service="llm",
+            address="127.0.0.1:1",
+            zone="z1",
+            batch_limit=8,
+            software=name,
+        )
+        for name in versions
+    ]
+    instance.resumption.apply_upstreams(entries, ())
+
+
+def _make_retry() -> requests.ClientRequest:
+    expires_at = anyio.current_time() + DEADLINE_S
+    return requests.ClientRequest(
+        request_id="s0",
+        method="POST",
+        target="/r/",
+        headers=(),
+        body=b"",
+        route=routing_document.Route(
+            name="r",
+            host="h",
+            path_prefix="/r/",
+            kind=routing_document.RequestKind.STREAMING,
+            shares=(routing_document.Share(service="llm", weight=1.0),),
+            timeout_s=DEADLINE_S,
+        ),
+        service=routing_document.Service(name="llm"),
+        deadline=expires_at,
+        expires_at=expires_at,
+        resume_after=4,
+        resumed_request="r0",
+    )
+
+
+async def test_peer_that_lacks_a_version_does_not_tell_which_began() -> None:
+    """Guards against a conclusion of a peer that passes for a fact (ORDER).
+
+    An instance that has just started lists two versions. Its peer has not seen
+    the second one yet: it was cut off when that appeared.
+    """
+    links: dict[str, _Links] = {}
+    peer = _Links("n2", links)
+    _list_upstreams(peer, "v1")
+    peer.resumption.history.restore_versions(
+        {"llm": ("v1",)}, anyio.current_time(), is_complete=True
+    )
+    asker = _Links("n1", {})
+    _list_upstreams(asker, "v1", "v2")
+    asker.link(links)
+    with pytest.raises(errors.RefusalError):
+        await asker.resumption.find_software(_make_retry())
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -89,6 +89,7 @@
         self.drop_responses = False
         self.is_unavailable = False
         self._revision = 1
+        self._oldest_revision = 0
         self._events: list[tuple[int, str, dict[str, Any]]] = []
         self._changed = anyio.Event()
 
@@ -110,6 +111,10 @@
         removed["Metadata"]["Revision"] = self._revision
         self._publish(kind, {"Object": removed, "Deleted": True})
 
+    def discard_history(self) -> None:
+        """Answers watches from before now with 410."""
+        self._oldest_revision = self._revision
+
     def _publish(self, kind: str, event: dict[str, Any]) -> None:
         self._events.append((self._revision, kind, event))
         self._changed.set()
@@ -160,6 +165,9 @@
         self, kind: str, query: dict[str, str], send: asgi.Send
     ) -> None:
         since = int(query["Watch"])
+        if since < self._oldest_revision:
+            await reply(send, 410)
+            return
         with anyio.move_on_after(int(query["WaitMs"]) / 1000):
             while not self._list_events(kind, since):
                 await self._changed.wait()
