--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -18,6 +18,7 @@
 
 HOST = "127.0.0.1"
 WAIT_S = 3.0
+CHECKS = 16
 
 
 class _Upstream:
@@ -162,3 +163,21 @@
             await anyio.sleep(reachability.CONNECT_PERIOD_S)
             assert not checker.is_cut_off
         assert upstream.exits == []
+
+
+async def test_upstreams_that_end_together_have_all_ended() -> None:
+    """Guards against parts that pass for complete responses (ORDER, MIXED).
+
+    Half of the upstreams are killed at the same moment.
+    """
+    upstream, ended, other = _Upstream(), _Upstream(), _Upstream()
+    async with upstream.listen(), ended.listen():
+        pass
+    async with other.listen():
+        entries = [
+            dataclasses.replace(ended.entry, upstream="b"),
+            dataclasses.replace(other.entry, upstream="c"),
+        ]
+        for _ in range(CHECKS):
+            async with _run_reachability(upstream, *entries) as checker:
+                assert await checker.has_ended(upstream.entry)
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -16,6 +16,8 @@
 pytestmark = pytest.mark.anyio
 
 STREAM_HEAD = "Content-Type: text/event-stream"
+LEAVING_S = 1.0
+"""Time after which an instance knows that an upstream is leaving."""
 
 
 @pytest.fixture
@@ -57,6 +59,38 @@
             await instance.generate("r1")
 
 
+async def test_stream_of_a_killed_upstream_that_leaves_is_not_complete() -> (
+    None
+):
+    """Guards against a stream that ends before its last event (ORDER).
+
+    An upstream that is removed at short notice ends whatever it is running.
+    """
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+        writer.write(make_events(1, 2))
+        await writer.drain()
+        cluster.register(cluster.servers["e1"], state="draining")
+        await anyio.sleep(LEAVING_S)
+        server.stop_listening()
+        raise ConnectionError("killed")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(
+            cluster, "e1", respond, is_engine=True
+        ) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await instance.generate("r1")
+
+
 async def test_body_of_a_killed_upstream_is_not_complete() -> None:
     """Guards against a part of a body that passes for all of it (MIXED)."""
 
