--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -22,6 +22,8 @@
 pytestmark = pytest.mark.anyio
 
 DEADLINE_S = 30.0
+NOTICE_S = 0.05
+"""Time until a notice of a peer arrives."""
 
 
 @pytest.fixture
@@ -77,6 +79,18 @@
     is_flat: bool = True
 
 
+class _Records:
+    """Records of a store that does not respond."""
+
+    loaded_at = float("-inf")
+
+    def request_load(self) -> None:
+        """Is never followed by a load."""
+
+    def record_soon(self) -> None:
+        """Records nothing."""
+
+
 class _Links:
     """The links of one instance to all others."""
 
@@ -88,6 +102,7 @@
             instance, lambda: True, metrics_module.Metrics()
         )
         self.resumption.peers = self  # type: ignore[assignment]
+        self.resumption.records = _Records()  # type: ignore[assignment]
         self._instance = instance
         self._links = links
         links[instance] = self
@@ -191,3 +206,27 @@
     asker.link(links)
     with pytest.raises(errors.RefusalError):
         await asker.resumption.find_software(_make_retry())
+
+
+async def test_retry_goes_on_once_a_peer_tells_that_there_is_one_version() -> (
+    None
+):
+    """Guards against refusals after a start beside one version.
+
+    The relay of a member answers a question that it cannot answer with the
+    versions that it has read.
+    """
+    member = _Links("n1", {})
+    _list_upstreams(member, "v1")
+
+    async def tell() -> None:
+        await anyio.sleep(NOTICE_S)
+        member.resumption.apply_notice(
+            entry_messages.StreamsNotice(
+                streams={}, versions={"llm": ("v1",)}, is_complete=True
+            )
+        )
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(tell)
+        assert await member.resumption.find_software(_make_retry()) == "v1"
