--- a/src/tamaracktide/core/stream_history.py
+++ b/src/tamaracktide/core/stream_history.py
@@ -64,7 +64,7 @@
         *,
         is_complete: bool,
     ) -> frozenset[str]:
-        """Applies versions that were recorded or that a peer observed.
+        """Applies recorded versions, which count from now on.
 
         Args:
             versions: The versions, by service.
@@ -74,11 +74,38 @@
         Returns:
             The services that have become mixed.
         """
-        self._versions.restore(versions, now)
+        ages = {
+            service: dict.fromkeys(names, 0.0)
+            for service, names in versions.items()
+        }
+        return self.restore_ages(ages, now, is_complete=is_complete)
+
+    def restore_ages(
+        self,
+        ages: stream_origins.AgesByService,
+        now: float,
+        *,
+        is_complete: bool,
+    ) -> frozenset[str]:
+        """Applies versions that a peer observed.
+
+        Args:
+            ages: Seconds since each was observed, by service and version.
+            now: Current time, seconds.
+            is_complete: Whether they are all recent ones.
+
+        Returns:
+            The services that have become mixed.
+        """
+        self._versions.restore(ages, now)
         if is_complete:
             self._complete_at = min(self._complete_at, now)
         return self.refresh(now)
 
+    def list_ages(self, now: float) -> dict[str, dict[str, float]]:
+        """Returns how long ago each recent version was observed."""
+        return self._versions.list_ages(now)
+
     def interrupt(self, now: float) -> None:
         """Records that a version may now come and go without being seen."""
         self._complete_at = now + stream_origins.RETENTION_S
--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -24,6 +24,9 @@
 VersionsByService = Mapping[str, tuple[str, ...]]
 """Software versions by service."""
 
+AgesByService = Mapping[str, Mapping[str, float]]
+"""Seconds since an upstream had a software version, by service and version."""
+
 
 class Source(enum.Enum):
     """How an instance knows which version began a stream."""
@@ -98,7 +101,7 @@
     that it began may still be resumed.
     """
 
-    __slots__ = ("_counts", "_expired", "_last_seen", "_upstreams")
+    __slots__ = ("_counts", "_last_seen", "_upstreams")
 
     def __init__(self) -> None:
         """Starts without upstreams."""
@@ -107,7 +110,6 @@
             collections.Counter()
         )
         self._last_seen: dict[tuple[str, str], float] = {}
-        self._expired: dict[tuple[str, str], float] = {}
 
     def set_upstream(
         self, entry: upstream_entries.UpstreamEntry, now: float
@@ -130,18 +132,25 @@
             del self._counts[key]
             self._last_seen[key] = now
 
-    def restore(self, versions: VersionsByService, now: float) -> None:
-        """Records versions that others observed; those unknown count from now.
+    def restore(self, ages: AgesByService, now: float) -> None:
+        """Records versions that others observed, and how long ago."""
+        for service, versions in ages.items():
+            for software, age_s in versions.items():
+                key, seen_at = (service, software), now - age_s
+                known_at = self._last_seen.get(key, seen_at)
+                self._last_seen[key] = max(known_at, seen_at)
 
-        One that this instance has seen expire is ignored for as long again, so
-        that a record of it never keeps it alive.
-        """
-        self._expire(now)
-        for service, names in versions.items():
-            for software in names:
-                key = (service, software)
-                if key not in self._expired:
-                    self._last_seen.setdefault(key, now)
+    def list_ages(self, now: float) -> dict[str, dict[str, float]]:
+        """Returns the ages of the recent versions of every service."""
+        return {
+            service: {
+                software: 0.0
+                if (service, software) in self._counts
+                else now - self._last_seen[service, software]
+                for software in sorted(versions)
+            }
+            for service, versions in self._list_by_service(now).items()
+        }
 
     def list_recent(self, service: str, now: float) -> frozenset[str]:
         """Returns the versions that may have begun streams of a service."""
@@ -163,22 +172,14 @@
         )
 
     def _list_by_service(self, now: float) -> dict[str, set[str]]:
-        self._expire(now)
+        for key, seen_at in list(self._last_seen.items()):
+            if now >= seen_at + RETENTION_S:
+                del self._last_seen[key]
         found: dict[str, set[str]] = {}
         for service, software in (*self._counts, *self._last_seen):
             found.setdefault(service, set()).add(software)
         return found
 
-    def _expire(self, now: float) -> None:
-        for key, seen_at in list(self._last_seen.items()):
-            if now >= seen_at + RETENTION_S:
-                del self._last_seen[key]
-                if key not in self._counts:
-                    self._expired[key] = now
-        for key, expired_at in list(self._expired.items()):
-            if now >= expired_at + RETENTION_S or key in self._counts:
-                del self._expired[key]
-
 
 def group_by_version(
     streams: Iterable[tuple[str, str]],
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -158,6 +158,12 @@
         """Whether it reports to be a relay."""
         return self.report is not None and self.report.is_relay
 
+    def reaches_store(self, max_silent_s: float) -> bool:
+        """Whether the store responded to it within a time, seconds."""
+        if self.report is None:
+            return False
+        return 0 <= self.report.store_silent_s < max_silent_s
+
     @property
     def is_member(self) -> bool:
         """Whether it uses this instance as its relay."""
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -333,7 +333,10 @@
         if self._pauses.was_held_up:
             return False
         silent_s = self._store_health.unreachable_s
-        return silent_s < MAX_STORE_SILENCE_S or bool(self._peers.list_linked())
+        return silent_s < MAX_STORE_SILENCE_S or any(
+            peer.reaches_store(MAX_STORE_SILENCE_S)
+            for peer in self._peers.list_linked()
+        )
 
     def _apply_state_change(self) -> None:
         """Applies changes of the cluster state to every part."""
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -167,10 +167,11 @@
                 self._wake(request_id)
         if notice.versions:
             self._announce_mixed(
-                self.history.restore_versions(
+                self.history.restore_ages(
                     notice.versions, now, is_complete=notice.is_complete
                 )
             )
+            self._wake_all()
 
     def apply_reply(self, reply: entry_messages.StreamReply) -> None:
         """Applies a reply, or passes it on to the member that asked."""
@@ -220,8 +221,7 @@
     def apply_restored(self, newly_mixed: frozenset[str]) -> None:
         """Continues what waited until the records in the store were read."""
         self._announce_mixed(newly_mixed)
-        for event in self._waiting.values():
-            event.set()
+        self._wake_all()
         if not self._get_peers().plan.is_flat:
             self._tell_versions()
         queries, self._queries = self._queries, {}
@@ -259,6 +259,10 @@
             return self.history.find_only_version(service, now)
         return None
 
+    def _wake_all(self) -> None:
+        for event in self._waiting.values():
+            event.set()
+
     def _wake(self, request_id: str) -> None:
         event = self._waiting.get(request_id)
         if event is not None:
@@ -299,7 +303,7 @@
         now = anyio.current_time()
         return entry_messages.StreamsNotice(
             streams=dict(streams),
-            versions=self.history.list_versions(now),
+            versions=self.history.list_ages(now),
             is_complete=self.history.is_complete(now),
         )
 
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -227,7 +227,9 @@
             return
         value, revision = await self._read(self._versions_key)
         stored = self._decode_versions(value)
-        self._restore(stored)
+        if stored != self._versions:
+            # What this instance has seen expire must not count anew.
+            self._restore(stored)
         wanted = self._make_versions()
         if not revision or stored != wanted:
             await self._write(
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -1,6 +1,7 @@
 """Messages between entry instances."""
 
 import dataclasses
+from typing import Annotated
 
 import msgspec
 
@@ -257,13 +258,14 @@
 
     Attributes:
         streams: Ids of the requests that began streams, by software version.
-        versions: Recent software versions by service, where they are told.
+        versions: Seconds since an upstream had a software version, by service
+            and version, where they are told.
         is_complete: Whether `versions` are all that may have begun a stream.
     """
 
     streams: dict[str, tuple[str, ...]]
-    versions: dict[str, tuple[str, ...]] = dataclasses.field(
-        default_factory=dict
+    versions: dict[str, dict[str, Annotated[float, msgspec.Meta(ge=0)]]] = (
+        dataclasses.field(default_factory=dict)
     )
     is_complete: bool = False
 
