--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -30,6 +30,8 @@
 its stream: two hops and the links of an instance that has just started."""
 
 RETRY_AFTER_S = 1.0
+"""Retry-After of a refusal while the records could not be read."""
+
 MAX_UNSENT = 10_000
 """Maximum number of streams that are kept for an instance without a relay."""
 
@@ -125,10 +127,21 @@
             raise errors.RefusalError(
                 result_codes.ResultCode.SOFTWARE_UNKNOWN,
                 f"software version that began {begun_as!r} is not known",
-                RETRY_AFTER_S,
+                self._find_retry_after_s(request, arrived_at),
             )
         return found[0]
 
+    def _find_retry_after_s(
+        self, request: requests.ClientRequest, arrived_at: float
+    ) -> float:
+        """Returns when a stream that nobody knows may be known.
+
+        What neither the instances nor the records know stays unknown.
+        """
+        if self._get_records().loaded_at < arrived_at:
+            return RETRY_AFTER_S
+        return max(RETRY_AFTER_S, request.expires_at - anyio.current_time())
+
     def _log_found(
         self,
         request: requests.ClientRequest,
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -23,7 +23,7 @@
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 
-RECORD_PERIOD_S = 0.5
+RECORD_PERIOD_S = 0.25
 """Time between two records of an instance. Streams that begin within it before
 all instances are killed are not resumed; they take seconds."""
 
--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -91,6 +91,14 @@
         """Records nothing."""
 
 
+class _ReadRecords(_Records):
+    """Records that are read at once, and empty."""
+
+    def request_load(self) -> None:
+        """Ends at once."""
+        self.loaded_at = anyio.current_time()
+
+
 class _Links:
     """The links of one instance to all others."""
 
@@ -232,3 +240,18 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(tell)
         assert await member.resumption.find_software(_make_retry()) == "v1"
+
+
+async def test_stream_that_no_record_knows_is_not_asked_for_again() -> None:
+    """Guards against retries that are refused again and again (LOST).
+
+    Its first instance was killed before it was recorded.
+    """
+    links = _Links("n1", {})
+    _list_upstreams(links, "v1", "v2")
+    records = _ReadRecords()
+    links.resumption.records = records  # type: ignore[assignment]
+    with pytest.raises(errors.RefusalError) as refusal:
+        await links.resumption.find_software(_make_retry())
+    assert refusal.value.retry_after_s is not None
+    assert refusal.value.retry_after_s > DEADLINE_S - 5.0
