--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -12,6 +12,7 @@
 from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import requests
+from tamaracktide.entry import settings as entry_settings
 from tamaracktide.object_api import object_store
 from tamaracktide.upstreams import calls
 
@@ -117,7 +118,9 @@
     def collections(self) -> Collections:
         """Keys and key prefixes in the store."""
 
-    def open_store(self, address: str) -> object_store.ValueStore:
+    def open_store(
+        self, settings: entry_settings.EntrySettings
+    ) -> object_store.ValueStore:
         """Returns a client of the platform's store."""
 
     def decode_document(self, value: bytes) -> routing_document.RoutingDocument:
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -595,7 +595,7 @@
         adapter: Implements the platform's interfaces.
         path: Path of the settings file.
     """
-    store = adapter.open_store(settings.platform_address)
+    store = adapter.open_store(settings)
     upstreams = upstream_settings.UpstreamSettings(
         connect_timeout_s=CONNECT_TIMEOUT_S,
         max_answer_bytes=settings.bounds.max_answer_bytes,
--- a/src/tamaracktide/errors.py
+++ b/src/tamaracktide/errors.py
@@ -50,6 +50,10 @@
     """The platform is unavailable; a write may have taken effect."""
 
 
+class AnswerTooLargeError(PlatformUnavailableError):
+    """The response of the platform exceeds its bound."""
+
+
 class PreconditionFailedError(PlatformError):
     """The version precondition of a conditional write failed."""
 
--- a/src/tamaracktide/object_api/calls.py
+++ b/src/tamaracktide/object_api/calls.py
@@ -12,6 +12,7 @@
 from tamaracktide import errors
 from tamaracktide import result_codes
 from tamaracktide import sockets
+from tamaracktide.core import pending_bytes
 from tamaracktide.object_api import settings as platform_settings
 
 KEEPALIVE_EXPIRY_S = 30.0
@@ -79,6 +80,7 @@
         Raises:
             errors.PlatformUnavailableError: No conclusive response was
                 received.
+            errors.AnswerTooLargeError: The response exceeds the bound.
             errors.PreconditionFailedError: A precondition failed.
             errors.ObjectMissingError: The object does not exist.
             errors.PlatformError: The platform rejected the request for
@@ -87,12 +89,13 @@
         operation = f"{method} {path}"
         try:
             with anyio.fail_after(self._settings.timeout_s + wait_s):
-                raw_response = await self._pool.request(
+                async with self._pool.stream(
                     method,
                     f"http://{self._settings.address}{path}",
                     headers=self._make_headers(headers or {}),
                     content=body,
-                )
+                ) as raw_response:
+                    content = await self._read(operation, raw_response)
         except (
             TimeoutError,
             OSError,
@@ -110,11 +113,27 @@
                 name.decode("latin-1").lower(): value.decode("latin-1")
                 for name, value in raw_response.headers
             },
-            raw_response.content,
+            content,
         )
         _check_status(operation, response)
         return response
 
+    async def _read(self, operation: str, response: httpcore.Response) -> bytes:
+        """Returns the body of a response; leaves one that is too large."""
+        pending = pending_bytes.PendingBytes(
+            self._settings.max_answer_bytes, "the end of the body"
+        )
+        parts: list[bytes] = []
+        async for part in response.aiter_stream():
+            pending.add(len(part))
+            if pending.excess is not None:
+                raise errors.AnswerTooLargeError(
+                    result_codes.ResultCode.PLATFORM_UNAVAILABLE,
+                    f"{operation}: {pending.excess}",
+                )
+            parts.append(part)
+        return b"".join(parts)
+
     def _make_headers(
         self, headers: Mapping[str, str]
     ) -> list[tuple[bytes | str, bytes | str]]:
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -137,7 +137,7 @@
         bounds=bounds or entry_settings.Bounds(),
     )
     fleet_adapter = adapter.FleetAdapter()
-    store = fleet_adapter.open_store(settings.platform_address)
+    store = fleet_adapter.open_store(settings)
     async with (
         streams.StreamClient(
             upstream_settings.UpstreamSettings(), backend
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -70,3 +70,21 @@
             await store.create("k/x", b"1")
         assert "x" in cluster.store.objects["k"]
         await store.close()
+
+
+async def test_changes_beyond_the_bound_are_listed_again() -> None:
+    """Guards against a follower that reads the same changes again and again.
+
+    A listing comes in pages, each of them within the bound.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        store = fleet_store.FleetStore(cluster.address, max_answer_bytes=2048)
+        listing = await store.list_values("k/")
+        for index in range(20):
+            cluster.store.put("k", f"n{index:02}", "x" * 200)
+        changes = await store.watch_values("k/", listing.version, 1.0)
+        assert changes.reset
+        assert not changes.items
+        found = await store.list_values("k/")
+        assert len(found.items) == 20
+        await store.close()
