--- a/src/tamaracktide/gateway/streams.py
+++ b/src/tamaracktide/gateway/streams.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from tamaracktide.core import event_stream
+from tamaracktide.core import pending_bytes
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import streams as upstream_streams
 
@@ -105,6 +106,7 @@
 
     __slots__ = (
         "_expected",
+        "_held_bytes",
         "_model_rewrite",
         "_read_pacer",
         "_sink",
@@ -120,6 +122,7 @@
         self._sink = sink
         self._expected = expected
         self._model_rewrite = (b"", b"")
+        self._held_bytes = 0
         self.offset = 0
         self.first_event_at: float | None = None
 
@@ -150,8 +153,11 @@
                     calls.FailureKind.BROKEN, "stream closed before [DONE]"
                 )
             block = events.feed(part)
-            if events.excess is not None:
-                return calls.Failure(calls.FailureKind.TOO_LARGE, events.excess)
+            excess = events.excess or self._find_excess(
+                block, response.max_answer_bytes
+            )
+            if excess is not None:
+                return calls.Failure(calls.FailureKind.TOO_LARGE, excess)
             if not block:
                 continue
             if first:
@@ -165,6 +171,18 @@
                 return Completed()
             await anyio.sleep(self._read_pacer.read_interval_s)
 
+    def _find_excess(self, block: bytes, max_bytes: int) -> str | None:
+        """Describes an excess of the events that the sink holds, or None.
+
+        Events received over earlier connections count, too.
+        """
+        if self._sink.delivers_immediately:
+            return None
+        held = pending_bytes.PendingBytes(max_bytes, "the end of the response")
+        self._held_bytes += len(block)
+        held.add(self._held_bytes)
+        return held.excess
+
     async def _forward(self, block: bytes) -> bool:
         """Writes a block and returns whether it ends the stream."""
         old, new = self._model_rewrite
