--- a/tests/fleet/test_endless_upstreams.py
+++ b/tests/fleet/test_endless_upstreams.py
@@ -4,6 +4,7 @@
 bytes again and again until its caller closes the connection.
 """
 
+from collections.abc import Sequence
 import contextlib
 import dataclasses
 
@@ -29,6 +30,7 @@
     "comments": b": x\n" * 1024,
     "fields": b"data: x\n" * 1024,
 }
+COMMENT_EVENTS = b": x\n\n" * 1024
 
 
 @pytest.fixture
@@ -94,7 +96,7 @@
 
 
 async def add_engine(
-    cluster: fleet_cluster.Cluster, name: str, piece: str, silent_after: int
+    cluster: fleet_cluster.Cluster, name: str, piece: bytes, silent_after: int
 ) -> EndlessServer:
     """Adds an engine in trouble that has the adapter."""
     engine = EndlessServer(
@@ -102,7 +104,7 @@
         slots=3,
         adapters={"a1": 1},
         silent_after=silent_after,
-        body=PIECES[piece],
+        body=piece,
     )
     await cluster.add_server(engine)
     return engine
@@ -116,7 +118,7 @@
     assert ids == list(range(1, EVENTS + 1))
 
 
-async def _stop_elsewhere(engines: list[EndlessServer]) -> None:
+async def _stop_elsewhere(engines: Sequence[EndlessServer]) -> None:
     """Has the engine that does not run the request write its events."""
     while not any(engine.runs for engine in engines):
         await anyio.sleep(0.001)
@@ -136,7 +138,7 @@
     """
     async with fleet_cluster.run_cluster() as cluster:
         engines = [
-            await add_engine(cluster, engine_name, name, silent_after)
+            await add_engine(cluster, engine_name, PIECES[name], silent_after)
             for engine_name in ("e1", "e2")
         ]
         async with (
@@ -156,10 +158,67 @@
     The events that arrived are forwarded, and the response has no end.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        engine = await add_engine(cluster, "e1", "comments", 3)
+        engine = await add_engine(cluster, "e1", PIECES["comments"], 3)
         async with entry_instances.run_instance(cluster) as instance:
             with pytest.raises(httpcore.RemoteProtocolError):
                 await instance.generate("r1", path="/once-stream/x")
         assert engine.runs == ["r1"]
         assert engine.abandoned == ["r1"]
         assert engine.sent < MAX_HELD_BYTES
+
+
+class WaitingServer(EndlessServer):
+    """Goes on only once the other engine is left, if it has none of `body`.
+
+    Attributes:
+        other: The other engine.
+    """
+
+    __slots__ = ("other",)
+
+    other: EndlessServer
+
+    async def _send_stream(
+        self,
+        head: dict[str, str],
+        headers: tuple[tuple[bytes, bytes], ...],
+        receive: asgi.Receive,
+        send: asgi.Send,
+    ) -> None:
+        if not self.body:
+            self.silent_after, self.silence_s = 1, 1.0
+        await EndlessServer._send_stream(self, head, headers, receive, send)
+
+    async def _pause(self, request_id: str, receive: asgi.Receive) -> None:
+        with anyio.fail_after(self.silence_s):
+            while request_id not in self.other.abandoned:
+                await anyio.sleep(0.005)
+
+
+async def test_engine_is_left_before_its_stream_goes_on_elsewhere() -> None:
+    """Guards against two engines that work on one stream (rule TWICE).
+
+    Bytes, but no events of the first engine arrive without end. The second one
+    goes on after its first event only if the first one is left by then.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = [
+            WaitingServer(
+                name,
+                slots=3,
+                adapters={"a1": 1},
+                silent_after=3,
+                body=COMMENT_EVENTS,
+            )
+            for name in ("e1", "e2")
+        ]
+        for engine, other in zip(engines, reversed(engines), strict=True):
+            engine.other = other
+            await cluster.add_server(engine)
+        async with (
+            entry_instances.run_instance(cluster) as instance,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(_stop_elsewhere, engines)
+            check_complete(await instance.generate("r1"))
+        assert sorted(engine.abandoned for engine in engines) == [[], ["r1"]]
