--- a/src/tamaracktide/core/catch_up.py
+++ b/src/tamaracktide/core/catch_up.py
@@ -21,15 +21,19 @@
         upstreams: Of the upstreams' entries.
         versions: Of the announced adapter versions.
         instances: Of the entry instances.
+        era: Era of the store that these versions belong to; 0 if not known.
     """
 
     documents: int = 0
     upstreams: int = 0
     versions: int = 0
     instances: int = 0
+    era: int = 0
 
     def covers(self, other: "StoreVersions") -> bool:
         """Whether nothing of the other is newer."""
+        if self.era != other.era and other.era:
+            return self.era > other.era
         return (
             self.documents >= other.documents
             and self.upstreams >= other.upstreams
--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -1,7 +1,9 @@
 """Cluster state: the decoded objects of the store.
 
-Objects arrive from the store or from peers. The higher version takes
-precedence, so the state of an instance never goes back to an older one.
+Objects arrive from the store or from peers. The higher version of the latest
+era takes precedence, so the state of an instance never goes back to an older
+one. What was known when the store's era changed stays in force until it has
+been listed again.
 """
 
 from collections.abc import Callable
@@ -14,6 +16,7 @@
 from tamaracktide import errors
 from tamaracktide import result_codes
 from tamaracktide.core import catch_up
+from tamaracktide.core import departures
 from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import platform_adapter as entry_adapter
@@ -28,6 +31,7 @@
 """Time after an outage in which a missing entry may merely have expired."""
 
 Listener = Callable[[], None]
+EraListener = Callable[[int], None]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,6 +58,11 @@
         listed: Prefixes of which a complete listing has been applied.
         store_recovered_at: When the store last became reachable after an
             outage.
+        era: Latest era of the store that this instance knows; 0 if the store
+            names none.
+        era_changes: Number of changes of the era since the start.
+        relisted: Number of objects that were listed again after the latest
+            change of the era, by prefix.
     """
 
     def __init__(
@@ -66,12 +75,17 @@
         self.instances: dict[str, InstanceRecord] = {}
         self.listed: set[str] = set()
         self.store_recovered_at = float("-inf")
+        self.era = 0
+        self.era_changes = 0
+        self.relisted: dict[str, int] = {}
         self._adapter = adapter
         self._now = now
         self._items: dict[str, object_store.Item] = {}
         self._newest: dict[str, int] = {}
         self._drop_at: dict[str, float] = {}
+        self._departures = departures.Departures()
         self._listeners: list[Listener] = []
+        self._era_listeners: list[EraListener] = []
         self._changed = False
         self._changed_upstreams: set[str] = set()
 
@@ -79,6 +93,32 @@
         """Registers a function that is called after each change."""
         self._listeners.append(listener)
 
+    def listen_for_eras(self, listener: EraListener) -> None:
+        """Registers a function that is called when the era has changed.
+
+        It gets the new era. What this instance wrote to the store before may
+        be lost, and must be written again. The first era that the instance
+        learns of is no change.
+        """
+        self._era_listeners.append(listener)
+
+    def observe_era(self, era: int) -> None:
+        """Records an era that the store or a peer has named."""
+        if era <= self.era:
+            return
+        previous, self.era = self.era, era
+        self._newest.clear()
+        if not previous:
+            return
+        self.era_changes += 1
+        self.relisted.clear()
+        self.record_recovery(self._now())
+        logs.bind(previous=previous, era=era, objects=len(self._items)).warning(
+            "era of the store changed; its objects are listed again"
+        )
+        for listener in self._era_listeners:
+            listener(era)
+
     def list_items(self) -> list[object_store.Item]:
         """Returns every known object, to be sent to a peer."""
         return list(self._items.values())
@@ -91,12 +131,16 @@
             upstreams=self._newest.get(collections.upstreams, 0),
             versions=self._newest.get(collections.versions, 0),
             instances=self._newest.get(collections.instances, 0),
+            era=self.era,
         )
 
     def list_newer(
         self, known: catch_up.StoreVersions
     ) -> list[object_store.Item]:
         """Returns the objects that are newer than the known versions."""
+        current = [i for i in self._items.values() if i.era == self.era]
+        if known.era and known.era != self.era:
+            return current if known.era < self.era else []
         collections = self._adapter.collections
         versions = {
             collections.documents: known.documents,
@@ -106,8 +150,8 @@
         }
         return [
             item
-            for key, item in self._items.items()
-            if item.version > versions.get(self._find_collection(key), 0)
+            for item in current
+            if item.version > versions.get(self._find_collection(item.key), 0)
         ]
 
     def apply(
@@ -121,19 +165,45 @@
     def apply_listing(
         self, prefix: str, listing: object_store.Items
     ) -> list[object_store.Item]:
-        """Applies a complete listing; objects missing from it are removed."""
+        """Applies a complete listing; objects missing from it are removed.
+
+        A listing of an era before the latest known one is ignored.
+        """
+        era = listing.era or self.era
+        self.observe_era(era)
+        if era < self.era:
+            return []
         self.listed.add(prefix)
         present = {item.key for item in listing.items}
         removed = [
-            object_store.Item(key, listing.version, None)
+            object_store.Item(key, listing.version, None, era)
             for key, item in self._items.items()
             if key.startswith(prefix)
             and key not in present
-            and item.value is not None
-            and item.version <= listing.version
+            and self._is_removed(item, listing.version)
         ]
+        if self.era_changes and prefix not in self.relisted:
+            self.relisted[prefix] = len(listing.items)
+            logs.bind(
+                prefix=prefix,
+                era=era,
+                listed=len(listing.items),
+                removed=len(removed),
+            ).info("objects listed again after a change of the store's era")
         return self.apply([*listing.items, *removed])
 
+    def _is_removed(self, item: object_store.Item, version: int) -> bool:
+        """Whether an object that a listing lacks at a version was removed.
+
+        A restored store may lack the registrations of instances that are
+        alive, and that register again.
+        """
+        if item.value is None:
+            return False
+        if item.era == self.era:
+            return item.version <= version
+        return not item.key.startswith(self._adapter.collections.instances)
+
     def take_changed_upstreams(self) -> set[str]:
         """Returns the upstreams that changed since the last call."""
         changed, self._changed_upstreams = self._changed_upstreams, set()
@@ -150,21 +220,35 @@
         return self._now() - self.store_recovered_at
 
     def drop_lapsed(self) -> None:
-        """Drops upstreams whose entry was not restored after an outage."""
-        if not self._drop_at:
-            return
+        """Applies what only the passing of time brings into force.
+
+        Drops upstreams whose entry was not restored after an outage, and ends
+        the holds of departures that the store's restoration has undone.
+        """
         now = self._now()
+        for entry in self._departures.take_released(now):
+            if entry.upstream in self.upstreams:
+                self._set_upstream(entry)
+                self._changed = True
         for key in [k for k, at in self._drop_at.items() if now >= at]:
             del self._drop_at[key]
             self._drop_upstream(key, "entry not restored after an outage")
         self._notify_listeners()
 
     def _apply_item(self, item: object_store.Item) -> bool:
+        if item.era == 0 and self.era:
+            # Builds that know no eras send objects without one.
+            item = dataclasses.replace(item, era=self.era)
+        self.observe_era(item.era)
         known = self._items.get(item.key)
-        if known is not None and item.version <= known.version:
+        if item.era < self.era:
             return False
+        if known is not None and known.era == item.era:
+            if item.version <= known.version:
+                return False
+            known = None
         try:
-            self._decode(item)
+            self._decode(item, is_restored=known is not None)
         except errors.PlatformError as error:
             logs.bind(key=item.key, version=item.version).warning(
                 "object ignored: {}", error.detail
@@ -189,14 +273,14 @@
                 return prefix
         return collections.documents
 
-    def _decode(self, item: object_store.Item) -> None:
+    def _decode(self, item: object_store.Item, is_restored: bool) -> None:
         collections = self._adapter.collections
         key, value = item.key, item.value
         if key == collections.document:
             if value is not None:
                 self._apply_document(value)
         elif key.startswith(collections.upstreams):
-            self._apply_upstream(key, value)
+            self._apply_upstream(key, value, is_restored)
         elif key.startswith(collections.versions):
             if value is not None:
                 self._apply_version(value)
@@ -227,7 +311,9 @@
             "routing document applied"
         )
 
-    def _apply_upstream(self, key: str, value: bytes | None) -> None:
+    def _apply_upstream(
+        self, key: str, value: bytes | None, is_restored: bool
+    ) -> None:
         if value is None:
             self._remove_or_defer(key)
             return
@@ -237,6 +323,13 @@
         if known is not None and entry.started_ms < known.started_ms:
             return
         self._drop_at.pop(key, None)
+        self._set_upstream(
+            self._departures.apply(entry, is_restored, self._now())
+        )
+
+    def _set_upstream(self, entry: upstream_entries.UpstreamEntry) -> None:
+        name = entry.upstream
+        known = self.upstreams.get(name)
         self.upstreams[name] = entry
         self._changed_upstreams.add(name)
         if known is None or known.leaving != entry.leaving:
@@ -256,10 +349,16 @@
                 key, self.store_recovered_at + ENTRY_RESTORE_S
             )
             return
+        entry = self.upstreams.get(
+            key[len(self._adapter.collections.upstreams) :]
+        )
+        if entry is not None:
+            self._departures.record(entry)
         self._drop_upstream(key, "entry removed")
 
     def _drop_upstream(self, key: str, reason: str) -> None:
         name = key[len(self._adapter.collections.upstreams) :]
+        self._departures.forget(name)
         if self.upstreams.pop(name, None) is not None:
             self._changed = True
             self._changed_upstreams.add(name)
--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -55,6 +55,10 @@
 
 REGISTRATION_RETRY_S = 1.0
 
+REGISTRATION_SPREAD_S = 1.0
+"""Time over which instances register again after a change of the store's era,
+which all of them notice at about the same time."""
+
 
 class ObjectExchange:
     """Follows the store where this instance must, and forwards its objects."""
@@ -90,6 +94,8 @@
         self._store_use = store_follower.StoreUse()
         self._catch_up = catch_up.CatchUp()
         self._registered = anyio.Event()
+        self._must_register = anyio.Event()
+        state.listen_for_eras(self._handle_era)
         self._detached_at = anyio.current_time()
         self._substitute_until = float("-inf")
 
@@ -131,12 +137,25 @@
 
     def update(self) -> None:
         """Decides once per report period who follows the store."""
+        for peer in self._peers.list_relays():
+            if peer.report is not None:
+                self._cluster_state.observe_era(peer.report.known.era)
         self._store_use.update(self._needs_store(anyio.current_time()))
         if self._peers.is_relay:
             self._request_missing()
 
     async def register(self) -> None:
-        """Registers this instance's address once the store is reachable."""
+        """Keeps this instance's address registered until cancelled.
+
+        The registration is written again after a change of the store's era.
+        """
+        while True:
+            self._must_register = anyio.Event()
+            await self._register_once()
+            await self._must_register.wait()
+            await anyio.sleep(random.uniform(0, REGISTRATION_SPREAD_S))
+
+    async def _register_once(self) -> None:
         settings = self._settings
         key = self._collections.instances + settings.instance
         value = msgspec.json.encode(
@@ -161,12 +180,16 @@
 
     def apply(self, sender: str, notice: entry_messages.ObjectsNotice) -> None:
         """Applies objects of the store that another instance has observed."""
+        self._cluster_state.observe_era(notice.era)
         if notice.recovered_s >= 0:
             recovered_at = anyio.current_time() - notice.recovered_s
             self._cluster_state.record_recovery(recovered_at)
         changed = self._cluster_state.apply(
             object_store.Item(
-                item.key, item.version, None if item.deleted else item.value
+                item.key,
+                item.version,
+                None if item.deleted else item.value,
+                notice.era,
             )
             for item in notice.items
         )
@@ -177,15 +200,17 @@
         items = self._cluster_state.list_items()
         if link.has_objects or not items or not _lacks_store(peer):
             return
-        link.has_objects = link.queue.put(self._make_notice(items))
+        link.has_objects = all(
+            link.queue.put(notice) for notice in self._make_notices(items)
+        )
 
     def send_newer(
         self, peer: entry_peers.Peer, request: entry_messages.ObjectsRequest
     ) -> None:
         """Sends a peer the objects that it lacks."""
         items = self._cluster_state.list_newer(request.known)
-        if items:
-            peer.send(self._make_notice(items))
+        for notice in self._make_notices(items):
+            peer.send(notice)
 
     async def _write_registration(self, key: str, value: bytes) -> None:
         try:
@@ -200,9 +225,13 @@
         self, items: list[object_store.Item], sender: str = ""
     ) -> None:
         """Forwards store changes to members and isolated peers."""
-        if not items:
-            return
-        encoded = codec.encode_message(self._make_notice(items))
+        for notice in self._make_notices(items):
+            self._forward_notice(notice, sender)
+
+    def _forward_notice(
+        self, notice: entry_messages.ObjectsNotice, sender: str
+    ) -> None:
+        encoded = codec.encode_message(notice)
         for peer in self._peers.list_linked():
             is_relay = peer.instance == self._peers.relay
             if peer.instance == sender or not (is_relay or _lacks_store(peer)):
@@ -212,13 +241,27 @@
                 for link in peer.links:
                     link.has_objects = False
 
-    def _make_notice(
+    def _handle_era(self, era: int) -> None:
+        """Writes again what this instance wrote in an earlier era."""
+        del era
+        self._must_register.set()
+
+    def _make_notices(
         self, items: list[object_store.Item]
-    ) -> entry_messages.ObjectsNotice:
-        return entry_messages.ObjectsNotice(
-            items=tuple(_make_object_update(item) for item in items),
-            recovered_s=self._cluster_state.find_recovered_s(),
-        )
+    ) -> list[entry_messages.ObjectsNotice]:
+        """Returns a notice for each era in which the objects were read."""
+        return [
+            entry_messages.ObjectsNotice(
+                items=tuple(
+                    _make_object_update(item)
+                    for item in items
+                    if item.era == era
+                ),
+                recovered_s=self._cluster_state.find_recovered_s(),
+                era=era,
+            )
+            for era in sorted({item.era for item in items})
+        ]
 
     async def _wait_to_list_instances(self) -> None:
         """Waits until the instances must be listed, as they are at a start."""
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -97,6 +97,7 @@
         self._cluster_state = cluster_state.ClusterState(
             adapter, anyio.current_time
         )
+        store.listen_for_eras(self._cluster_state.observe_era)
         self._store_health = store_follower.StoreHealth(self._cluster_state)
         self._started_at = anyio.current_time()
         self._applied: tuple[
--- a/src/tamaracktide/entry/serving.py
+++ b/src/tamaracktide/entry/serving.py
@@ -133,6 +133,10 @@
         self._metrics.table_age_seconds.set(
             {}, self._store_health.unreachable_s
         )
+        self._metrics.store_era.set({}, self._cluster_state.era)
+        self._metrics.store_era_changes.set({}, self._cluster_state.era_changes)
+        for prefix, count in self._cluster_state.relisted.items():
+            self._metrics.store_relisted_objects.set({"prefix": prefix}, count)
         for revision, count in self._count_revisions().items():
             self._metrics.peers.set({"revision": str(revision)}, count)
         for name, cell in self._cells.items():
--- a/src/tamaracktide/entry/store_follower.py
+++ b/src/tamaracktide/entry/store_follower.py
@@ -7,6 +7,7 @@
 import anyio
 
 from tamaracktide import errors
+from tamaracktide import result_codes
 from tamaracktide.entry import cluster_state
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
@@ -177,6 +178,9 @@
         self._wait_until_needed = wait_until_needed
         self._find_watch_pause_s = find_watch_pause_s
         self._max_wait_s = max_wait_s
+        self._listed_era = 0
+        self._call_scope = anyio.CancelScope()
+        state.listen_for_eras(self._cancel_call)
 
     async def run(self) -> None:
         """Lists and watches until cancelled."""
@@ -197,30 +201,62 @@
                 since = None
                 await anyio.sleep(MAX_BACKOFF_S)
                 continue
-            self._store_health.record_response()
             if self._find_watch_pause_s is not None:
                 await anyio.sleep(self._find_watch_pause_s())
 
+    def _cancel_call(self, era: int) -> None:
+        """Ends a call of an earlier era, so that the objects are listed."""
+        del era
+        self._call_scope.cancel()
+
     async def _follow_once(self, since: int | None) -> int | None:
-        """Lists or watches once; returns the version to watch from next."""
-        if since is None:
-            listing = await self._store.list_values(self._prefix)
-            self._store_health.record_response()
-            self._on_change(
-                self._cluster_state.apply_listing(self._prefix, listing)
-            )
-            return listing.version
+        """Lists or watches once; returns the version to watch from next.
+
+        Returns:
+            The version; None if the objects must be listed again.
+        """
+        version = None
+        with anyio.CancelScope() as self._call_scope:
+            if since is None or self._listed_era != self._cluster_state.era:
+                version = await self._list()
+            else:
+                version = await self._watch(since)
+        return version
+
+    async def _list(self) -> int:
+        listing = await self._store.list_values(self._prefix)
+        self._check_era(listing)
+        self._listed_era = self._cluster_state.era
+        self._store_health.record_response()
+        self._on_change(
+            self._cluster_state.apply_listing(self._prefix, listing)
+        )
+        return listing.version
+
+    async def _watch(self, since: int) -> int | None:
         wait_s = (
             self._max_wait_s
             if self._store_health.failing_since is None
             else 0.2
         )
         changes = await self._store.watch_values(self._prefix, since, wait_s)
+        if self._cluster_state.era != self._listed_era:
+            return None
+        self._check_era(changes)
+        self._store_health.record_response()
         if changes.reset:
             logs.bind(prefix=self._prefix).info(
                 "watch version expired; listing again"
             )
             return None
-        self._store_health.record_response()
         self._on_change(self._cluster_state.apply(changes.items))
         return changes.version
+
+    def _check_era(self, found: object_store.Items) -> None:
+        """Rejects what was read in an era before the latest known one."""
+        era = self._cluster_state.era
+        if found.era and found.era < era:
+            raise errors.PlatformUnavailableError(
+                result_codes.ResultCode.PLATFORM_UNAVAILABLE,
+                f"response of era {found.era} after era {era}",
+            )
--- a/src/tamaracktide/object_api/calls.py
+++ b/src/tamaracktide/object_api/calls.py
@@ -1,5 +1,6 @@
 """HTTP client for the platform; raises typed errors on failures."""
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
 import math
@@ -44,9 +45,20 @@
 class HttpClient:
     """Sends requests to the platform over a connection pool."""
 
-    def __init__(self, settings: platform_settings.PlatformSettings) -> None:
-        """Creates a client without opening connections."""
+    def __init__(
+        self,
+        settings: platform_settings.PlatformSettings,
+        on_response: Callable[[Response], None] | None = None,
+    ) -> None:
+        """Creates a client without opening connections.
+
+        Args:
+            settings: Address, credentials, timeout and limits.
+            on_response: Called with each response, whatever its status, before
+                the call returns or raises.
+        """
         self._settings = settings
+        self._on_response = on_response
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=settings.max_connections,
             keepalive_expiry=KEEPALIVE_EXPIRY_S,
@@ -112,6 +124,8 @@
             },
             raw_response.content,
         )
+        if self._on_response is not None:
+            self._on_response(response)
         _check_status(operation, response)
         return response
 
--- a/src/tamaracktide/object_api/object_store.py
+++ b/src/tamaracktide/object_api/object_store.py
@@ -1,8 +1,14 @@
 """Interface of a store of versioned objects.
 
 `objects.ObjectClient` and the platform adapters implement it; tests use fakes.
+
+A store that is restored from a copy loses its latest changes and gives their
+versions out again. Its era counts the restorations: versions are ordered within
+an era, and every version of a later era is newer. Era 0 stands for a store, or
+a writer, that names none.
 """
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 from typing import Protocol
@@ -104,11 +110,13 @@
         key: Key of the object.
         version: Version of the store at the last change of the object.
         value: Value of the object; None if it was deleted.
+        era: Era of the store in which it was read.
     """
 
     key: str
     version: int
     value: bytes | None
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,11 +128,13 @@
         items: Objects or changes, in the order of the store.
         reset: Whether the history no longer contains the start version, so
             that the caller must list the objects again.
+        era: Era of the store in which they were read.
     """
 
     version: int
     items: tuple[Item, ...] = ()
     reset: bool = False
+    era: int = 0
 
 
 class ValueStore(ObjectStore, Protocol):
@@ -138,5 +148,11 @@
     ) -> Items:
         """Waits until an object under a prefix changes after a version."""
 
+    def listen_for_eras(self, listener: Callable[[int], None]) -> None:
+        """Registers a function that is called with the era of each response.
+
+        It is called before the call returns or raises.
+        """
+
     async def close(self) -> None:
         """Closes all connections."""
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -62,6 +62,10 @@
         peers: Linked peers, by the `revision` of their build's messages.
         table_revision: Revision of the tables in force.
         table_age_seconds: Seconds since the tables were last confirmed.
+        store_era: Latest known era of the store; 0 if it names none.
+        store_era_changes: Changes of the store's era since the start.
+        store_relisted_objects: Objects that were listed again after the latest
+            change of the era, by prefix.
     """
 
     def __init__(self) -> None:
@@ -147,6 +151,16 @@
         self.table_age_seconds = self._gauge(
             "table_age_seconds", "Seconds since the tables were confirmed"
         )
+        self.store_era = self._gauge(
+            "store_era", "Latest known era of the store, 0 for none"
+        )
+        self.store_era_changes = self._gauge(
+            "store_era_changes", "Changes of the store's era since the start"
+        )
+        self.store_relisted_objects = self._gauge(
+            "store_relisted_objects",
+            "Objects listed again after the latest change of the era",
+        )
 
     def _counter(self, name: str, doc: str) -> collectors.Counter:
         return collectors.Counter(PREFIX + name, doc, registry=self._registry)
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -352,10 +352,12 @@
         items: The objects.
         recovered_s: Time since the store last recovered from an outage, as
             the sender observed it; -1 for none.
+        era: Era of the store in which the objects were read.
     """
 
     items: tuple[ObjectUpdate, ...]
     recovered_s: float = -1.0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/core/test_catch_up.py
+++ b/tests/core/test_catch_up.py
@@ -58,3 +58,14 @@
     tracker = catch_up.CatchUp()
     for step in range(8):
         assert tracker.update(make_versions(1), {}, step * STEP_S) == ""
+
+
+def test_versions_of_a_later_era_are_newer_whatever_their_numbers() -> None:
+    """An unknown era is compared by the versions alone."""
+    before = catch_up.StoreVersions(upstreams=90, era=1)
+    after = catch_up.StoreVersions(upstreams=5, era=2)
+    unknown = catch_up.StoreVersions(upstreams=50)
+    assert after.covers(before)
+    assert not before.covers(after)
+    assert before.covers(unknown)
+    assert not after.covers(unknown)
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from collections.abc import MutableMapping
 import contextlib
+import copy
 import dataclasses
 import functools
 import json
@@ -72,6 +73,14 @@
     raise ConnectionError("response dropped")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of the store, from which it can be restored."""
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+
+
 class Store:
     """Fake store with revisions, conditional writes and watches.
 
@@ -80,10 +89,12 @@
         calls: Received calls as `METHOD path`.
         drop_responses: Whether writes take effect without a response.
         is_unavailable: Whether every call fails with 503.
+        era: Era that every response names; empty or 0 for none.
     """
 
     def __init__(self) -> None:
         """Starts without objects."""
+        self.era: int | str = 1
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.calls: list[str] = []
         self.drop_responses = False
@@ -110,6 +121,30 @@
         removed["Metadata"]["Revision"] = self._revision
         self._publish(kind, {"Object": removed, "Deleted": True})
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy of all objects."""
+        return StoreCopy(self._revision, copy.deepcopy(self.objects))
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Comes back from a copy, in the next era; waiting watches are cut."""
+        self.objects = copy.deepcopy(saved.objects)
+        self._revision = saved.revision
+        self._events = [e for e in self._events if e[0] <= saved.revision]
+        self.era = int(self.era) + 1
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def _add_era(self, send: asgi.Send) -> asgi.Send:
+        """Returns a function that names the era of the call in a response."""
+        added = [(b"store-era", str(self.era).encode())] if self.era else []
+
+        async def send_with_era(message: MutableMapping[str, Any]) -> None:
+            if message["type"] == "http.response.start":
+                message = {**message, "headers": [*message["headers"], *added]}
+            await send(message)
+
+        return send_with_era
+
     def _publish(self, kind: str, event: dict[str, Any]) -> None:
         self._events.append((self._revision, kind, event))
         self._changed.set()
@@ -120,6 +155,7 @@
     ) -> None:
         """Handles one call."""
         self.calls.append(f"{scope['method']} {scope['path']}")
+        send = self._add_era(send)
         if self.is_unavailable:
             await reply(send, 503)
             return
@@ -157,10 +193,15 @@
     async def _watch(
         self, kind: str, query: dict[str, str], send: asgi.Send
     ) -> None:
-        since = int(query["Watch"])
+        since, era = int(query["Watch"]), self.era
+        if since > self._revision:
+            await reply(send, 410)
+            return
         with anyio.move_on_after(int(query["WaitMs"]) / 1000):
             while not self._list_events(kind, since):
                 await self._changed.wait()
+                if self.era != era:
+                    raise ConnectionError("watch cut")
         body = {
             "events": self._list_events(kind, since),
             "CurrentRev": self._revision,
--- a/tests/fleet/test_cluster_state.py
+++ b/tests/fleet/test_cluster_state.py
@@ -1,11 +1,14 @@
 """Tests that cluster state never regresses and survives store outages."""
 
+import dataclasses
 import json
 
 import fleet_cluster
 import pytest
 
 from fleet import adapter
+from tamaracktide.core import catch_up
+from tamaracktide.core import departures
 from tamaracktide.entry import cluster_state
 from tamaracktide.object_api import object_store
 
@@ -129,3 +132,155 @@
             [object_store.Item(key, revision, json.dumps(value).encode())]
         )
     assert state.versions == {("m", "a"): 3}
+
+
+def _make_upstream_item(
+    name: str, revision: int, era: int, state: str = "ready", born: int = 1
+) -> object_store.Item:
+    item = _make_server_item(name, revision, born)
+    assert item.value is not None
+    entry = json.loads(item.value) | {"State": state}
+    value = json.dumps(entry).encode()
+    return dataclasses.replace(item, value=value, era=era)
+
+
+def _restore(
+    state: cluster_state.ClusterState, *items: object_store.Item
+) -> None:
+    """Lists the store after its restoration; the era is that of the items."""
+    era, version = items[0].era, max(item.version for item in items)
+    for prefix in ("config/", "servers/"):
+        listed = tuple(item for item in items if item.key.startswith(prefix))
+        state.apply_listing(
+            prefix, object_store.Items(version, listed, era=era)
+        )
+
+
+def test_document_of_a_restored_store_applies_at_a_lower_revision(
+    state: cluster_state.ClusterState,
+) -> None:
+    """Guards against manifests that are ignored after a restoration."""
+    documents = {
+        version: dataclasses.replace(
+            _make_document_item(version, revision), era=era
+        )
+        for version, revision, era in ((7, 50, 1), (8, 31, 2))
+    }
+    state.apply([documents[7]])
+    state.apply([documents[8]])
+    assert _get_version(state) == 8
+
+
+def test_version_of_the_document_never_goes_back_with_the_store(
+    state: cluster_state.ClusterState,
+) -> None:
+    """A restored store has an older document until the operator writes."""
+    state.apply([dataclasses.replace(_make_document_item(7, 50), era=1)])
+    _restore(state, dataclasses.replace(_make_document_item(5, 20), era=2))
+    assert _get_version(state) == 7
+    state.apply([dataclasses.replace(_make_document_item(8, 21), era=2)])
+    assert _get_version(state) == 8
+
+
+def test_drain_and_weights_written_after_a_restoration_are_in_force(
+    state: cluster_state.ClusterState,
+) -> None:
+    """Their revisions are below those known before it."""
+    version = {"Model": "m", "Adapter": "a", "Version": 4}
+    state.apply([_make_upstream_item("a", 60, era=1)])
+    state.apply([object_store.Item("versions/m.b", 61, b"{}", era=1)])
+    state.apply(
+        [
+            _make_upstream_item("a", 41, era=2, state="draining"),
+            object_store.Item(
+                "versions/m.a", 42, json.dumps(version).encode(), era=2
+            ),
+        ]
+    )
+    assert state.upstreams["a"].leaving
+    assert state.versions == {("m", "a"): 4}
+
+
+def test_objects_of_an_earlier_era_are_ignored(
+    state: cluster_state.ClusterState,
+) -> None:
+    """A peer that lags behind sends what it read before the restoration."""
+    state.apply([_make_upstream_item("a", 20, era=2, state="draining")])
+    state.apply([_make_upstream_item("a", 90, era=1)])
+    state.apply_listing("servers/", object_store.Items(90, era=1))
+    assert state.upstreams["a"].leaving
+    assert "servers/" not in state.listed
+
+
+def test_objects_without_an_era_count_as_of_the_current_one(
+    state: cluster_state.ClusterState,
+) -> None:
+    """Instances of earlier builds send none."""
+    state.apply([_make_upstream_item("a", 20, era=2)])
+    state.apply([_make_upstream_item("a", 21, era=0, state="draining")])
+    assert state.upstreams["a"].leaving
+    assert state.list_newer(catch_up.StoreVersions(era=2, upstreams=20))
+
+
+def test_peer_of_an_earlier_era_lacks_every_object_of_the_current_one(
+    state: cluster_state.ClusterState,
+) -> None:
+    """Its revisions say nothing; a peer of a later era lacks nothing."""
+    state.apply([_make_upstream_item("a", 50, era=1)])
+    state.apply([_make_upstream_item("b", 20, era=2)])
+    known = catch_up.StoreVersions(era=1, upstreams=70)
+    assert [item.key for item in state.list_newer(known)] == ["servers/b"]
+    assert state.list_newer(dataclasses.replace(known, era=3)) == []
+    assert state.find_versions() == catch_up.StoreVersions(era=2, upstreams=20)
+
+
+def test_upstream_missing_from_a_restored_store_is_kept_until_it_can_return(
+    state: cluster_state.ClusterState, clock: _Clock
+) -> None:
+    """Upstreams that registered after the copy write their entries again."""
+    state.apply(
+        [_make_upstream_item("a", 50, era=1), _make_upstream_item("b", 51, 1)]
+    )
+    _restore(state, _make_upstream_item("c", 20, era=2))
+    assert set(state.upstreams) == {"a", "b", "c"}
+    state.apply([_make_upstream_item("a", 21, era=2)])
+    clock.now += cluster_state.ENTRY_RESTORE_S + 0.1
+    state.drop_lapsed()
+    assert set(state.upstreams) == {"a", "c"}
+
+
+@pytest.mark.parametrize("was_removed", [False, True])
+def test_upstream_that_left_stays_out_of_use_in_a_restored_store(
+    state: cluster_state.ClusterState, clock: _Clock, was_removed: bool
+) -> None:
+    """Guards against requests to it: the copy shows it as ready."""
+    if was_removed:
+        state.apply([_make_upstream_item("a", 50, era=1)])
+        state.apply([object_store.Item("servers/a", 51, None, era=1)])
+    else:
+        state.apply([_make_upstream_item("a", 50, era=1, state="draining")])
+    _restore(state, _make_upstream_item("a", 20, era=2))
+    assert state.upstreams["a"].leaving
+    clock.now += departures.HOLD_S + 0.1
+    state.drop_lapsed()
+    assert not state.upstreams["a"].leaving
+
+
+def test_new_incarnation_in_a_restored_store_is_used_at_once(
+    state: cluster_state.ClusterState,
+) -> None:
+    """An upstream that restarted meanwhile is another one."""
+    state.apply([_make_upstream_item("a", 50, era=1, state="draining")])
+    _restore(state, _make_upstream_item("a", 20, era=2, born=7))
+    assert not state.upstreams["a"].leaving
+
+
+def test_change_of_the_era_is_announced_once(
+    state: cluster_state.ClusterState,
+) -> None:
+    """The first era that an instance learns of is no change."""
+    eras: list[int] = []
+    state.listen_for_eras(eras.append)
+    for era in (1, 1, 2, 1, 2, 4):
+        state.observe_era(era)
+    assert (eras, state.era, state.era_changes) == ([2, 4], 4, 2)
--- a/tests/fleet/test_fleet_store.py
+++ b/tests/fleet/test_fleet_store.py
@@ -70,3 +70,58 @@
             await store.create("k/x", b"1")
         assert "x" in cluster.store.objects["k"]
         await store.close()
+
+
+async def test_listing_starts_again_if_the_store_is_restored_meanwhile() -> (
+    None
+):
+    """Guards against a listing whose pages are of two eras."""
+    async with fleet_cluster.run_cluster() as cluster:
+        for index in range(5):
+            cluster.store.put("k", f"n{index}", "old")
+        saved = cluster.store.make_copy()
+        store = fleet_store.FleetStore(cluster.address)
+        eras: list[int] = []
+
+        def restore_after_the_first_page(era: int) -> None:
+            eras.append(era)
+            if len(eras) == 1:
+                cluster.store.restore(saved)
+                cluster.store.put("k", "n0", "new")
+
+        store.listen_for_eras(restore_after_the_first_page)
+        found = await store.list_values("k/")
+        assert [item.value for item in found.items] == [b'"new"'] + [
+            b'"old"'
+        ] * 4
+        assert {item.era for item in found.items} == {found.era} == {2}
+        assert eras == [1, 2, 2, 2, 2]
+        await store.close()
+
+
+@pytest.mark.parametrize(
+    ("named", "expected"), [("", 0), ("3", 3), ("x", 0), ("9" * 30, 0)]
+)
+async def test_era_of_a_store_that_names_none_is_zero(
+    named: str, expected: int
+) -> None:
+    """The same holds for a value that is no number of reasonable size."""
+    async with fleet_cluster.run_cluster() as cluster:
+        cluster.store.era = named
+        store = fleet_store.FleetStore(cluster.address)
+        listing = await store.list_values("config/")
+        assert listing.era == expected
+        await store.close()
+
+
+async def test_era_is_observed_in_failures_too() -> None:
+    """It is known before the call raises."""
+    async with fleet_cluster.run_cluster() as cluster:
+        cluster.store.era = 4
+        store = fleet_store.FleetStore(cluster.address)
+        eras: list[int] = []
+        store.listen_for_eras(eras.append)
+        with pytest.raises(errors.ObjectMissingError):
+            await store.read("k/x")
+        assert eras == [4]
+        await store.close()
--- a/tests/fleet/test_wire_names.py
+++ b/tests/fleet/test_wire_names.py
@@ -35,6 +35,7 @@
     "RetryBudgetRatio",
     "Server-Brittle",
     "Server-Limit",
+    "Store-Era",
     "SessionAffinity",
     "TargetLatencyMs",
     "TimeoutMs",
