--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -82,6 +82,7 @@
         self._now = now
         self._items: dict[str, object_store.Item] = {}
         self._newest: dict[str, int] = {}
+        self._knows_era = False
         self._drop_at: dict[str, float] = {}
         self._departures = departures.Departures()
         self._listeners: list[Listener] = []
@@ -103,12 +104,17 @@
         self._era_listeners.append(listener)
 
     def observe_era(self, era: int) -> None:
-        """Records an era that the store or a peer has named."""
-        if era <= self.era:
+        """Records the era of a response, or one that a peer knows.
+
+        Args:
+            era: The era; 0 for a response of a store that names none.
+        """
+        if era < self.era or (era == self.era and self._knows_era):
             return
+        is_first, self._knows_era = not self._knows_era, True
         previous, self.era = self.era, era
         self._newest.clear()
-        if not previous:
+        if is_first:
             return
         self.era_changes += 1
         self.relisted.clear()
@@ -239,7 +245,8 @@
         if item.era == 0 and self.era:
             # Builds that know no eras send objects without one.
             item = dataclasses.replace(item, era=self.era)
-        self.observe_era(item.era)
+        if item.era:
+            self.observe_era(item.era)
         known = self._items.get(item.key)
         if item.era < self.era:
             return False
--- a/src/tamaracktide/entry/lease_manager.py
+++ b/src/tamaracktide/entry/lease_manager.py
@@ -14,6 +14,7 @@
 from tamaracktide.core import leases
 from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
+from tamaracktide.entry import cluster_state
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.entry import store_follower
@@ -68,6 +69,7 @@
         settings: entry_settings.EntrySettings,
         store: object_store.ValueStore,
         prefix: str,
+        cluster: cluster_state.ClusterState,
         store_health: store_follower.StoreHealth,
         relay: store_relay.StoreRelay,
         peers: entry_peers.Peers,
@@ -81,6 +83,7 @@
             settings: The instance's settings.
             store: Store of the lease records.
             prefix: Prefix of their keys.
+            cluster: The cluster state, which knows the store's era.
             store_health: Tracks whether the store is reachable.
             relay: Renews leases through a peer while the store is unreachable.
             peers: Links to the instances that report their leases.
@@ -92,6 +95,7 @@
         self._settings = settings
         self._store = store
         self._prefix = prefix
+        self._cluster_state = cluster
         self._store_health = store_health
         self._relay = relay
         self._peers = peers
@@ -100,6 +104,9 @@
         self._on_change = on_change
         self._cells: dict[rows.CellId, _Cell] = {}
         self._started_at = read_boot_time()
+        self._era = leases.StoreEra()
+        self._era_changed = anyio.Event()
+        cluster.listen_for_eras(self._handle_era)
 
     def is_held(self, cell: rows.CellId) -> bool:
         """Whether this instance is allowed to start an order in a cell now."""
@@ -151,12 +158,41 @@
     async def run(self) -> None:
         """Maintains the leases until cancelled."""
         while True:
+            self._era_changed = anyio.Event()
             for cell in sorted(self._list_cells()):
-                state = self._cells.setdefault(
-                    cell, _Cell(leases.Lease(self._make_settings()))
-                )
-                await self._maintain(cell, state)
-            await anyio.sleep(POLL_PERIOD_S)
+                self._observe_first_era()
+                if cell not in self._cells:
+                    self._cells[cell] = self._make_cell()
+                await self._maintain(cell, self._cells[cell])
+            with anyio.move_on_after(POLL_PERIOD_S):
+                await self._era_changed.wait()
+
+    def _make_cell(self) -> _Cell:
+        lease = leases.Lease(self._make_settings())
+        lease.record_era(self._era, read_boot_time())
+        return _Cell(lease)
+
+    def _observe_first_era(self) -> None:
+        """Applies the first era that the store has named."""
+        if not self._era.number and self._cluster_state.era:
+            number = self._cluster_state.era
+            self._apply_era(number, has_earlier=number > leases.FIRST_ERA)
+
+    def _handle_era(self, era: int) -> None:
+        """Ends all lease terms, as the store was restored from a copy."""
+        self._apply_era(era, has_earlier=True)
+        self._era_changed.set()
+
+    def _apply_era(self, number: int, has_earlier: bool) -> None:
+        now = read_boot_time()
+        self._era = leases.StoreEra(
+            number=number, seen_at=now, has_earlier=has_earlier
+        )
+        for cell, state in self._cells.items():
+            state.lease.record_era(self._era, now)
+            state.polled_at = float("-inf")
+            state.is_uncertain = False
+            self._update_held(cell, state)
 
     def _make_settings(self) -> leases.LeaseSettings:
         return leases.LeaseSettings(
@@ -211,10 +247,16 @@
         self, cell: rows.CellId, state: _Cell, now: float
     ) -> None:
         for peer in self._peers.list_relays():
-            notice = peer.report and _find_lease_notice(peer.report, cell)
-            if notice:
+            if peer.report is None:
+                continue
+            notice = _find_lease_notice(peer.report, cell)
+            if notice is not None:
                 state.lease.record_notice(
-                    notice.revision, notice.right_left_s, now
+                    notice.revision,
+                    notice.right_left_s,
+                    now,
+                    peer.report.known.era,
+                    notice.epoch,
                 )
 
     def _is_due(self, cell: rows.CellId, state: _Cell, now: float) -> bool:
@@ -222,6 +264,8 @@
         record = state.lease.record
         if record is not None and record.holder == self._settings.holder:
             return True
+        if state.lease.may_resume(now):
+            return True
         if now < self._started_at + DISCOVERY_WAIT_S:
             return False
         if self.find_holder(cell):
@@ -254,12 +298,16 @@
 
     async def _read(self, cell: rows.CellId, state: _Cell) -> bool:
         key = self._make_key(cell)
+        era = self._cluster_state.era
+        record: leases.LeaseRecord | None = None
+        revision = 0
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
                 stored = await self._store.read(key)
             record = msgspec.json.decode(stored.value, type=leases.LeaseRecord)
+            revision = stored.version
         except errors.ObjectMissingError:
-            state.lease.record_read(None, 0, read_boot_time())
+            pass
         except (errors.PlatformError, TimeoutError) as error:
             self._record_failure(cell, error)
             return False
@@ -268,12 +316,22 @@
                 "lease record cannot be decoded: {}", error
             )
             return False
-        else:
-            state.lease.record_read(record, stored.version, read_boot_time())
+        if self._is_of_other_era(era):
+            return False
+        state.lease.record_read(record, revision, read_boot_time())
         state.is_uncertain = False
         self._store_health.record_response()
         return True
 
+    def _is_of_other_era(self, era: int) -> bool:
+        """Whether the era has changed since a call began.
+
+        What the call returned is then of an unknown era. A conditional write
+        may have replaced a revision that the store has given out again.
+        """
+        self._observe_first_era()
+        return self._cluster_state.era != era
+
     async def _renew_through_peer(
         self, cell: rows.CellId, state: _Cell, now: float
     ) -> bool:
@@ -296,6 +354,7 @@
         if write is None:
             return False
         value = msgspec.json.encode(write.record)
+        era = self._cluster_state.era
         try:
             version = await self._relay.write(
                 self._make_key(cell), value, write.revision
@@ -306,6 +365,8 @@
                 "lease renewal through a peer failed: {}", error.detail
             )
             return False
+        if self._is_of_other_era(era):
+            return False
         state.is_uncertain = False
         state.lease.record_write(write, version, now)
         return True
@@ -317,6 +378,7 @@
             return
         key = self._make_key(cell)
         value = msgspec.json.encode(write.record)
+        era = self._cluster_state.era
         try:
             with anyio.fail_after(CALL_TIMEOUT_S):
                 version = await store_relay.write_object(
@@ -330,6 +392,8 @@
             self._record_failure(cell, error)
             await anyio.sleep(POLL_PERIOD_S * random.uniform(0.5, 1.5))
             return
+        if self._is_of_other_era(era):
+            return
         state.lease.record_write(write, version, started_at)
         self._update_held(cell, state)
         self._store_health.record_response()
--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -138,7 +138,7 @@
     def update(self) -> None:
         """Decides once per report period who follows the store."""
         for peer in self._peers.list_relays():
-            if peer.report is not None:
+            if peer.report is not None and peer.report.known.era:
                 self._cluster_state.observe_era(peer.report.known.era)
         self._store_use.update(self._needs_store(anyio.current_time()))
         if self._peers.is_relay:
@@ -180,7 +180,8 @@
 
     def apply(self, sender: str, notice: entry_messages.ObjectsNotice) -> None:
         """Applies objects of the store that another instance has observed."""
-        self._cluster_state.observe_era(notice.era)
+        if notice.era:
+            self._cluster_state.observe_era(notice.era)
         if notice.recovered_s >= 0:
             recovered_at = anyio.current_time() - notice.recovered_s
             self._cluster_state.record_recovery(recovered_at)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -141,11 +141,14 @@
             self._exchange,
             self._peers,
         )
-        self._relay = store_relay.StoreRelay(store, self._peers, tasks)
+        self._relay = store_relay.StoreRelay(
+            store, self._cluster_state, self._peers, tasks
+        )
         self._leases = lease_manager.LeaseManager(
             settings,
             store,
             adapter.collections.leases,
+            self._cluster_state,
             self._store_health,
             self._relay,
             self._peers,
--- a/src/tamaracktide/entry/store_relay.py
+++ b/src/tamaracktide/entry/store_relay.py
@@ -15,6 +15,7 @@
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.entry import cluster_state
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
@@ -53,16 +54,18 @@
 class StoreRelay:
     """Requests writes from peers and executes those that peers request."""
 
-    __slots__ = ("_peers", "_pending", "_store", "_tasks")
+    __slots__ = ("_cluster_state", "_peers", "_pending", "_store", "_tasks")
 
     def __init__(
         self,
         store: object_store.ValueStore,
+        state: cluster_state.ClusterState,
         peers: entry_peers.Peers,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Builds a relay; `tasks` runs the writes for peers."""
         self._store = store
+        self._cluster_state = state
         self._peers = peers
         self._tasks = tasks
         self._pending: dict[str, _Pending] = {}
@@ -77,7 +80,11 @@
         """
         peer = self._choose_peer()
         request = entry_messages.WriteRequest(
-            ask_id=uuid.uuid4().hex, key=key, value=value, revision=revision
+            ask_id=uuid.uuid4().hex,
+            key=key,
+            value=value,
+            revision=revision,
+            era=self._cluster_state.era,
         )
         pending = self._pending[request.ask_id] = _Pending()
         try:
@@ -106,10 +113,14 @@
         self, sender: str, request: entry_messages.WriteRequest
     ) -> None:
         """Executes a write that another instance requests."""
+        if request.era:
+            self._cluster_state.observe_era(request.era)
         self._tasks.start_soon(self._write_for_peer, sender, request)
 
     def apply_reply(self, reply: entry_messages.WriteReply) -> None:
         """Applies the reply to a write request."""
+        if reply.era:
+            self._cluster_state.observe_era(reply.era)
         pending = self._pending.get(reply.ask_id)
         if pending is not None:
             pending.reply = reply
@@ -121,23 +132,34 @@
         revision, conflict, detail = 0, False, ""
         try:
             with anyio.fail_after(WRITE_TIMEOUT_S):
+                self._check_era(request)
                 revision = await write_object(
                     self._store, request.key, request.value, request.revision
                 )
+                self._check_era(request)
         except errors.PreconditionFailedError:
             conflict = True
         except (errors.PlatformError, TimeoutError) as error:
-            detail = repr(error)
+            revision, detail = 0, repr(error)
         logs.bind(
             key=request.key, peer=sender, revision=revision, conflict=conflict
         ).info("write for a peer finished {}", detail)
         self._peers.send(
             sender,
             entry_messages.WriteReply(
-                ask_id=request.ask_id, revision=revision, conflict=conflict
+                ask_id=request.ask_id,
+                revision=revision,
+                conflict=conflict,
+                era=self._cluster_state.era,
             ),
         )
 
+    def _check_era(self, request: entry_messages.WriteRequest) -> None:
+        """Raises if the request's revision is not of the store's era."""
+        era = self._cluster_state.era
+        if request.era and request.era != era:
+            raise _make_error(f"revision is of era {request.era}, not {era}")
+
     def _choose_peer(self) -> str:
         """Returns a random peer that reaches the store, empty if none."""
         candidates = [
--- a/src/tamaracktide/object_api/object_store.py
+++ b/src/tamaracktide/object_api/object_store.py
@@ -151,7 +151,8 @@
     def listen_for_eras(self, listener: Callable[[int], None]) -> None:
         """Registers a function that is called with the era of each response.
 
-        It is called before the call returns or raises.
+        It is called before the call returns or raises, with 0 if the store
+        names no era.
         """
 
     async def close(self) -> None:
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -71,7 +71,8 @@
         running: Changed counts of requests by upstream and adapter, as
             `model/adapter`; 0 if none is left.
         asked: Requests received since the last report, by adapter.
-        rights: The lease terms that the sender holds.
+        rights: The lease terms that the sender holds; their revisions are of
+            the store's era in `known`.
         loads: Number of adapters loading in the sender's cells.
         engines: Engines in the sender's cells whose state changed.
         known: What a relay knows of the store.
@@ -376,12 +377,14 @@
         key: The object's key.
         value: Its new value.
         revision: Revision that it must be at; 0 creates it.
+        era: Era of the store that the revision belongs to.
     """
 
     ask_id: str
     key: str
     value: bytes
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -392,8 +395,10 @@
         ask_id: Id of the write request.
         revision: The object's new revision; 0 if the outcome is unknown.
         conflict: Whether the object was at another revision.
+        era: Era of the store at the end of the write, as the sender knows it.
     """
 
     ask_id: str
     revision: int = 0
     conflict: bool = False
+    era: int = 0
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -121,6 +121,7 @@
     zone: str = "z1",
     bounds: entry_settings.Bounds | None = None,
     backend: network.Backend | None = None,
+    waits_for_lease: bool = True,
 ) -> AsyncIterator[Instance]:
     """Runs an instance and waits until the cell's lease is held."""
     ports = [deployment.find_port() for _ in range(4)]
@@ -161,7 +162,8 @@
             leases = cluster.store.objects.get("tamaracktide-leases", {})
             return "llm.z1" in leases
 
-        if any(server.slots for server in cluster.servers.values()):
+        has_engines = any(server.slots for server in cluster.servers.values())
+        if has_engines and waits_for_lease:
             await wait_until(is_lease_held)
         yield instance
         tasks.cancel_scope.cancel()
--- a/tests/fleet/test_cluster_state.py
+++ b/tests/fleet/test_cluster_state.py
@@ -284,3 +284,16 @@
     for era in (1, 1, 2, 1, 2, 4):
         state.observe_era(era)
     assert (eras, state.era, state.era_changes) == ([2, 4], 4, 2)
+
+
+def test_first_restoration_of_a_store_that_starts_at_era_zero_is_a_change(
+    state: cluster_state.ClusterState,
+) -> None:
+    """The store names no era, or 0, before it; a peer's 0 says nothing."""
+    eras: list[int] = []
+    state.listen_for_eras(eras.append)
+    state.apply([_make_server_item("a", 2)])
+    state.observe_era(0)
+    assert (eras, state.era) == ([], 0)
+    state.observe_era(1)
+    assert (eras, state.era) == ([1], 1)
--- a/tests/fleet/test_restored_store.py
+++ b/tests/fleet/test_restored_store.py
@@ -181,3 +181,70 @@
             assert "store_era_changes 1" in text
             for prefix in ("config/", "servers/"):
                 assert f'store_relisted_objects{{prefix="{prefix}"}} 1' in text
+
+
+def list_holders(engine: fleet_cluster.Server) -> dict[int, set[str]]:
+    """Returns who sent orders to an engine, by fencing token."""
+    holders: dict[int, set[str]] = {}
+    for order in engine.orders:
+        holders.setdefault(order["FencingToken"], set()).add(order["Holder"])
+    return holders
+
+
+async def test_holder_goes_on_after_it_has_written_its_lease_anew() -> None:
+    """The restored record is of another machine, with the same epoch.
+
+    Guards against two holders with one fencing token, and against a cell
+    without a holder for the term and the quiet period.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engine = await cluster.add_server(fleet_cluster.Server("e1", slots=3))
+        async with entry_instances.run_instance(cluster) as instance:
+            assert (await instance.generate("r1", "a1")).status == 200
+            saved = cluster.store.make_copy()
+            lease = saved.objects["tamaracktide-leases"]["llm.z1"]["Spec"]
+            lost = dict(lease)
+            lease["holder"] = "n9@127.0.0.9"
+            lose_changes(cluster.store)
+            cluster.store.restore(saved)
+            await anyio.sleep(1.0)
+            assert (await instance.generate("r2", "a2")).status == 200
+            record = cluster.store.objects["tamaracktide-leases"]["llm.z1"]
+            assert record["Spec"]["holder"] == lost["holder"]
+            assert record["Spec"]["epoch"] > lost["epoch"]
+            assert record["Spec"]["era"] == 2
+            tokens = [order["FencingToken"] for order in engine.orders]
+            assert tokens == sorted(set(tokens))
+
+
+async def test_machine_without_the_lease_takes_no_restored_record_over() -> (
+    None
+):
+    """Guards against two holders that order within the quiet period.
+
+    The copy is of a time before the lease was first written, so the record is
+    missing; another instance starts after the restoration.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        saved = cluster.store.make_copy()
+        engine = await cluster.add_server(fleet_cluster.Server("e1", slots=3))
+        store_proxy, address = await cluster.add_store_proxy()
+        async with entry_instances.run_instance(
+            cluster, store_address=address
+        ) as holder:
+            assert (await holder.generate("r1", "a1")).status == 200
+            # The holder reaches neither the store nor the other instance.
+            store_proxy.is_unavailable = True
+            cluster.store.restore(saved)
+            put_document(cluster, 1, routes=4)
+            cluster.register(engine)
+            async with entry_instances.run_instance(
+                cluster, "n2", "127.0.0.2", waits_for_lease=False
+            ):
+                await anyio.sleep(5.0)
+                leases = cluster.store.objects.get("tamaracktide-leases", {})
+                assert leases == {}
+                assert (await holder.generate("r2", "a2")).status == 200
+            assert list_holders(engine).keys() == {
+                engine.orders[0]["FencingToken"]
+            }
