--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -136,7 +136,7 @@
         """Records versions that others observed, and how long ago."""
         for service, versions in ages.items():
             for software, age_s in versions.items():
-                key, seen_at = (service, software), now - age_s
+                key, seen_at = (service, software), now - max(0.0, age_s)
                 known_at = self._last_seen.get(key, seen_at)
                 self._last_seen[key] = max(known_at, seen_at)
 
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -99,6 +99,7 @@
         self._cluster_state = cluster_state.ClusterState(
             adapter, anyio.current_time
         )
+        store.listen_for_eras(self._cluster_state.observe_era)
         self._store_health = store_follower.StoreHealth(self._cluster_state)
         self._started_at = anyio.current_time()
         self._applied: tuple[
@@ -143,13 +144,17 @@
             self._exchange,
             self._peers,
         )
-        self._relay = store_relay.StoreRelay(store, self._peers, tasks)
+        self._relay = store_relay.StoreRelay(
+            store, self._cluster_state, self._peers, tasks
+        )
         self._stream_records = self._make_stream_records()
         self._resumption.records = self._stream_records
+        self._cluster_state.listen_for_eras(self._stream_records.handle_era)
         self._leases = lease_manager.LeaseManager(
             settings,
             store,
             adapter.collections.leases,
+            self._cluster_state,
             self._store_health,
             self._relay,
             self._peers,
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -131,14 +131,14 @@
                 errors.PreconditionFailedError,
                 errors.ObjectMissingError,
             ) as error:
-                self.forget()
+                self._forget()
                 logs.bind(code=error.code.value).info(
                     "record of streams has changed: {}", error.detail
                 )
             except errors.PlatformUnavailableError as error:
                 self._store_health.record_failure(error)
             except errors.PlatformError as error:
-                self.forget()
+                self._forget()
                 logs.bind(code=error.code.value).error(
                     "record of streams rejected: {}", error.detail
                 )
@@ -147,8 +147,14 @@
         """Records changes without waiting for the end of the period."""
         self._is_due.set()
 
-    def forget(self) -> None:
-        """Reads the records again before the next write."""
+    def handle_era(self, era: int) -> None:
+        """Writes the records again, which the store may have lost."""
+        logs.bind(era=era).info("records of streams are written again")
+        self._forget()
+        self.record_soon()
+
+    def _forget(self) -> None:
+        """Has the records read again before the next write."""
         self._versions = None
         self._revision = None
 
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -1,7 +1,6 @@
 """Messages between entry instances."""
 
 import dataclasses
-from typing import Annotated
 
 import msgspec
 
@@ -72,7 +71,8 @@
         running: Changed counts of requests by upstream and adapter, as
             `model/adapter`; 0 if none is left.
         asked: Requests received since the last report, by adapter.
-        rights: The lease terms that the sender holds.
+        rights: The lease terms that the sender holds; their revisions are of
+            the store's era in `known`.
         loads: Number of adapters loading in the sender's cells.
         engines: Engines in the sender's cells whose state changed.
         known: What a relay knows of the store.
@@ -264,8 +264,8 @@
     """
 
     streams: dict[str, tuple[str, ...]]
-    versions: dict[str, dict[str, Annotated[float, msgspec.Meta(ge=0)]]] = (
-        dataclasses.field(default_factory=dict)
+    versions: dict[str, dict[str, float]] = dataclasses.field(
+        default_factory=dict
     )
     is_complete: bool = False
 
@@ -360,10 +360,12 @@
         items: The objects.
         recovered_s: Time since the store last recovered from an outage, as
             the sender observed it; -1 for none.
+        era: Era of the store in which the objects were read.
     """
 
     items: tuple[ObjectUpdate, ...]
     recovered_s: float = -1.0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -382,12 +384,14 @@
         key: The object's key.
         value: Its new value.
         revision: Revision that it must be at; 0 creates it.
+        era: Era of the store that the revision belongs to.
     """
 
     ask_id: str
     key: str
     value: bytes
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -398,8 +402,10 @@
         ask_id: Id of the write request.
         revision: The object's new revision; 0 if the outcome is unknown.
         conflict: Whether the object was at another revision.
+        era: Era of the store at the end of the write, as the sender knows it.
     """
 
     ask_id: str
     revision: int = 0
     conflict: bool = False
+    era: int = 0
--- a/tests/fleet/test_rejoined_streams.py
+++ b/tests/fleet/test_rejoined_streams.py
@@ -112,3 +112,27 @@
             ]
             await versioned_streams.prefer_last(cluster, engines)
             await versioned_streams.check_resumed(engines, instances[1], events)
+
+
+async def test_streams_go_on_after_the_store_lost_their_records() -> None:
+    """Guards against a restored store that knows nothing of streams (LOST).
+
+    All instances are killed after the store came back from an older copy.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await versioned_streams.add_versions(cluster, "v1", "v2")
+        async with entry_instances.run_instance(cluster) as instance:
+            saved = cluster.store.make_copy()
+            await anyio.sleep(RECORD_S)
+            events = [
+                await versioned_streams.begin_stream(instance, f"r{index}")
+                for index in range(2)
+            ]
+            await anyio.sleep(RECORD_S)
+            cluster.store.restore(saved)
+            await anyio.sleep(2 * RECORD_S)
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False, waits_for_lease=False
+        ) as instance:
+            await versioned_streams.prefer_last(cluster, engines)
+            await versioned_streams.check_resumed(engines, instance, events)
