Entry instances: a background task that fails ends alone

`restarts.ContainedTasks` starts the tasks of an instance: one that raises is logged with its inputs, without credentials, and ends alone. The link manager and the discovery by seeds are restarted, as the other loops are already.

Requests that are sent to such an entry still get 500; the entry should name no upstream, which is the platform adapter's to decide.

--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -81,6 +81,7 @@
         tasks: anyio.abc.TaskGroup,
     ) -> None:
         """Builds every part; `run` starts them."""
+        tasks = restarts.ContainedTasks(tasks)
         self._settings = settings
         self._adapter = adapter
         self._upstream_client = upstream_client
@@ -259,9 +260,9 @@
         ).info("instance started")
         for follower in self._objects.make_followers():
             self._tasks.start_soon(restarts.run_with_restarts, follower.run)
-        self._tasks.start_soon(self._peers.run)
-        self._tasks.start_soon(self._dial_seeds_if_undiscovered)
         for run in (
+            self._peers.run,
+            self._dial_seeds_if_undiscovered,
             self._leases.run,
             self._objects.register,
             self._refresh_all,
