Entry instances: an error in a service's scheduling resets its cell only

Only an InvariantError of the decision core reset a cell. A KeyError ended the process, or left a cell with half an event applied. An error in one cell's refresh kept the later cells from theirs.

Any error of the core, and of the methods that background tasks call, now replaces the cell, is logged with the event, and has the upstreams read again, at most once in 0.5 s if it goes on (before, at once and without end). A load that raises ends as a failed one and is in flight no longer.

A reset refuses what waits. A request that was granted a batch slot in the same moment, and whose task had not run yet, was refused as well; it had not been sent, so that the refusal was true. It keeps its batch slot now: the first result of a request is final. A request that may have run is not refused either, since core.attempts answers with the outcome of the lost attempt.

--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -13,8 +13,11 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import functools
 import math
 import random
+from typing import Concatenate
+from typing import ParamSpec
 import uuid
 
 import anyio
@@ -35,6 +38,7 @@
 from tamaracktide.entry import cell_defaults
 from tamaracktide.entry import reachability
 from tamaracktide.entry import requests
+from tamaracktide.entry import restarts
 from tamaracktide.entry import send_limits
 from tamaracktide.entry import slow_starts
 from tamaracktide.entry import timers
@@ -43,6 +47,30 @@
 from tamaracktide.protocol import entry_messages
 from tamaracktide.upstreams import network
 
+RESET_PERIOD_S = 0.5
+"""Minimum time between two resets after which the upstreams are read."""
+
+_Inputs = ParamSpec("_Inputs")
+_Method = Callable[Concatenate["ServiceCell", _Inputs], None]
+
+
+def _contain(method: _Method[_Inputs]) -> _Method[_Inputs]:
+    """Has an error in a method reset its cell instead of reaching the caller.
+
+    The caller is a background task that serves other cells as well.
+    """
+
+    @functools.wraps(method)
+    def call(
+        self: "ServiceCell", /, *args: _Inputs.args, **kwargs: _Inputs.kwargs
+    ) -> None:
+        try:
+            method(self, *args, **kwargs)
+        except Exception as error:
+            self.reset(error, args)
+
+    return call
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Placement:
@@ -132,6 +160,7 @@
         self.send_limits = send_limits.SendLimits(
             dependencies.announce_limit, dependencies.count_instances
         )
+        self._reset_at = -math.inf
         self._tick_timer = timers.Timer(
             lambda: self._handle(cell_events.Tick()), dependencies.tasks
         )
@@ -333,6 +362,7 @@
         if is_new or must_slow_down:
             self.send_limits.announce(entry, overloaded=must_slow_down)
 
+    @_contain
     def apply_limit_notice(
         self, notice: entry_messages.SendLimitNotice
     ) -> None:
@@ -367,10 +397,12 @@
         self._handle(cell_events.EventBatch(tuple(events)))
         return True
 
+    @_contain
     def record_prompt(self, upstream: str, tokens: int) -> None:
         """Records that another instance sent a prompt to an engine."""
         self._handle(cell_events.PromptSent(upstream, tokens))
 
+    @_contain
     def record_demand(self, model: str, adapter: str, count: int) -> None:
         """Records requests for an adapter that other instances received."""
         key = self._make_key(model, adapter)
@@ -417,6 +449,7 @@
         """Returns the number of requests that wait for a batch slot."""
         return len(self._waiting)
 
+    @_contain
     def refresh_upstreams(
         self, entries: Iterable[upstream_entries.UpstreamEntry]
     ) -> None:
@@ -432,6 +465,7 @@
         events.extend(self._slow_starts.begin(started))
         self._handle(cell_events.EventBatch(tuple(events)))
 
+    @_contain
     def remove_upstreams(self, upstreams: Collection[str]) -> None:
         """Removes upstreams that are no longer listed."""
         events = self._remove(self._entries.keys() & upstreams)
@@ -466,6 +500,7 @@
         if upstream in self._slow_starts:
             self._handle(cell_events.AnswerObserved(upstream, is_good))
 
+    @_contain
     def refresh_health(self) -> None:
         """Stops or resumes new requests to upstreams as their health says."""
         now = anyio.current_time()
@@ -479,6 +514,7 @@
             self._handle(cell_events.EventBatch(tuple(events)))
         self._trial_timer.schedule(self.health.find_next_trial(now))
 
+    @_contain
     def refresh_orderable(self) -> None:
         """Applies whether loads may be ordered, where that has changed."""
         previous = self._orderable
@@ -502,6 +538,7 @@
             for zone in {entry.zone for entry in entries}
         }
 
+    @_contain
     def _refresh_ready(self) -> None:
         """Passes on which loading adapters are ready by now."""
         now = anyio.current_time()
@@ -580,6 +617,7 @@
             now,
         )
 
+    @_contain
     def apply_remote_counts(self, counts: running_counts.Counts) -> None:
         """Applies the changed counts of requests of other instances."""
         changed = tuple(
@@ -593,6 +631,7 @@
         if changed:
             self._handle(cell_events.RemoteCountsChanged(changed))
 
+    @_contain
     def refresh(self) -> None:
         """Passes snapshots of all upstreams of the service to the cell."""
         entries = {
@@ -651,6 +690,7 @@
                 names.discard(name)
         return [cell_events.UpstreamLeaving(name, leaving, is_on_trial)]
 
+    @_contain
     def apply_results(
         self, results: Mapping[str, upstream_health.Results]
     ) -> None:
@@ -664,6 +704,7 @@
         if any(changed):
             self.refresh_health()
 
+    @_contain
     def apply_paces(self, reported: Mapping[str, paces.PaceSum]) -> None:
         """Applies the paces of engines that other instances observed."""
         now = anyio.current_time()
@@ -671,6 +712,7 @@
             if upstream in self._entries:
                 self.paces.apply_report(upstream, pace, now)
 
+    @_contain
     def refresh_paces(self) -> None:
         """Passes on which engines turned out to be faster or slower."""
         changed = self.paces.find_changes(anyio.current_time())
@@ -686,8 +728,8 @@
         now = anyio.current_time()
         try:
             actions = self._cell.handle(event, now)
-        except errors.InvariantError as error:
-            self._rebuild(error)
+        except Exception as error:
+            self.reset(error, event)
             return
         for action in actions:
             match action:
@@ -698,13 +740,16 @@
                 case cell_actions.WakeAt(at):
                     self._tick_timer.schedule(at)
 
-    def _rebuild(self, error: errors.InvariantError) -> None:
-        """Replaces the cell after a violated invariant.
+    def reset(self, error: Exception, inputs: object) -> None:
+        """Replaces the cell, whose state an error may have left unsound.
 
-        Queued requests are refused; running requests stay counted.
+        Queued requests are refused. Requests that were granted a batch slot
+        keep it, and running requests stay counted.
         """
-        logs.bind(service=self.service.name).critical(
-            "invariant violated, scheduler state reset: {}", error
+        logs.bind(
+            service=self.service.name, inputs=restarts.describe_inputs(inputs)
+        ).opt(exception=True).critical(
+            "invariant violated, scheduler state reset: {!r}", error
         )
         self._cell = self._make_cell()
         self.paces = paces.Paces()
@@ -715,16 +760,18 @@
                 cell_actions.Refuse(
                     request_id=request_id,
                     code=result_codes.ResultCode.NO_UPSTREAM,
-                    retry_after_s=0.5,
+                    retry_after_s=RESET_PERIOD_S,
                 )
             )
-        self._refresh_timer.schedule(anyio.current_time())
+        now = anyio.current_time()
+        self._refresh_timer.schedule(max(now, self._reset_at + RESET_PERIOD_S))
+        self._reset_at = now
 
     def _set_result(
         self, result: cell_actions.Grant | cell_actions.Refuse
     ) -> None:
         queued_request = self._waiting.get(result.request_id)
-        if queued_request is None:
+        if queued_request is None or queued_request.result is not None:
             if isinstance(result, cell_actions.Grant):
                 self._handle(cell_events.GrantEnded(grant_id=result.grant_id))
             return
@@ -732,7 +779,15 @@
         queued_request.done.set()
 
     async def _load(self, load: cell_actions.Load) -> None:
-        self._handle(await self._dependencies.load(self.service.name, load))
+        ended = cell_events.LoadEnded(load.load_id, False)
+        try:
+            ended = await self._dependencies.load(self.service.name, load)
+        except Exception as error:
+            logs.bind(
+                service=self.service.name,
+                inputs=restarts.describe_inputs(load),
+            ).opt(exception=True).critical("load failed: {!r}", error)
+        self._handle(ended)
 
 
 def _count_pins(name: str, service: routing_document.Service) -> int:
