Engine controller: an engine whose service is dropped gets no orders

The task of such an engine went on, and ended the process with "KeyError: 'llm'" in `_find_full_speed_loads` once a load was requested, or in `_predict_load_s` once an order was answered. A model that the routing document drops while its order is in progress did the same.

An engine is now removed with its service as with its entry, and the loads that were requested of it are declined at once instead of after the timeout.

Before: the three tests in tests/entry/test_engine_controller.py failed, the first with the KeyError above. After: they pass.

--- a/src/tamaracktide/entry/engine_controller.py
+++ b/src/tamaracktide/entry/engine_controller.py
@@ -16,6 +16,7 @@
 from tamaracktide.entry import engine_views
 from tamaracktide.entry import lease_manager
 from tamaracktide.entry import platform_adapter as entry_adapter
+from tamaracktide.entry import restarts
 from tamaracktide.observability import logs
 from tamaracktide.protocol import entry_messages
 from tamaracktide.upstreams import calls
@@ -122,15 +123,20 @@
     ) -> None:
         """Applies the list of engines; starts and cancels their tasks."""
         self._services = services
-        for name in self._engines.keys() - entries.keys():
-            self._engines.pop(name).scope.cancel()
+        served = {
+            name
+            for name, entry in entries.items()
+            if self._find_profile(entry) is not None
+        }
+        for name in self._engines.keys() - served:
+            self._remove_engine(name)
         for name, entry in entries.items():
-            service = services.get(entry.service)
-            if service is None or service.engine is None:
+            profile = self._find_profile(entry)
+            if profile is None:
                 continue
             engine = self._engines.get(name)
             if engine is None:
-                self._add_engine(entry, service.engine)
+                self._add_engine(entry, profile)
                 continue
             if engine.entry.models and not entry.models:
                 engine.wake_event.set()
@@ -189,6 +195,18 @@
         self._engines[entry.upstream] = engine
         self._dependencies.tasks.start_soon(self._run, engine)
 
+    def _remove_engine(self, name: str) -> None:
+        engine = self._engines.pop(name)
+        engine.scope.cancel()
+        self._deliver(engine.orders.reject_all("engine removed", declined=True))
+
+    def _find_profile(
+        self, entry: upstream_entries.UpstreamEntry
+    ) -> routing_document.EngineProfile | None:
+        """Returns the engine profile of an upstream's service, or None."""
+        service = self._services.get(entry.service)
+        return None if service is None else service.engine
+
     def _count_serving(
         self, entries: dict[str, upstream_entries.UpstreamEntry]
     ) -> None:
@@ -209,14 +227,18 @@
     async def _run(self, engine: _Engine) -> None:
         """Sends orders to one engine until it is removed."""
         with engine.scope:
-            while True:
-                try:
-                    await self._run_steps(engine)
-                except errors.InvariantError as error:
-                    logs.bind(upstream=engine.entry.upstream).critical(
-                        "invariant violated, engine state reset: {}", error
-                    )
-                    engine.orders.restart(engine.entry.started_ms)
+            await restarts.run_with_restarts(self._run_or_reset, engine)
+
+    async def _run_or_reset(self, engine: _Engine) -> None:
+        """Runs an engine; an error leaves no state and no load request."""
+        try:
+            await self._run_steps(engine)
+        except Exception:
+            engine.orders.restart(engine.entry.started_ms)
+            self._deliver(
+                engine.orders.reject_all("engine state reset", declined=True)
+            )
+            raise
 
     async def _run_steps(self, engine: _Engine) -> None:
         """Processes due work in a loop while the lease is held."""
@@ -411,18 +433,18 @@
                 self._dependencies.count_loads() + 1
             ) / self._find_full_speed_loads(entry)
             return ADAPTER_LOAD_S * max(1.0, slowdown)
-        engine = self._services[entry.service].engine
-        if engine is None:
+        profile = self._find_profile(entry)
+        model = profile.models.get(order.model) if profile else None
+        if model is None:
             return 0.0
-        model = engine.models[order.model]
         on_disk = order.model in entry.on_disk
         return model.disk_load_s if on_disk else model.load_s
 
     def _find_full_speed_loads(
         self, entry: upstream_entries.UpstreamEntry
     ) -> int:
-        engine = self._services[entry.service].engine
-        loads_per_s = engine.loads_per_s if engine else 0.0
+        profile = self._find_profile(entry)
+        loads_per_s = profile.loads_per_s if profile else 0.0
         steps = int(loads_per_s / LOADS_PER_STEP + 0.5)
         return FULL_SPEED_LOADS * max(1, steps)
 
