Peers: an error in the link manager costs neither reports nor the listener

With background tasks contained, an error while reports were sent restarted the whole link manager, which then tried to listen at its port a second time, and a port that was still taken at the start left an instance that no peer could reach, where the process used to end and start again.

The listener and the loop are now restarted each by itself. Before: tests/entry/test_peers.py failed with the error of the listener or of the reports; after: it passes.

--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -19,6 +19,7 @@
 
 from tamaracktide import errors
 from tamaracktide.core import relays
+from tamaracktide.entry import restarts
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.observability import logs
 from tamaracktide.protocol import client
@@ -340,12 +341,16 @@
     async def run(self) -> None:
         """Accepts links, maintains them and sends reports until cancelled."""
         self._tasks.start_soon(
+            restarts.run_with_restarts,
             self._transport.serve,
             f"{self._settings.ip}:{self._settings.peer_port}",
             self._hello,
             self._accept,
             self._inner,
         )
+        await restarts.run_with_restarts(self._maintain)
+
+    async def _maintain(self) -> None:
         while True:
             now = anyio.current_time()
             self._close_silent(now)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -260,8 +260,8 @@
         ).info("instance started")
         for follower in self._objects.make_followers():
             self._tasks.start_soon(restarts.run_with_restarts, follower.run)
+        self._tasks.start_soon(self._peers.run)
         for run in (
-            self._peers.run,
             self._dial_seeds_if_undiscovered,
             self._leases.run,
             self._objects.register,
