--- a/tests/fleet/test_cluster_state.py
+++ b/tests/fleet/test_cluster_state.py
@@ -297,3 +297,20 @@
     assert (eras, state.era) == ([], 0)
     state.observe_era(1)
     assert (eras, state.era) == ([1], 1)
+
+
+def test_instance_missing_from_a_restored_store_is_kept(
+    state: cluster_state.ClusterState,
+) -> None:
+    """It registers again; one that is removed later in the era is gone."""
+    prefix = "tamaracktide-instances/"
+    known = [
+        object_store.Item(prefix + name, 50, b'{"ip": "10.0.0.1"}', 1)
+        for name in ("n1", "n2")
+    ]
+    state.apply(known)
+    state.apply_listing(prefix, object_store.Items(20, (), era=2))
+    assert set(state.instances) == {"n1", "n2"}
+    state.apply([dataclasses.replace(known[0], version=21, era=2)])
+    state.apply_listing(prefix, object_store.Items(22, (), era=2))
+    assert set(state.instances) == {"n2"}
