--- a/src/tamaracktide/upstreams/calls.py
+++ b/src/tamaracktide/upstreams/calls.py
@@ -16,7 +16,7 @@
 
 from tamaracktide import sockets
 from tamaracktide.core import pending_bytes
-from tamaracktide.upstreams import network
+from tamaracktide.upstreams import bounded_heads
 from tamaracktide.upstreams import settings as upstream_settings
 
 Headers: TypeAlias = list[tuple[bytes, bytes]]
@@ -109,6 +109,8 @@
             return Failure(FailureKind.UNREACHABLE, detail)
         case httpcore.TimeoutException():
             return Failure(FailureKind.TIMEOUT, detail)
+        case bounded_heads.HeadTooLargeError():
+            return Failure(FailureKind.TOO_LARGE, str(error))
         case _:
             return Failure(FailureKind.BROKEN, detail)
 
@@ -288,6 +290,9 @@
             httpcore.ProtocolError,
         ) as error:
             return classify_failure(error)
+        stream = response.extensions["network_stream"]
+        assert isinstance(stream, bounded_heads.Stream)
+        stream.end_head()
         return OpenResponse(response, self._total, pool if fresh else None)
 
     async def send(
@@ -324,7 +329,9 @@
             max_keepalive_connections=self._settings.max_connections,
             keepalive_expiry=KEEPALIVE_EXPIRY_S,
             socket_options=sockets.KEEPALIVE_OPTIONS,
-            network_backend=network.Backend(),
+            network_backend=bounded_heads.Backend(
+                self._settings.max_pending_bytes
+            ),
         )
 
     def _make_request(self, call: Call) -> httpcore.Request:
--- a/tests/upstreams/test_endless_responses.py
+++ b/tests/upstreams/test_endless_responses.py
@@ -69,33 +69,36 @@
 class EndlessUpstream:
     """Answers every request with a start and then one piece repeatedly.
 
+    Without a piece, it waits for the next request.
+
     Attributes:
         address: Its address.
-        sent: Bytes sent on all connections.
+        connections: Number of accepted connections.
         closed: Set when a caller has closed its connection.
     """
 
     def __init__(self, start: bytes, piece: bytes) -> None:
         """Uses the bytes of a response."""
         self.address = ""
-        self.sent = 0
+        self.connections = 0
         self.closed = anyio.Event()
         self._start = start
         self._piece = piece
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         """Serves a connection until its caller closes it."""
+        self.connections += 1
         async with stream:
-            await stream.receive()
-            sent = 0
             try:
+                await stream.receive()
                 await stream.send(self._start or self._piece)
-                while sent < MAX_SENT_BYTES:
+                while not self._piece:
+                    await stream.receive()
+                    await stream.send(self._start)
+                for _ in range(MAX_SENT_BYTES // len(self._piece)):
                     await stream.send(self._piece)
-                    sent += len(self._piece)
-            except anyio.BrokenResourceError:
+            except (anyio.BrokenResourceError, anyio.EndOfStream):
                 self.closed.set()
-            self.sent += sent
 
 
 @contextlib.asynccontextmanager
@@ -163,6 +166,54 @@
         assert "headers" in failure.detail
 
 
+@pytest.mark.parametrize("name", [*ENDLESS_HEADS, *ENDLESS_BODIES])
+async def test_endless_response_to_a_pooled_call_is_given_up(name: str) -> None:
+    """Guards against a call that never ends (issue 44).
+
+    What h11 bounds or refuses itself is a broken response.
+    """
+    start, piece = {**ENDLESS_HEADS, **ENDLESS_BODIES}[name]
+    async with (
+        run_upstream(start, piece) as upstream,
+        calls.UpstreamClient(SETTINGS) as client,
+    ):
+        with check_memory():
+            failure = await client.send(make_call(upstream))
+        assert isinstance(failure, calls.Failure)
+        assert failure.may_have_run
+        with anyio.fail_after(5.0):
+            await upstream.closed.wait()
+
+
+async def test_endless_interim_responses_to_a_pooled_call_name_the_bound() -> (
+    None
+):
+    """Operators see which setting was exceeded, and by what."""
+    async with (
+        run_upstream(*ENDLESS_HEADS["interim responses"]) as upstream,
+        calls.UpstreamClient(SETTINGS) as client,
+    ):
+        failure = await client.send(make_call(upstream))
+        assert isinstance(failure, calls.Failure)
+        assert failure.kind is calls.FailureKind.TOO_LARGE
+        assert str(MAX_PENDING_BYTES) in failure.detail
+
+
+async def test_pooled_connection_counts_each_head() -> None:
+    """A connection is reused for responses beyond the bound together."""
+    body = b"n" * (MAX_PENDING_BYTES // 2)
+    response = STATUS_LINE + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    async with (
+        run_upstream(response, b"") as upstream,
+        calls.UpstreamClient(SETTINGS) as client,
+    ):
+        for _ in range(8):
+            received = await client.send(make_call(upstream))
+            assert isinstance(received, calls.Response)
+            assert received.body == body
+        assert upstream.connections == 1
+
+
 async def test_head_and_body_within_the_bounds_are_received() -> None:
     """Bytes of the body do not count with those of the head."""
     note = b"X-Note: %s\r\n" % (b"n" * 60_000)
