--- a/tests/fleet/test_untrue_refusals.py
+++ b/tests/fleet/test_untrue_refusals.py
@@ -94,3 +94,52 @@
     runs = [run for upstream in upstreams for run in upstream.runs]
     assert sorted(runs) == ["r0", "r1", "r2"]
     assert not {r.status for r in responses} & NOT_RUN_STATUSES
+
+
+async def answer_before(
+    cluster: fleet_cluster.Cluster, stray: bytes
+) -> tuple[httpcore.Response, list[raw_upstreams.RawUpstream]]:
+    """Sends a request to upstreams that answer it after stray bytes."""
+    upstreams = [
+        await raw_upstreams.add_raw_upstream(
+            cluster,
+            name,
+            lambda request_id: stray + raw_upstreams.make_success(request_id),
+        )
+        for name in ("p1", "p2")
+    ]
+    async with entry_instances.run_instance(cluster) as instance:
+        return await instance.send("/once/x", "r1"), upstreams
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (421, ()),
+        (503, ("X-Not-Executed: 1",)),
+        (400, ("X-Not-Executed: 1",)),
+    ],
+)
+async def test_refusal_without_an_id_belongs_to_no_request(
+    status: int, headers: tuple[str, ...]
+) -> None:
+    """Guards against a stray refusal that passes for this one's (TWICE).
+
+    Responses to requests name their id; those to orders, on the same
+    connections, name none. A second copy of one of these may arrive late.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        response, upstreams = await answer_before(
+            cluster, raw_upstreams.make_response(status, *headers)
+        )
+    check_promise(response, upstreams)
+
+
+async def test_answer_without_an_id_is_not_passed_on() -> None:
+    """Guards against a late response to an order as an answer (MIXED)."""
+    async with fleet_cluster.run_cluster() as cluster:
+        response, upstreams = await answer_before(
+            cluster, raw_upstreams.make_response(409)
+        )
+    check_promise(response, upstreams)
+    assert response.status != 409
