--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -285,6 +285,7 @@
         rejections: Times at which requests were rejected.
         close: Closes its listening socket and its connections; set by
             `Cluster.add_server`.
+        disconnect: Closes its connections; set by `Cluster.add_server`.
     """
 
     name: str
@@ -317,6 +318,7 @@
     rejections: list[float] = dataclasses.field(default_factory=list)
     running: int = 0
     close: Callable[[], None] = lambda: None
+    disconnect: Callable[[], None] = lambda: None
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -551,6 +553,7 @@
         """Starts a server and registers it."""
         server.port, http = await _serve(server, self.tasks)
         server.close = functools.partial(_crash, http)
+        server.disconnect = functools.partial(_disconnect, http)
         self.servers[server.name] = server
         self.register(server, zone)
         return server
@@ -581,6 +584,11 @@
     """Closes the sockets of a server as the end of its process does."""
     for listener in server.servers:
         listener.close()
+    _disconnect(server)
+
+
+def _disconnect(server: http_server.Server) -> None:
+    """Closes the connections of a server."""
     for connection in list(server.server_state.connections):
         connection.transport.abort()
 
