--- a/tests/fleet/test_closed_connections.py
+++ b/tests/fleet/test_closed_connections.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import sys
 
 import anyio
 import entry_instances
@@ -15,6 +16,25 @@
 
 pytestmark = pytest.mark.anyio
 
+CALLER = """
+import sys
+import anyio
+from tamaracktide.upstreams import calls
+from tamaracktide.upstreams import settings
+from tamaracktide.upstreams import streams
+
+async def call():
+    client = streams.StreamClient(settings.UpstreamSettings())
+    await client.send(
+        calls.Call(
+            method="GET", address=sys.argv[1], target="/x", timeout_s=60.0
+        )
+    )
+
+anyio.run(call)
+"""
+"""A process that sends a request and waits for the response."""
+
 NOTICE_TIMEOUT_S = 5.0
 """Time for an upstream to notice a closed connection; a test of what it can
 notice at all."""
@@ -74,25 +94,31 @@
 
 
 @contextlib.asynccontextmanager
-async def run_server(
-    cluster: fleet_cluster.Cluster,
-) -> AsyncIterator[HalfOpenServer]:
-    """Runs a half-open server of the plain service."""
+async def listen() -> AsyncIterator[tuple[HalfOpenServer, int]]:
+    """Runs a half-open server; yields it and its port."""
     half_open = HalfOpenServer()
     listener = await asyncio.get_running_loop().create_server(
         lambda: Connection(half_open), fleet_cluster.HOST, 0
     )
-    port = listener.sockets[0].getsockname()[1]
-    server = fleet_cluster.Server("p0", port=port)
-    cluster.servers[server.name] = server
-    cluster.register(server)
     try:
-        yield half_open
+        yield half_open, listener.sockets[0].getsockname()[1]
     finally:
         listener.close()
         half_open.close()
 
 
+@contextlib.asynccontextmanager
+async def run_server(
+    cluster: fleet_cluster.Cluster,
+) -> AsyncIterator[HalfOpenServer]:
+    """Runs a half-open server of the plain service."""
+    async with listen() as (half_open, port):
+        server = fleet_cluster.Server("p0", port=port)
+        cluster.servers[server.name] = server
+        cluster.register(server)
+        yield half_open
+
+
 async def has_stopped(server: HalfOpenServer) -> bool:
     """Returns whether a server stops to work."""
     with anyio.move_on_after(NOTICE_TIMEOUT_S):
@@ -101,14 +127,19 @@
     return not server.working
 
 
+async def wait_begun(server: HalfOpenServer) -> None:
+    """Waits until a server works on a request."""
+    while not server.begun:
+        await anyio.sleep(0.01)
+
+
 async def leave(
     instance: entry_instances.Instance, server: HalfOpenServer, path: str
 ) -> None:
     """Sends a request and leaves once the server works on it."""
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(instance.send, path, "r1")
-        while not server.begun:
-            await anyio.sleep(0.01)
+        await wait_begun(server)
         tasks.cancel_scope.cancel()
 
 
@@ -140,3 +171,17 @@
             assert server.begun
             result = await has_stopped(server)
     assert result
+
+
+async def test_upstream_stops_as_the_process_ends() -> None:
+    """Guards against work for a process that has ended by itself (TWICE)."""
+    async with listen() as (server, port):
+        address = f"{fleet_cluster.HOST}:{port}"
+        async with await anyio.open_process(
+            [sys.executable, "-c", CALLER, address]
+        ) as process:
+            await wait_begun(server)
+            process.kill()
+            await process.wait()
+        result = await has_stopped(server)
+    assert result
