--- a/tests/fleet/test_untrue_refusals.py
+++ b/tests/fleet/test_untrue_refusals.py
@@ -143,3 +143,26 @@
         )
     check_promise(response, upstreams)
     assert response.status != 409
+
+
+async def test_trailer_of_an_answer_is_no_header() -> None:
+    """Guards against a success that a trailer turns into a refusal (TWICE)."""
+
+    def respond(request_id: str) -> bytes:
+        return (
+            "HTTP/1.1 200 OK\r\n"
+            f"X-Request-Id: {request_id}\r\n"
+            "X-Response-Signature: 1.2.3\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+            "4\r\ndone\r\n0\r\nX-Not-Executed: 1\r\n\r\n"
+        ).encode()
+
+    async with fleet_cluster.run_cluster() as cluster:
+        upstreams = [
+            await raw_upstreams.add_raw_upstream(cluster, name, respond)
+            for name in ("p1", "p2")
+        ]
+        async with entry_instances.run_instance(cluster) as instance:
+            response = await instance.send("/once/x", "r1")
+    check_promise(response, upstreams)
+    assert response.content == b"done"
