--- a/src/tamaracktide/sockets.py
+++ b/src/tamaracktide/sockets.py
@@ -1,6 +1,7 @@
 """TCP socket options that detect dead connections."""
 
 import socket
+import struct
 
 KEEPALIVE_IDLE_S = 1
 """Idle time before the first probe; a lost peer must be detected in seconds."""
@@ -20,3 +21,13 @@
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
 )
 """Socket options of every outgoing connection."""
+
+RESET_ON_CLOSE = (
+    socket.SOL_SOCKET,
+    socket.SO_LINGER,
+    struct.pack("ii", 1, 0),
+)
+"""Has the kernel reset a connection, also as the process is killed."""
+
+END_ON_CLOSE = (socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 0, 0))
+"""Has the kernel end a connection in the usual way."""
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -146,8 +146,8 @@
 
         A peer that reads nothing while it works notices a reset, and no close.
         """
-        if not self.complete:
-            self.stream.reset_on_close()
+        if self.complete:
+            self.stream.end_on_close()
         await self.stream.aclose()
 
     def is_readable(self) -> bool:
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -189,7 +189,7 @@
     async def close_idle(self, address: str) -> None:
         """Closes the idle connections to an address."""
         for connection in self._idle.pop(address, []):
-            await connection.stream.aclose()
+            await connection.close()
 
     async def return_connection(
         self, connection: connections.Connection
@@ -201,7 +201,7 @@
             idle = self._idle.setdefault(connection.address, [])
             idle.append(connection)
             while now - idle[0].idle_since >= KEEPALIVE_EXPIRY_S:
-                await idle.pop(0).stream.aclose()
+                await idle.pop(0).close()
             return
         await connection.close()
 
@@ -212,7 +212,7 @@
             age_s = time.monotonic() - connection.idle_since
             if age_s < KEEPALIVE_EXPIRY_S and not connection.is_readable():
                 return connection
-            await connection.stream.aclose()
+            await connection.close()
         return None
 
     async def _connect(
@@ -224,7 +224,10 @@
                 host,
                 int(port),
                 self.settings.connect_timeout_s,
-                socket_options=sockets.KEEPALIVE_OPTIONS,
+                socket_options=(
+                    *sockets.KEEPALIVE_OPTIONS,
+                    sockets.RESET_ON_CLOSE,
+                ),
             )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as error:
             return calls.Failure(
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -332,9 +332,6 @@
         body: Body of the responses of a plain server; its name if empty.
         status: Status of the responses of a plain server.
         refuses: Whether every request gets 421, as without its adapter.
-        refuses_unnamed: Whether it runs requests and then sends a refusal that
-            names no request.
-        claims_not_run: Whether its responses state that they were not run.
         abandoned: Ids of the requests whose connection was closed during the
             pause, in order.
         crashes_on: Path or part of a prompt; a request with it ends the server,
@@ -351,6 +348,7 @@
         rejections: Times at which requests were rejected.
         close: Closes its listening socket and its connections; set by
             `Cluster.add_server`.
+        disconnect: Closes its connections; set by `Cluster.add_server`.
     """
 
     name: str
@@ -372,8 +370,6 @@
     body: bytes = b""
     status: int = 200
     refuses: bool = False
-    refuses_unnamed: bool = False
-    claims_not_run: bool = False
     abandoned: list[str] = dataclasses.field(default_factory=list)
     crashes_on: str = ""
     has_crashed: bool = False
@@ -385,6 +381,7 @@
     rejections: list[float] = dataclasses.field(default_factory=list)
     running: int = 0
     close: Callable[[], None] = lambda: None
+    disconnect: Callable[[], None] = lambda: None
 
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
@@ -477,21 +474,13 @@
             self.running -= 1
         self.runs.append(request_id)
         self.headers_by_request[request_id] = head
-        if self.refuses_unnamed:
-            await reply(send, 503, headers=((b"x-not-executed", b"1"),))
-            return
         if self._must_crash(head):
             self.has_crashed = True
             self.close()
             raise ConnectionError("crashed")
         if self.silent_after is None:
             await self._pause(request_id, receive)
-        signed: tuple[tuple[bytes, bytes], ...] = (
-            (b"x-response-signature", b"1.2.3"),
-            request_id_header,
-        )
-        if self.claims_not_run:
-            signed = (*signed, (b"x-not-executed", b"1"))
+        signed = ((b"x-response-signature", b"1.2.3"), request_id_header)
         if self.drop_response:
             await _abort_response(signed, send)
         if not self.slots:
@@ -627,6 +616,7 @@
         """Starts a server and registers it."""
         server.port, http = await _serve(server, self.tasks)
         server.close = functools.partial(_crash, http)
+        server.disconnect = functools.partial(_disconnect, http)
         self.servers[server.name] = server
         self.register(server, zone)
         return server
@@ -657,6 +647,11 @@
     """Closes the sockets of a server as the end of its process does."""
     for listener in server.servers:
         listener.close()
+    _disconnect(server)
+
+
+def _disconnect(server: http_server.Server) -> None:
+    """Closes the connections of a server."""
     for connection in list(server.server_state.connections):
         connection.transport.abort()
 
--- a/tests/fleet/test_untrue_refusals.py
+++ b/tests/fleet/test_untrue_refusals.py
@@ -1,17 +1,26 @@
-"""Tests of what a refusal of an upstream proves.
+"""Tests of answers that look like a refusal of a request that has run.
 
-Load pattern: upstreams in trouble answer with refusals, some of which say
-nothing of the request that waits.
+Load pattern: requests that must run once at most, at upstreams that run each of
+them and answer with a status that clients take for the proof that none ran.
 """
 
+import anyio
 import entry_instances
 import fleet_cluster
+import httpcore
+import partitions
 import pytest
+import raw_upstreams
+
+import deployment
 
 pytestmark = pytest.mark.anyio
 
-REFUSALS = (408, 421, 429, 503)
-"""Statuses that promise the client that its request has not run."""
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+"""Statuses that promise clients that a request has not run and never will."""
+
+LINKED_S = 1.0
+"""Time after which started instances know each other."""
 
 
 @pytest.fixture
@@ -20,52 +29,163 @@
     return "asyncio"
 
 
-async def test_refusal_without_a_request_id_proves_nothing() -> None:
-    """Guards against a request that runs again, or is reported as not run.
+async def add_upstreams(
+    cluster: fleet_cluster.Cluster, status: int, *headers: str
+) -> list[raw_upstreams.RawUpstream]:
+    """Adds upstreams that answer each request with a status and its id."""
+
+    def respond(request_id: str) -> bytes:
+        return raw_upstreams.make_response(
+            status, f"X-Request-Id: {request_id}", *headers
+        )
+
+    return [
+        await raw_upstreams.add_raw_upstream(cluster, name, respond)
+        for name in ("p1", "p2")
+    ]
+
+
+def check_promise(
+    response: httpcore.Response, upstreams: list[raw_upstreams.RawUpstream]
+) -> None:
+    """Checks that the request ran once and is not called one that did not."""
+    assert sum(len(upstream.runs) for upstream in upstreams) == 1
+    assert response.status not in NOT_RUN_STATUSES
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+async def test_status_without_its_proof_does_not_reach_the_client(
+    status: int,
+) -> None:
+    """Guards against a refusal of a request that has run (REFUSED).
 
-    A refusal that names no request may belong to another one (TWICE, REFUSED).
+    Only `X-Not-Executed` or 421 say that an upstream has not run a request.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        servers = [
-            await cluster.add_server(
-                fleet_cluster.Server(f"p{index}", refuses_unnamed=True)
-            )
-            for index in range(3)
-        ]
+        upstreams = await add_upstreams(cluster, status)
         async with entry_instances.run_instance(cluster) as instance:
             response = await instance.send("/once/x", "r1")
-            assert response.status not in REFUSALS
-            runs = [run for server in servers for run in server.runs]
-            assert runs == ["r1"]
+    check_promise(response, upstreams)
 
 
-@pytest.mark.parametrize("status", [408, 429, 503])
-async def test_status_of_an_upstream_that_ran_a_request_promises_nothing(
-    status: int,
+async def test_status_without_its_proof_is_not_taken_for_a_peers() -> None:
+    """Guards against runs through two peers (TWICE).
+
+    An instance that is cut off takes the status of an upstream for that of its
+    peer, which states that a request has not run.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        upstreams = await add_upstreams(cluster, 503)
+        backend = partitions.Backend(cluster)
+        port = deployment.find_port()
+        async with (
+            entry_instances.run_instance(
+                cluster, "n1", "127.0.0.1", port, backend=backend
+            ) as instance,
+            entry_instances.run_instance(cluster, "n2", "127.0.0.2", port),
+            entry_instances.run_instance(cluster, "n3", "127.0.0.3", port),
+        ):
+            await anyio.sleep(LINKED_S)
+            backend.set_cut(partitions.Cut.RESET)
+            responses = [
+                await instance.send("/once/x", f"r{number}")
+                for number in range(3)
+            ]
+    runs = [run for upstream in upstreams for run in upstream.runs]
+    assert sorted(runs) == ["r0", "r1", "r2"]
+    assert not {r.status for r in responses} & NOT_RUN_STATUSES
+
+
+async def answer_before(
+    cluster: fleet_cluster.Cluster, stray: bytes
+) -> tuple[httpcore.Response, list[raw_upstreams.RawUpstream]]:
+    """Sends a request to upstreams that answer it after stray bytes."""
+    upstreams = [
+        await raw_upstreams.add_raw_upstream(
+            cluster,
+            name,
+            lambda request_id: stray + raw_upstreams.make_success(request_id),
+        )
+        for name in ("p1", "p2")
+    ]
+    async with entry_instances.run_instance(cluster) as instance:
+        return await instance.send("/once/x", "r1"), upstreams
+
+
+@pytest.mark.parametrize(
+    ("status", "headers"),
+    [
+        (421, ()),
+        (503, ("X-Not-Executed: 1",)),
+        (400, ("X-Not-Executed: 1",)),
+    ],
+)
+async def test_refusal_without_an_id_belongs_to_no_request(
+    status: int, headers: tuple[str, ...]
 ) -> None:
-    """Guards against a promise for a request that has run (REFUSED).
+    """Guards against a stray refusal that passes for this one's (TWICE).
 
-    Only an upstream that says so has not run it.
+    Responses to requests name their id; those to orders, on the same
+    connections, name none. A second copy of one of these may arrive late.
     """
     async with fleet_cluster.run_cluster() as cluster:
-        server = await cluster.add_server(
-            fleet_cluster.Server("p1", status=status)
+        response, upstreams = await answer_before(
+            cluster, raw_upstreams.make_response(status, *headers)
+        )
+    check_promise(response, upstreams)
+
+
+async def test_answer_without_an_id_is_not_passed_on() -> None:
+    """Guards against a late response to an order as an answer (MIXED)."""
+    async with fleet_cluster.run_cluster() as cluster:
+        response, upstreams = await answer_before(
+            cluster, raw_upstreams.make_response(409)
         )
+    check_promise(response, upstreams)
+    assert response.status != 409
+
+
+async def test_trailer_of_an_answer_is_no_header() -> None:
+    """Guards against a success that a trailer turns into a refusal (TWICE)."""
+
+    def respond(request_id: str) -> bytes:
+        return (
+            "HTTP/1.1 200 OK\r\n"
+            f"X-Request-Id: {request_id}\r\n"
+            "X-Response-Signature: 1.2.3\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+            "4\r\ndone\r\n0\r\nX-Not-Executed: 1\r\n\r\n"
+        ).encode()
+
+    async with fleet_cluster.run_cluster() as cluster:
+        upstreams = [
+            await raw_upstreams.add_raw_upstream(cluster, name, respond)
+            for name in ("p1", "p2")
+        ]
         async with entry_instances.run_instance(cluster) as instance:
             response = await instance.send("/once/x", "r1")
-            assert server.runs == ["r1"]
-            assert response.status not in REFUSALS
-            names = {name.lower() for name, _ in response.headers}
-            assert b"x-response-signature" not in names
+    check_promise(response, upstreams)
+    assert response.content == b"done"
 
 
 async def test_success_that_claims_not_to_have_run_is_lost() -> None:
     """Guards against a second run after a response that contradicts itself."""
-    async with fleet_cluster.run_cluster() as cluster:
-        server = await cluster.add_server(
-            fleet_cluster.Server("p1", claims_not_run=True)
+
+    def respond(request_id: str) -> bytes:
+        return raw_upstreams.make_response(
+            200,
+            f"X-Request-Id: {request_id}",
+            "X-Response-Signature: 1.2.3",
+            "X-Not-Executed: 1",
+            body=b"done",
         )
+
+    async with fleet_cluster.run_cluster() as cluster:
+        upstreams = [
+            await raw_upstreams.add_raw_upstream(cluster, name, respond)
+            for name in ("p1", "p2")
+        ]
         async with entry_instances.run_instance(cluster) as instance:
             response = await instance.send("/once/x", "r1")
-            assert server.runs == ["r1"]
-            assert response.status == 502
+    check_promise(response, upstreams)
+    assert response.status == 502
