--- a/tests/fleet/test_lost_stream_records.py
+++ b/tests/fleet/test_lost_stream_records.py
@@ -10,6 +10,8 @@
 import pytest
 import versioned_streams
 
+import deployment
+
 pytestmark = pytest.mark.anyio
 
 KIND = "tamaracktide-streams"
@@ -138,3 +140,42 @@
             await anyio.sleep(CUT_S)
             await versioned_streams.resume(second, "s0", "r0", after)
             assert versioned_streams.find_versions([old], "s0") == set()
+
+
+async def test_link_to_an_instance_without_a_store_shows_no_version() -> None:
+    """Guards against instances that are cut off together (ORDER).
+
+    They reach clients, upstreams and each other, but neither the store nor the
+    instance at which a stream of a new version began.
+    """
+    port = deployment.find_port()
+    async with fleet_cluster.run_cluster() as cluster:
+        old = await versioned_streams.add_engine(cluster, "old", "v1")
+        proxy, address = await cluster.add_store_proxy()
+        async with (
+            entry_instances.run_instance(
+                cluster,
+                name="n2",
+                host="127.0.0.2",
+                peer_port=port,
+                store_address=address,
+            ) as second,
+            entry_instances.run_instance(
+                cluster,
+                name="n3",
+                host="127.0.0.3",
+                peer_port=port,
+                store_address=address,
+            ),
+            entry_instances.run_instance(cluster) as first,
+        ):
+            await anyio.sleep(RECORD_S)
+            proxy.is_unavailable = True
+            await anyio.sleep(CUT_S)
+            cluster.register(old, "z2")
+            new = await versioned_streams.add_engine(cluster, "new", "v2")
+            await anyio.sleep(RECORD_S)
+            after = await versioned_streams.begin_stream(first, "r0")
+            assert new.runs == ["r0"]
+            await versioned_streams.resume(second, "s0", "r0", after)
+            assert versioned_streams.find_versions([old], "s0") == set()
