--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -311,6 +311,7 @@
             are rejected.
         service_s: Duration of a request of a plain server.
         rejections: Times at which requests were rejected.
+        born: Start of its process, Unix milliseconds.
         close: Closes its listening socket and its connections; set by
             `Cluster.add_server`.
     """
@@ -346,6 +347,7 @@
     service_s: float = 0.0
     rejections: list[float] = dataclasses.field(default_factory=list)
     running: int = 0
+    born: int = 1
     close: Callable[[], None] = lambda: None
 
     async def __call__(
@@ -383,7 +385,7 @@
         return {
             "Sequence": len(self.orders),
             "Busy": False,
-            "born": 1,
+            "born": self.born,
             "Models": self.list_models(),
             "Coming": [],
         }
@@ -593,6 +595,16 @@
         self.register(server, zone)
         return server
 
+    async def restart_server(
+        self, server: Server, software: str, zone: str = "z1"
+    ) -> None:
+        """Starts a server again under its id and address, as a version."""
+        server.close()
+        server.software, server.born = software, server.born + 1
+        _, http = await _serve(server, self.tasks, server.port)
+        server.close = functools.partial(_crash, http)
+        self.register(server, zone)
+
     def register(
         self, server: Server, zone: str = "z1", state: str = "ready"
     ) -> None:
@@ -608,7 +620,7 @@
                 "Slots": 8,
                 "State": state,
                 "Sequence": 1,
-                "born": 1,
+                "born": server.born,
                 "Models": server.list_models(),
                 "AtHand": {"InMemory": [], "OnDisk": [MODEL]},
             },
@@ -624,10 +636,10 @@
 
 
 async def _serve(
-    app: asgi.App, tasks: anyio.abc.TaskGroup
+    app: asgi.App, tasks: anyio.abc.TaskGroup, port: int = 0
 ) -> tuple[int, http_server.Server]:
     """Starts an HTTP server; returns its port and itself."""
-    port = deployment.find_port()
+    port = port or deployment.find_port()
     server = http_server.make_server(app, HOST, port, KEEP_ALIVE_S)
     tasks.start_soon(server.serve)
     while not server.started:
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -19,6 +19,9 @@
 
 pytestmark = pytest.mark.anyio
 
+WATCH_END_S = 2.5
+"""Time after which a watch of the store that was under way has ended."""
+
 BREAK_S = 1.2
 """Pause of an engine before it breaks off a stream; too short for a hedge."""
 
@@ -195,6 +198,29 @@
             assert versioned_streams.find_versions(engines, "s1") == set()
 
 
+async def test_stream_never_goes_on_at_an_upstream_of_a_new_version() -> None:
+    """Guards against a release that keeps ids and addresses (ORDER).
+
+    The instance is cut off from the store, so that the entry of the upstream
+    that started again still names the version before.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await versioned_streams.add_versions(cluster, "v1", "v1")
+        proxy, address = await cluster.add_store_proxy()
+        async with entry_instances.run_instance(
+            cluster, store_address=address
+        ) as instance:
+            after = await versioned_streams.begin_stream(instance, "r0")
+            assert engines[0].runs == ["r0"]
+            proxy.is_unavailable = True
+            await anyio.sleep(WATCH_END_S)
+            await cluster.restart_server(engines[1], "v2", "z2")
+            engines[0].close()
+            await anyio.sleep(BREAK_S)
+            await versioned_streams.resume(instance, "s0", "r0", after)
+            assert engines[1].runs == []
+
+
 async def test_unknown_stream_resumes_while_there_is_one_version() -> None:
     """It cannot have begun at any other, as after a restart of everything."""
     async with fleet_cluster.run_cluster() as cluster:
