--- a/src/tamaracktide/core/resumed_streams.py
+++ b/src/tamaracktide/core/resumed_streams.py
@@ -34,6 +34,7 @@
     """
     if generated <= 0:
         return whole
+    generated = min(generated, whole.output)
     return Tokens(whole.prompt + generated, max(1, whole.output - generated))
 
 
--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -58,10 +58,11 @@
         """Records the beginning of a stream.
 
         Returns:
-            Whether it was not known. What is known is never changed.
+            Whether it was not known. What is known is never changed, and a
+            stream without an id is not recorded.
         """
         self._drop_expired(now)
-        if request_id in self._begun:
+        if not request_id or request_id in self._begun:
             return False
         self._begun[request_id] = (software, source, now)
         if len(self._begun) > MAX_RECORDS:
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -220,6 +220,7 @@
             self._store_health,
             self._resumption.history,
             self._find_store_rank,
+            self._count_instances,
             self._resumption.check_view,
             self._resumption.apply_restored,
             self._tasks,
--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -37,6 +37,9 @@
 """Time for which a response of another upstream is awaited before one is
 checked, to confirm that an upstream has ended."""
 
+END_DELAY_S = 0.05
+"""Time within which the kernel closes all sockets of a killed process."""
+
 MAX_CONFIRMATIONS = 3
 """Upstreams that are checked to confirm that another one has ended."""
 
@@ -167,12 +170,19 @@
         self._tasks.start_soon(self._check, entry)
 
     async def has_ended(self, entry: upstream_entries.UpstreamEntry) -> bool:
-        """Returns whether an upstream refuses connections.
+        """Returns whether an upstream has ended, or ends right now.
 
         Also if this instance is cut off from all upstreams, or the upstream
         leaves: to take a complete response for a part is the lesser harm.
         """
-        return await self._try_connect(entry) is Contact.REFUSED
+        opened = await _open(self._backend, entry.address)
+        if isinstance(opened, Contact):
+            return opened is Contact.REFUSED
+        # A killed process may lose its connections before its listener.
+        await anyio.sleep(END_DELAY_S)
+        has_ended = opened.is_readable()
+        await opened.aclose()
+        return has_ended
 
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
@@ -238,13 +248,22 @@
 
 
 async def _connect(backend: network.Backend, address: str) -> Contact:
+    opened = await _open(backend, address)
+    if isinstance(opened, Contact):
+        return opened
+    await opened.aclose()
+    return Contact.REACHED
+
+
+async def _open(
+    backend: network.Backend, address: str
+) -> network.Stream | Contact:
+    """Opens a connection; returns why there is none otherwise."""
     host, _, port = address.rpartition(":")
     try:
-        stream = await backend.connect_tcp(host, int(port), CONNECT_PERIOD_S)
+        return await backend.connect_tcp(host, int(port), CONNECT_PERIOD_S)
     except httpcore.ConnectTimeout:
         return Contact.SILENT
     except httpcore.ConnectError as error:
         is_refused = isinstance(error.__cause__, ConnectionRefusedError)
         return Contact.REFUSED if is_refused else Contact.SILENT
-    await stream.aclose()
-    return Contact.REACHED
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -24,8 +24,12 @@
 from tamaracktide.observability import logs
 
 RECORD_PERIOD_S = 0.25
-"""Time between two records of an instance. Streams that begin within it before
-all instances are killed are not resumed; they take seconds."""
+"""Minimum time between two records of an instance. Streams that begin within it
+before all instances are killed are not resumed; they take seconds."""
+
+MAX_RECORDS_PER_S = 100.0
+"""Records of all instances together above which the period grows. Leases need
+the store's rate of writes, too."""
 
 RANK_DELAY_S = 0.4
 """Additional delay per rank before an instance records the versions, so that
@@ -75,6 +79,7 @@
         store_health: store_follower.StoreHealth,
         history: stream_history.StreamHistory,
         find_rank: Callable[[], int | None],
+        count_instances: Callable[[], int],
         check_view: Callable[[], None],
         on_restore: Callable[[frozenset[str]], None],
         tasks: anyio.abc.TaskGroup,
@@ -89,6 +94,7 @@
             history: What this instance knows of streams.
             find_rank: Returns the rank of this instance among those that follow
                 the store, None if it does not.
+            count_instances: Returns the number of instances.
             check_view: Called before records are written.
             on_restore: Called after records were read, with the services that
                 have thereby become mixed.
@@ -104,11 +110,13 @@
         self._store_health = store_health
         self._history = history
         self._find_rank = find_rank
+        self._count_instances = count_instances
         self._check_view = check_view
         self._on_restore = on_restore
         self._tasks = tasks
         self._is_loading = False
         self._versions: _Versions | None = None
+        self._versions_revision: int | None = None
         self._differs_since: float | None = None
         self._revision: int | None = None
         self._streams: _Streams = {}
@@ -117,7 +125,9 @@
     async def run(self) -> None:
         """Records changes until cancelled."""
         while True:
-            with anyio.move_on_after(RECORD_PERIOD_S * random.uniform(0.9, 1)):
+            with anyio.move_on_after(
+                self._find_period_s() * random.uniform(0.9, 1.0)
+            ):
                 await self._is_due.wait()
             self._is_due = anyio.Event()
             self._check_view()
@@ -136,13 +146,19 @@
                     "record of streams has changed: {}", error.detail
                 )
             except errors.PlatformUnavailableError as error:
-                self._store_health.record_failure(error)
+                # The store may only refuse so many writes, and serve the rest.
+                logs.bind(code=error.code.value).info(
+                    "streams not recorded: {}", error.detail
+                )
             except errors.PlatformError as error:
                 self._forget()
                 logs.bind(code=error.code.value).error(
                     "record of streams rejected: {}", error.detail
                 )
 
+    def _find_period_s(self) -> float:
+        return max(RECORD_PERIOD_S, self._count_instances() / MAX_RECORDS_PER_S)
+
     def record_soon(self) -> None:
         """Records changes without waiting for the end of the period."""
         self._is_due.set()
@@ -155,7 +171,7 @@
 
     def _forget(self) -> None:
         """Has the records read again before the next write."""
-        self._versions = None
+        self._versions = self._versions_revision = None
         self._revision = None
 
     def request_load(self) -> None:
@@ -182,12 +198,13 @@
 
     def _apply(self, found: object_store.Items) -> None:
         now = anyio.current_time()
-        versions = self._not_recorded
+        versions, revision = self._not_recorded, 0
         streams = 0
         for item in found.items:
             value = item.value or b""
             if item.key == self._versions_key:
                 versions = self._decode_versions(value)
+                revision = item.version
                 continue
             record = _decode(item.key, value, _Streams) or {}
             streams += sum(map(len, record.values()))
@@ -197,12 +214,18 @@
             complete=versions.is_complete,
             streams=streams,
         ).info("records of streams read")
-        self._restore(versions)
+        self._restore(versions, revision)
+
+    def _restore(self, versions: _Versions, revision: int) -> None:
+        """Applies the recorded versions, unless this instance knows the record.
 
-    def _restore(self, versions: _Versions) -> None:
+        What it has seen expire must not count anew.
+        """
+        is_known = revision == self._versions_revision
+        self._versions_revision = revision
         self._on_restore(
             self._history.restore_versions(
-                versions.services,
+                {} if is_known else versions.services,
                 anyio.current_time(),
                 is_complete=versions.is_complete,
             )
@@ -233,12 +256,10 @@
             return
         value, revision = await self._read(self._versions_key)
         stored = self._decode_versions(value)
-        if stored != self._versions:
-            # What this instance has seen expire must not count anew.
-            self._restore(stored)
+        self._restore(stored, revision)
         wanted = self._make_versions()
         if not revision or stored != wanted:
-            await self._write(
+            self._versions_revision = await self._write(
                 self._versions_key, msgspec.json.encode(wanted), revision
             )
             logs.bind(
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -1,7 +1,5 @@
 """Connections to upstreams, whose responses httptools parses."""
 
-import select
-
 import httpcore
 import httptools
 
@@ -152,11 +150,7 @@
 
     def is_readable(self) -> bool:
         """Whether an idle connection has unexpected data or was closed."""
-        if self.stream.get_extra_info("is_readable"):
-            return True
-        poll = select.poll()
-        poll.register(self.stream.get_extra_info("socket"), select.POLLIN)
-        return bool(poll.poll(0))
+        return self.stream.is_readable()
 
     async def send(
         self, request: bytes, timeout_s: float
--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Iterable
 import math
+import select
 import socket
 from typing import Any
 
@@ -180,6 +181,15 @@
         """
         return await self._receiver.wait_readable()
 
+    def is_readable(self) -> bool:
+        """Whether bytes or the end have arrived, read by the loop or not."""
+        if self.get_extra_info("is_readable"):
+            return True
+        opened: socket.socket = self.get_extra_info("socket")
+        poll = select.poll()
+        poll.register(opened, select.POLLIN)
+        return bool(poll.poll(0))
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends bytes.
 
--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -23,16 +23,19 @@
         respond: Responds to a request.
         runs: Ids of the requests that arrived, in order.
         listener: Its listening socket; closed, it refuses connections.
+        writers: Its open connections.
     """
 
     respond: Respond
     runs: list[str] = dataclasses.field(default_factory=list)
     listener: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
 
     async def handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Handles the requests of one connection."""
+        self.writers.add(writer)
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
@@ -40,6 +43,13 @@
                     self.runs.append(request_id)
                     await self.respond(request_id, reader, writer)
         finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def end(self) -> None:
+        """Closes all sockets, as the end of the process does."""
+        self.stop_listening()
+        for writer in self.writers:
             writer.close()
 
     def stop_listening(self) -> None:
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -15,6 +15,9 @@
 
 pytestmark = pytest.mark.anyio
 
+END_S = 0.02
+"""Time that the kernel takes to close all sockets of a process."""
+
 STREAM_HEAD = "Content-Type: text/event-stream"
 LEAVING_S = 1.0
 """Time after which an instance knows that an upstream is leaving."""
@@ -91,6 +94,34 @@
             await instance.generate("r1")
 
 
+async def test_stream_is_not_complete_while_its_upstream_ends() -> None:
+    """Guards against a stream that ends before its last event (ORDER).
+
+    The kernel ends the connections of a killed process before its listener.
+    """
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+        writer.write(make_events(1, 2))
+        await writer.drain()
+        asyncio.get_running_loop().call_later(END_S, server.end)
+        raise ConnectionError("killed")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(
+            cluster, "e1", respond, is_engine=True
+        ) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await instance.generate("r1")
+
+
 async def test_body_of_a_killed_upstream_is_not_complete() -> None:
     """Guards against a part of a body that passes for all of it (MIXED)."""
 
