--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -6,9 +6,13 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import socket
+import struct
 
 import fleet_cluster
 
+NO_LINGER = struct.pack("ii", 1, 0)
+
 Respond = Callable[
     [str, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
@@ -23,16 +27,19 @@
         respond: Responds to a request.
         runs: Ids of the requests that arrived, in order.
         listener: Its listening socket; closed, it refuses connections.
+        writers: Its open connections.
     """
 
     respond: Respond
     runs: list[str] = dataclasses.field(default_factory=list)
     listener: asyncio.Server | None = None
+    writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
 
     async def handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Handles the requests of one connection."""
+        self.writers.add(writer)
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
@@ -40,8 +47,24 @@
                     self.runs.append(request_id)
                     await self.respond(request_id, reader, writer)
         finally:
+            self.writers.discard(writer)
             writer.close()
 
+    def kill_after(self, seconds: float) -> None:
+        """Ends the process: its listening socket and its connections.
+
+        The kernel closes them one after the other; those that nobody has
+        accepted are reset.
+        """
+        asyncio.get_running_loop().call_later(seconds, self._kill)
+
+    def _kill(self) -> None:
+        self.stop_listening()
+        for writer in self.writers:
+            opened = writer.get_extra_info("socket")
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
+
     def stop_listening(self) -> None:
         """Refuses new connections, as after the end of the process."""
         assert self.listener is not None
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -16,6 +16,9 @@
 pytestmark = pytest.mark.anyio
 
 STREAM_HEAD = "Content-Type: text/event-stream"
+EXIT_S = 0.005
+"""Time in which the kernel ends a process."""
+
 LEAVING_S = 1.0
 """Time after which an instance knows that an upstream is leaving."""
 
@@ -59,6 +62,34 @@
             await instance.generate("r1")
 
 
+async def test_killed_upstream_may_still_listen_when_its_stream_ends() -> None:
+    """Guards against a stream that ends before its last event (ORDER).
+
+    The kernel may close the connections of a process before its listener.
+    """
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+        writer.write(make_events(1, 2))
+        await writer.drain()
+        server.kill_after(EXIT_S)
+        raise ConnectionError("killed")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(
+            cluster, "e1", respond, is_engine=True
+        ) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        with pytest.raises(httpcore.RemoteProtocolError):
+            await instance.generate("r1")
+
+
 async def test_stream_of_a_killed_upstream_that_leaves_is_not_complete() -> (
     None
 ):
