--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -179,10 +179,11 @@
         if isinstance(opened, Contact):
             return opened is Contact.REFUSED
         # A killed process may lose its connections before its listener.
-        await anyio.sleep(END_DELAY_S)
-        has_ended = opened.is_readable()
-        await opened.aclose()
-        return has_ended
+        try:
+            await anyio.sleep(END_DELAY_S)
+            return opened.is_readable()
+        finally:
+            await opened.aclose()
 
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -6,9 +6,13 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import socket
+import struct
 
 import fleet_cluster
 
+NO_LINGER = struct.pack("ii", 1, 0)
+
 Respond = Callable[
     [str, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
 ]
@@ -46,11 +50,20 @@
             self.writers.discard(writer)
             writer.close()
 
-    def end(self) -> None:
-        """Closes all sockets, as the end of the process does."""
+    def kill_after(self, seconds: float) -> None:
+        """Ends the process: its listening socket and its connections.
+
+        The kernel closes them one after the other; those that nobody has
+        accepted are reset.
+        """
+        asyncio.get_running_loop().call_later(seconds, self._kill)
+
+    def _kill(self) -> None:
         self.stop_listening()
         for writer in self.writers:
-            writer.close()
+            opened = writer.get_extra_info("socket")
+            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+            writer.transport.abort()
 
     def stop_listening(self) -> None:
         """Refuses new connections, as after the end of the process."""
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -15,10 +15,10 @@
 
 pytestmark = pytest.mark.anyio
 
-END_S = 0.02
-"""Time that the kernel takes to close all sockets of a process."""
-
 STREAM_HEAD = "Content-Type: text/event-stream"
+EXIT_S = 0.005
+"""Time in which the kernel ends a process."""
+
 LEAVING_S = 1.0
 """Time after which an instance knows that an upstream is leaving."""
 
@@ -62,12 +62,10 @@
             await instance.generate("r1")
 
 
-async def test_stream_of_a_killed_upstream_that_leaves_is_not_complete() -> (
-    None
-):
+async def test_killed_upstream_may_still_listen_when_its_stream_ends() -> None:
     """Guards against a stream that ends before its last event (ORDER).
 
-    An upstream that is removed at short notice ends whatever it is running.
+    The kernel may close the connections of a process before its listener.
     """
 
     async def respond(
@@ -78,9 +76,7 @@
         writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
         writer.write(make_events(1, 2))
         await writer.drain()
-        cluster.register(cluster.servers["e1"], state="draining")
-        await anyio.sleep(LEAVING_S)
-        server.stop_listening()
+        server.kill_after(EXIT_S)
         raise ConnectionError("killed")
 
     async with (
@@ -94,10 +90,12 @@
             await instance.generate("r1")
 
 
-async def test_stream_is_not_complete_while_its_upstream_ends() -> None:
+async def test_stream_of_a_killed_upstream_that_leaves_is_not_complete() -> (
+    None
+):
     """Guards against a stream that ends before its last event (ORDER).
 
-    The kernel ends the connections of a killed process before its listener.
+    An upstream that is removed at short notice ends whatever it is running.
     """
 
     async def respond(
@@ -108,7 +106,9 @@
         writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
         writer.write(make_events(1, 2))
         await writer.drain()
-        asyncio.get_running_loop().call_later(END_S, server.end)
+        cluster.register(cluster.servers["e1"], state="draining")
+        await anyio.sleep(LEAVING_S)
+        server.stop_listening()
         raise ConnectionError("killed")
 
     async with (
