--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,11 +1,15 @@
-"""Runs a deployment under load with two concurrent faults per round.
+"""Runs deployments under load and faults, and checks every response.
 
-The topology has the size of today's deployment.
+The topologies have the size of today's deployment. There are two deployments:
+`daemons` are gateways and schedulers on the project's own stand-ins, `entry`
+are entry instances on stand-ins of the users' platform. By default both run,
+each for half of the time.
 
 Each round checks the responses to the load. After the faults are cleared, all
 daemons must have the last accepted tables in force and must serve every request
-of a further load. The last line of the output is one JSON object with the sums
-of all rounds.
+of a further load. Rounds of entry instances are checked by the rules of the
+platform; their settings, logs and records stay in the directory. The last line
+of the output is one JSON object with the sums of all rounds.
 """
 
 import argparse
@@ -42,6 +46,8 @@
     "unreachable",
 )
 VIOLATION_KEYS = ("wrong", "truncated", "effects_doubled", "refusals_untrue")
+DEPLOYMENTS = ("daemons", "entry")
+FLEET_TESTS = pathlib.Path(__file__).resolve().parent.parent / "tests" / "fleet"
 TOPOLOGY = topology.Topology(
     gateways=("za", "zb", "zc", "za"),
     schedulers=("za", "zb", "zc", "za"),
@@ -271,20 +277,60 @@
         yield faults.choose_faults(rng, nodes, soak.zones)
 
 
+def _parse_flags() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--seed", type=int, default=1, help="default: 1")
+    parser.add_argument(
+        "--minutes",
+        type=float,
+        default=2.0,
+        help="time over all deployments; default: 2",
+    )
+    parser.add_argument(
+        "--rounds",
+        type=int,
+        default=1_000_000,
+        help="maximum number of rounds of each deployment",
+    )
+    parser.add_argument(
+        "--deployment",
+        choices=("both", *DEPLOYMENTS),
+        default="both",
+        help="what is run; default: both",
+    )
+    parser.add_argument("--directory", type=pathlib.Path, default="run/soak")
+    return parser.parse_args()
+
+
+def _run_daemons(flags: argparse.Namespace, minutes: float) -> Json:
+    directory = flags.directory.resolve() / "daemons"
+    soak = Soak(directory, flags.seed, TOPOLOGY)
+    anyio.run(soak.run, generate_rounds(soak, flags.rounds, minutes))
+    return {**soak.sums, "failures": soak.failures}
+
+
+def _run_entry(flags: argparse.Namespace, minutes: float) -> Json:
+    # The stand-ins of the users' platform are part of the adapter's tests.
+    sys.path.insert(0, str(FLEET_TESTS))
+    import soak_rounds
+
+    directory = flags.directory.resolve() / "entry"
+    soak = soak_rounds.run(directory, flags.seed, minutes, flags.rounds)
+    return {**soak.sums, "failures": soak.failures}
+
+
 def main() -> int:
     """Returns 0 if all guarantees held in all rounds."""
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--minutes", type=float, default=2.0)
-    parser.add_argument("--rounds", type=int, default=1_000_000)
-    parser.add_argument("--directory", type=pathlib.Path, default="run/soak")
-    flags = parser.parse_args()
-    soak = Soak(flags.directory.resolve(), flags.seed, TOPOLOGY)
-    anyio.run(soak.run, generate_rounds(soak, flags.rounds, flags.minutes))
-    print(
-        json.dumps({**soak.sums, "seed": soak.seed, "failures": soak.failures})
-    )
-    return 1 if soak.failures else 0
+    flags = _parse_flags()
+    runs = {"daemons": _run_daemons, "entry": _run_entry}
+    is_single = flags.deployment != "both"
+    chosen = (flags.deployment,) if is_single else DEPLOYMENTS
+    sums = {n: runs[n](flags, flags.minutes / len(chosen)) for n in chosen}
+    print(json.dumps({**sums, "seed": flags.seed}))
+    return 1 if any(found["failures"] for found in sums.values()) else 0
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/fleet/soak_cluster.py
@@ -0,0 +1,313 @@
+"""Processes of a soak run: entry instances and the stand-ins of servers."""
+
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import anyio
+import anyio.to_thread
+import soak_http
+import soak_server
+
+import deployment
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+FIRST_HOST = 11
+INSTANCE_PORTS = 6
+STOP_LIMIT_S = 9.0
+"""Time after SIGTERM at which an instance is killed: its grace period and a
+second."""
+
+KEPT_VARIABLES = ("PATH", "HOME", "LANG")
+SPAN_END = float("inf")
+BOUNDS = {
+    "lease_ms": 3000,
+    "grace_s": 8,
+    "retry_fraction": 0.2,
+    "retry_window_s": 10,
+    "retry_extra": 54,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Span:
+    """A time in which a machine was disturbed; seconds of the steady clock."""
+
+    starts_at: float
+    ends_at: float
+    cause: str
+
+
+@dataclasses.dataclass(slots=True)
+class Instance:
+    """An entry instance.
+
+    Attributes:
+        name: Its name.
+        zone: Its availability zone.
+        settings: Its settings.
+        process: Its process, None while it is down.
+        spans: Times in which the soak run disturbed it.
+        ends: Times at which it ended by itself, with the status.
+        is_in_rotation: Whether the load balancer gives it connections.
+        log_read: Bytes of its log that were read.
+    """
+
+    name: str
+    zone: str
+    settings: dict[str, Any]
+    process: subprocess.Popen[bytes] | None = None
+    spans: list[Span] = dataclasses.field(default_factory=list)
+    ends: list[tuple[float, int]] = dataclasses.field(default_factory=list)
+    is_in_rotation: bool = False
+    log_read: int = 0
+
+    @property
+    def front(self) -> str:
+        """Address for clients."""
+        return str(self.settings["caller_address"])
+
+    @contextlib.contextmanager
+    def disturb(self, cause: str) -> Iterator[None]:
+        """Marks a span in which the instance is disturbed."""
+        span = Span(time.monotonic(), SPAN_END, cause)
+        self.spans.append(span)
+        try:
+            yield
+        finally:
+            span.ends_at = time.monotonic()
+
+    def is_calm(self, starts_at: float, ends_at: float) -> bool:
+        """Whether nothing disturbed it during a time."""
+        return all(
+            span.ends_at < starts_at or span.starts_at > ends_at
+            for span in self.spans
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Server:
+    """A stand-in of a server and its process."""
+
+    config: soak_server.Config
+    process: subprocess.Popen[bytes] | None = None
+    is_leaving: bool = False
+    frozen: list[Span] = dataclasses.field(default_factory=list)
+
+    @property
+    def name(self) -> str:
+        """Its instance id."""
+        return self.config.name
+
+    async def change(self, **changes: object) -> None:
+        """Changes its behaviour, if it responds."""
+        body = json.dumps(changes).encode()
+        await soak_http.call(self.config.address, "POST", "/soak", body, 1.0)
+
+
+class Cluster:
+    """All processes of a soak run.
+
+    Attributes:
+        folder: Folder of settings, logs and records.
+        instances: Entry instances by name.
+        servers: Servers that were ever started, by name.
+        store_address: Address of the store.
+    """
+
+    def __init__(self, folder: pathlib.Path, zones: tuple[str, ...]) -> None:
+        """Writes no file and starts no process."""
+        self.folder = folder
+        self.store_address = f"{deployment.HOST}:{deployment.find_port()}"
+        hosts = [f"127.0.0.{FIRST_HOST + n}" for n in range(len(zones))]
+        ports = _find_ports(hosts, INSTANCE_PORTS)
+        self.instances = {
+            f"front-{n + 1}": _make_instance(
+                f"front-{n + 1}", zone, hosts[n], ports, self.store_address
+            )
+            for n, zone in enumerate(zones)
+        }
+        self.servers: dict[str, Server] = {}
+
+    # Entry instances.
+
+    def start(self, instance: Instance) -> None:
+        """Starts an instance with its settings."""
+        self.write_settings(instance)
+        path = self.folder / f"{instance.name}.json"
+        instance.process = self._start(
+            [str(ROOT / "platform" / "run.py")],
+            instance.name,
+            TAMARACKTIDE_SETTINGS=str(path),
+        )
+
+    def write_settings(self, instance: Instance) -> None:
+        """Writes the settings file of an instance."""
+        path = self.folder / f"{instance.name}.json"
+        path.write_text(json.dumps(instance.settings))
+
+    def _start(
+        self, arguments: list[str], name: str, **variables: str
+    ) -> subprocess.Popen[bytes]:
+        kept = {n: os.environ[n] for n in KEPT_VARIABLES if n in os.environ}
+        with (self.folder / f"{name}.log").open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                env={**kept, "PYTHONDONTWRITEBYTECODE": "1", **variables},
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    def read_new_log(self, instance: Instance) -> list[str]:
+        """Returns the lines that were added to the log of an instance."""
+        data = (self.folder / f"{instance.name}.log").read_bytes()
+        added = data[instance.log_read :]
+        instance.log_read = len(data)
+        return added.decode(errors="replace").splitlines()
+
+    def send_signal(self, instance: Instance, number: signal.Signals) -> None:
+        """Sends a signal to an instance that runs."""
+        if instance.process is not None and instance.process.poll() is None:
+            instance.process.send_signal(number)
+
+    def kill(self, instances: list[Instance]) -> None:
+        """Kills instances at the same moment."""
+        for instance in instances:
+            self.send_signal(instance, signal.SIGKILL)
+        for instance in instances:
+            if instance.process is not None:
+                instance.process.wait()
+                instance.process = None
+
+    async def terminate(self, instance: Instance) -> None:
+        """Stops an instance; kills it when its grace period is over."""
+        self.send_signal(instance, signal.SIGTERM)
+        with anyio.move_on_after(STOP_LIMIT_S):
+            while instance.process is not None:
+                if instance.process.poll() is not None:
+                    break
+                await anyio.sleep(0.05)
+        self.kill([instance])
+
+    async def probe(self, instance: Instance) -> bool:
+        """Returns whether an instance says that it is ready."""
+        address = instance.settings["readiness_address"]
+        status, _ = await soak_http.call(address, "GET", "/readiness")
+        return status == 200
+
+    async def watch_ends(self) -> None:
+        """Restarts instances that end by themselves, until cancelled."""
+        while True:
+            for instance in self.instances.values():
+                process = instance.process
+                if process is not None and process.poll() is not None:
+                    now = time.monotonic()
+                    instance.ends.append((now, process.returncode))
+                    self.start(instance)
+            await anyio.sleep(0.1)
+
+    # Servers.
+
+    def find_address(self) -> str:
+        """Returns a free address for a server."""
+        return f"{deployment.HOST}:{deployment.find_port()}"
+
+    def add_server(self, config: soak_server.Config) -> Server:
+        """Starts a server."""
+        server = self.servers[config.name] = Server(config)
+        self.start_server(server)
+        return server
+
+    def start_server(self, server: Server) -> None:
+        """Starts the process of a server, which knows nothing of before."""
+        path = self.folder / f"{server.name}.json"
+        path.write_text(json.dumps(dataclasses.asdict(server.config)))
+        script = pathlib.Path(soak_server.__file__)
+        arguments = [str(script), str(path)]
+        server.process = self._start(arguments, server.name)
+
+    def signal_server(self, server: Server, number: signal.Signals) -> None:
+        """Sends a signal to a server that runs."""
+        if server.process is not None and server.process.poll() is None:
+            server.process.send_signal(number)
+
+    def kill_server(self, server: Server) -> None:
+        """Kills a server."""
+        self.signal_server(server, signal.SIGKILL)
+        if server.process is None:
+            return
+        server.process.wait()
+        server.process = None
+        line = {"t": time.monotonic(), "kind": "killed"}
+        with open(server.config.record, "a") as record:
+            record.write(json.dumps(line) + "\n")
+
+    def list_serving(self, service: str) -> list[Server]:
+        """Returns the servers of a service that run and stay."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.config.service == service
+            and server.process is not None
+            and not server.is_leaving
+        ]
+
+    def stop_all(self) -> None:
+        """Ends all processes."""
+        for instance in self.instances.values():
+            self.send_signal(instance, signal.SIGCONT)
+        self.kill(list(self.instances.values()))
+        for server in self.servers.values():
+            self.kill_server(server)
+
+
+def _make_instance(
+    name: str, zone: str, host: str, ports: list[int], store: str
+) -> Instance:
+    return Instance(
+        name,
+        zone,
+        {
+            "instance": name,
+            "availability_zone": zone,
+            "ip": host,
+            "caller_address": f"{host}:{ports[0]}",
+            "readiness_address": f"{host}:{ports[1]}",
+            "peer_port": ports[2],
+            "forward_port": ports[3],
+            "metrics_port": ports[4],
+            "seeds": [],
+            "platform_address": store,
+            "bounds": dict(BOUNDS),
+        },
+    )
+
+
+def _find_ports(hosts: list[str], count: int) -> list[int]:
+    """Returns ports that are free on all hosts."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = deployment.find_port()
+        if all(_is_free(host, port) for host in hosts):
+            ports.append(port)
+    return ports
+
+
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((host, port))
+        except OSError:
+            return False
+    return True
