--- a/tests/fleet/soak_checks.py
+++ b/tests/fleet/soak_checks.py
@@ -9,17 +9,17 @@
 import itertools
 import json
 import pathlib
+import re
 from typing import Any
 
 import soak_clients
 import soak_cluster
+import soak_jobs
 
 MAX_MIXED_STREAMS = 2
 CONTACT_S = 3.0
 OVERLAP_S = 0.4
-LEASE_S = 3.0
-THAW_SLACK_S = 0.3
-DRAIN_S = 2.0
+DIGITS = re.compile(r"\d+")
 ERROR_LEVELS = frozenset(("ERROR", "CRITICAL"))
 
 Record = dict[str, Any]
@@ -125,6 +125,7 @@
         *_check_order(clients.jobs),
         *_check_software(clients.jobs),
         *_check_twice(clients.jobs, seen),
+        *_check_unread(clients.jobs, seen),
         *_check_overlaps(cluster, clients.jobs, seen),
         *_check_refused(clients.jobs, seen),
         *_check_mixed(clients),
@@ -132,7 +133,29 @@
     ]
 
 
-def _describe(job: soak_clients.Job) -> str:
+def check_late(
+    jobs: list[soak_jobs.Job], seen: Seen, since: float
+) -> list[Violation]:
+    """Returns what became a violation after the round of a job.
+
+    Args:
+        jobs: Jobs of earlier rounds.
+        seen: What the servers have seen.
+        since: Start of the last round.
+    """
+    late = [
+        job
+        for job in jobs
+        if any(
+            run.begins_at >= since
+            for attempt in job.attempts
+            for run in seen.runs.get(attempt.request_id, [])
+        )
+    ]
+    return [*_check_twice(late, seen), *_check_refused(late, seen)]
+
+
+def _describe(job: soak_jobs.Job) -> str:
     tries = [
         f"{a.request_id}@{a.instance} t={a.started_at:.3f}..{a.ended_at:.3f} "
         f"{a.status}{' complete' if a.is_complete else ''} {a.error} "
@@ -144,7 +167,7 @@
     )
 
 
-def _summarize(events: list[soak_clients.Event]) -> str:
+def _summarize(events: list[soak_jobs.Event]) -> str:
     pieces: list[str] = []
     start = 0
     for index, event in enumerate(events):
@@ -161,7 +184,7 @@
     return "[" + ", ".join(pieces) + "]"
 
 
-def _check_order(jobs: list[soak_clients.Job]) -> Iterator[Violation]:
+def _check_order(jobs: list[soak_jobs.Job]) -> Iterator[Violation]:
     for job in jobs:
         for attempt in job.attempts:
             problem = _find_disorder(job, attempt)
@@ -170,7 +193,7 @@
                 yield Violation("ORDER", detail)
 
 
-def _find_disorder(job: soak_clients.Job, attempt: soak_clients.Attempt) -> str:
+def _find_disorder(job: soak_jobs.Job, attempt: soak_jobs.Attempt) -> str:
     numbers = [event.number for event in attempt.events]
     first = attempt.after + 1
     if numbers != list(range(first, first + len(numbers))):
@@ -189,7 +212,7 @@
     return ""
 
 
-def _check_software(jobs: list[soak_clients.Job]) -> Iterator[Violation]:
+def _check_software(jobs: list[soak_jobs.Job]) -> Iterator[Violation]:
     """ORDER: more than two streams hold events of two software versions."""
     mixed = [job for job in jobs if len(list_software(job)) > 1]
     if len(mixed) > MAX_MIXED_STREAMS:
@@ -199,37 +222,48 @@
             yield Violation("ORDER", detail)
 
 
-def list_software(job: soak_clients.Job) -> set[str]:
+def list_software(job: soak_jobs.Job) -> set[str]:
     """Returns the software versions of the events of a job."""
     return {e.software for attempt in job.attempts for e in attempt.events}
 
 
 def _list_attempts(
-    jobs: list[soak_clients.Job],
-) -> Iterator[tuple[soak_clients.Job, soak_clients.Attempt]]:
+    jobs: list[soak_jobs.Job],
+) -> Iterator[tuple[soak_jobs.Job, soak_jobs.Attempt]]:
     for job in jobs:
         for attempt in job.attempts:
             yield job, attempt
 
 
-def _show(runs: list[Run]) -> str:
+def show(runs: list[Run]) -> str:
+    """Returns runs as a text."""
     return ", ".join(
         f"{r.server} {r.begins_at:.3f}..{r.ends_at:.3f} {r.how}" for r in runs
     )
 
 
-def _check_twice(
-    jobs: list[soak_clients.Job], seen: Seen
-) -> Iterator[Violation]:
+def _check_twice(jobs: list[soak_jobs.Job], seen: Seen) -> Iterator[Violation]:
     for job, attempt in _list_attempts(jobs):
         runs = seen.runs.get(attempt.request_id, [])
         if len(runs) > 1 and not job.kind.may_repeat:
-            detail = f"{attempt.request_id} ran at {_show(runs)}; "
+            detail = f"{attempt.request_id} ran at {show(runs)}; "
             yield Violation("TWICE", detail + _describe(job))
 
 
+def _check_unread(jobs: list[soak_jobs.Job], seen: Seen) -> Iterator[Violation]:
+    """TWICE: a client sends a request again that was closed as unread."""
+    for job, attempt in _list_attempts(jobs):
+        if job.kind.may_repeat or attempt.error not in ("unread", "refused"):
+            continue
+        runs = seen.runs.get(attempt.request_id, [])
+        if runs:
+            detail = f"{attempt.request_id} was {attempt.error}, ran at "
+            detail += f"{show(runs)}; {_describe(job)}"
+            yield Violation("TWICE", detail)
+
+
 def _check_overlaps(
-    cluster: soak_cluster.Cluster, jobs: list[soak_clients.Job], seen: Seen
+    cluster: soak_cluster.Cluster, jobs: list[soak_jobs.Job], seen: Seen
 ) -> Iterator[Violation]:
     """TWICE: two servers work on one stream for longer than `OVERLAP_S`."""
     for job in jobs:
@@ -249,7 +283,7 @@
             if _was_frozen(cluster, before):
                 continue
             if instance.is_calm(before.begins_at - CONTACT_S, until):
-                shown = _show([before, after])
+                shown = show([before, after])
                 detail = f"{sender.request_id} at {shown}; {_describe(job)}"
                 yield Violation("TWICE", detail)
 
@@ -262,7 +296,7 @@
 
 
 def _check_refused(
-    jobs: list[soak_clients.Job], seen: Seen
+    jobs: list[soak_jobs.Job], seen: Seen
 ) -> Iterator[Violation]:
     for job, attempt in _list_attempts(jobs):
         if job.kind.may_repeat or attempt.status not in soak_clients.PROMISES:
@@ -270,7 +304,7 @@
         runs = seen.runs.get(attempt.request_id, [])
         if runs:
             detail = f"{attempt.request_id} got {attempt.status}, ran at "
-            detail += f"{_show(runs)}; {_describe(job)}"
+            detail += f"{show(runs)}; {_describe(job)}"
             yield Violation("REFUSED", detail)
 
 
@@ -286,7 +320,8 @@
 def _check_routes(seen: Seen) -> Iterator[Violation]:
     for runs in seen.runs.values():
         for run in runs:
-            service = soak_clients.SERVICES[run.path.split("/")[1]]
+            name = run.path.split("/")[1]
+            service = soak_jobs.SERVICES.get(name, "ledger")
             if not run.server.startswith(f"{service}-"):
                 detail = f"{run.request_id} ran at {run.server}: {run.path}"
                 yield Violation("ROUTE", detail)
@@ -301,9 +336,21 @@
             if at >= since:
                 detail = f"{instance.name} ended with {status} at {at:.3f}"
                 yield Violation("Fault", detail)
-        for line in cluster.read_new_log(instance):
-            if _is_error(line):
-                yield Violation("log", f"{instance.name}: {line}")
+        for message, lines in _group_errors(cluster.read_new_log(instance)):
+            detail = f"{instance.name}: {len(lines)} x {message}: {lines[0]}"
+            yield Violation("log", detail)
+
+
+def _group_errors(lines: list[str]) -> list[tuple[str, list[str]]]:
+    """Returns errors and resets by their text without figures."""
+    grouped: dict[str, list[str]] = {}
+    for line in filter(_is_error, lines):
+        try:
+            text = str(json.loads(line)["message"])
+        except (ValueError, KeyError, TypeError):
+            text = "text that is no log record"
+        grouped.setdefault(DIGITS.sub("N", text), []).append(line)
+    return list(grouped.items())
 
 
 def _is_error(line: str) -> bool:
--- a/tests/fleet/soak_cluster.py
+++ b/tests/fleet/soak_cluster.py
@@ -17,6 +17,7 @@
 import anyio.to_thread
 import soak_http
 import soak_server
+import soak_upstream
 
 import deployment
 
@@ -29,6 +30,11 @@
 
 KEPT_VARIABLES = ("PATH", "HOME", "LANG")
 SPAN_END = float("inf")
+SAMPLE_PERIOD_S = 0.1
+MAX_WAIT_S = 0.1
+"""Time for which an instance may be ready to run without a processor, in a
+sample period, until it counts as slowed down."""
+
 BOUNDS = {
     "lease_ms": 3000,
     "grace_s": 8,
@@ -59,6 +65,7 @@
         spans: Times in which the soak run disturbed it.
         ends: Times at which it ended by itself, with the status.
         is_in_rotation: Whether the load balancer gives it connections.
+        lock: Held by the fault that may end and start its process.
         log_read: Bytes of its log that were read.
     """
 
@@ -69,6 +76,7 @@
     spans: list[Span] = dataclasses.field(default_factory=list)
     ends: list[tuple[float, int]] = dataclasses.field(default_factory=list)
     is_in_rotation: bool = False
+    lock: anyio.Lock = dataclasses.field(default_factory=anyio.Lock)
     log_read: int = 0
 
     @property
@@ -96,11 +104,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Server:
-    """A stand-in of a server and its process."""
+    """A stand-in of a server and its process.
 
-    config: soak_server.Config
+    Attributes:
+        config: Its settings.
+        process: Its process, None while it is down.
+        is_leaving: Whether it leaves for good.
+        serving: Times in which it served and did not leave.
+        frozen: Times in which it was suspended.
+    """
+
+    config: soak_upstream.Config
     process: subprocess.Popen[bytes] | None = None
     is_leaving: bool = False
+    serving: list[Span] = dataclasses.field(default_factory=list)
     frozen: list[Span] = dataclasses.field(default_factory=list)
 
     @property
@@ -108,6 +125,15 @@
         """Its instance id."""
         return self.config.name
 
+    def begin(self) -> None:
+        """Records that it serves from now on."""
+        self.serving.append(Span(time.monotonic(), SPAN_END, "serving"))
+
+    def end(self) -> None:
+        """Records that it serves no longer, or leaves."""
+        if self.serving and self.serving[-1].ends_at == SPAN_END:
+            self.serving[-1].ends_at = time.monotonic()
+
     async def change(self, **changes: object) -> None:
         """Changes its behaviour, if it responds."""
         body = json.dumps(changes).encode()
@@ -137,6 +163,7 @@
             for n, zone in enumerate(zones)
         }
         self.servers: dict[str, Server] = {}
+        self._processes: list[subprocess.Popen[bytes]] = []
 
     # Entry instances.
 
@@ -160,7 +187,7 @@
     ) -> subprocess.Popen[bytes]:
         kept = {n: os.environ[n] for n in KEPT_VARIABLES if n in os.environ}
         with (self.folder / f"{name}.log").open("ab") as log:
-            return subprocess.Popen(
+            process = subprocess.Popen(
                 [sys.executable, *arguments],
                 cwd=ROOT,
                 env={**kept, "PYTHONDONTWRITEBYTECODE": "1", **variables},
@@ -168,6 +195,8 @@
                 stdout=log,
                 stderr=log,
             )
+        self._processes.append(process)
+        return process
 
     def read_new_log(self, instance: Instance) -> list[str]:
         """Returns the lines that were added to the log of an instance."""
@@ -192,13 +221,18 @@
 
     async def terminate(self, instance: Instance) -> None:
         """Stops an instance; kills it when its grace period is over."""
-        self.send_signal(instance, signal.SIGTERM)
-        with anyio.move_on_after(STOP_LIMIT_S):
-            while instance.process is not None:
-                if instance.process.poll() is not None:
-                    break
-                await anyio.sleep(0.05)
-        self.kill([instance])
+        process, instance.process = instance.process, None
+        if process is None:
+            return
+        process.send_signal(signal.SIGTERM)
+        try:
+            with anyio.move_on_after(STOP_LIMIT_S):
+                while process.poll() is None:
+                    await anyio.sleep(0.05)
+        finally:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
 
     async def probe(self, instance: Instance) -> bool:
         """Returns whether an instance says that it is ready."""
@@ -206,6 +240,26 @@
         status, _ = await soak_http.call(address, "GET", "/readiness")
         return status == 200
 
+    async def watch_starvation(self) -> None:
+        """Marks the times in which instances waited for a processor."""
+        waited: dict[int, float] = {}
+        at = time.monotonic()
+        while True:
+            await anyio.sleep(SAMPLE_PERIOD_S)
+            now = time.monotonic()
+            # The stand-ins wait as well if this process does.
+            is_late = now - at > SAMPLE_PERIOD_S + MAX_WAIT_S
+            for instance in self.instances.values():
+                if instance.process is None:
+                    continue
+                pid = instance.process.pid
+                total_s = _read_wait_s(pid)
+                waits = total_s - waited.get(pid, total_s) > MAX_WAIT_S
+                if is_late or waits:
+                    instance.spans.append(Span(at, now, "starved"))
+                waited[pid] = total_s
+            at = now
+
     async def watch_ends(self) -> None:
         """Restarts instances that end by themselves, until cancelled."""
         while True:
@@ -223,7 +277,7 @@
         """Returns a free address for a server."""
         return f"{deployment.HOST}:{deployment.find_port()}"
 
-    def add_server(self, config: soak_server.Config) -> Server:
+    def add_server(self, config: soak_upstream.Config) -> Server:
         """Starts a server."""
         server = self.servers[config.name] = Server(config)
         self.start_server(server)
@@ -236,6 +290,7 @@
         script = pathlib.Path(soak_server.__file__)
         arguments = [str(script), str(path)]
         server.process = self._start(arguments, server.name)
+        server.begin()
 
     def signal_server(self, server: Server, number: signal.Signals) -> None:
         """Sends a signal to a server that runs."""
@@ -245,6 +300,7 @@
     def kill_server(self, server: Server) -> None:
         """Kills a server."""
         self.signal_server(server, signal.SIGKILL)
+        server.end()
         if server.process is None:
             return
         server.process.wait()
@@ -265,11 +321,20 @@
 
     def stop_all(self) -> None:
         """Ends all processes."""
-        for instance in self.instances.values():
-            self.send_signal(instance, signal.SIGCONT)
-        self.kill(list(self.instances.values()))
-        for server in self.servers.values():
-            self.kill_server(server)
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+        for process in self._processes:
+            process.wait()
+
+
+def _read_wait_s(pid: int) -> float:
+    """Returns how long a process has waited for a processor."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/schedstat").read_text()
+    except OSError:
+        return 0.0
+    return int(text.split()[1]) / 1e9
 
 
 def _make_instance(
--- a/tests/fleet/soak_http.py
+++ b/tests/fleet/soak_http.py
@@ -19,7 +19,6 @@
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
 )
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 Headers = dict[str, str]
 
@@ -104,11 +103,16 @@
         del self._buffer[:size]
         return taken
 
+    def set_reset(self, enabled: bool) -> None:
+        """Sets whether the end of the connection or process is a reset."""
+        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        value = struct.pack("ii", int(enabled), 0)
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     async def close(self, *, reset: bool = False) -> None:
         """Closes the connection, with a reset if asked for."""
         if reset:
-            raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            self.set_reset(True)
         await anyio.aclose_forcefully(self.stream)
 
 
@@ -153,6 +157,7 @@
     target: str,
     body: bytes = b"",
     timeout_s: float = 2.0,
+    headers: Headers | None = None,
 ) -> tuple[int, bytes]:
     """Sends a request on a connection of its own.
 
@@ -163,7 +168,9 @@
         with anyio.fail_after(timeout_s):
             connection = await connect(address, timeout_s)
             try:
-                request = make_request(method, target, {"Host": "x"}, body)
+                request = make_request(
+                    method, target, headers or {"Host": "x"}, body
+                )
                 await connection.send(request)
                 head = await connection.read_head()
                 parts = [part async for part in connection.read_body(head)]
--- a/tests/fleet/soak_rounds.py
+++ b/tests/fleet/soak_rounds.py
@@ -1,5 +1,6 @@
 """Soak runs of entry instances: real processes, clients, faults and checks."""
 
+import collections
 from collections.abc import Callable
 import json
 import pathlib
@@ -11,7 +12,10 @@
 import soak_checks
 import soak_clients
 import soak_cluster
+import soak_control_checks
 import soak_faults
+import soak_injector
+import soak_jobs
 import soak_store
 
 ZONES = ("za", "zb", "zc", "za")
@@ -23,6 +27,8 @@
 WARM_UP_S = 5.0
 PROBE_PERIOD_S = 1.0
 MAX_MISSES = 2
+MAX_SHOWN = 4
+"""Violations of a rule that a round prints; all are in the folder."""
 
 Report = dict[str, object]
 
@@ -45,6 +51,7 @@
         seed: int,
         show: Callable[[Report], None],
         rate: float = RATE,
+        load_s: float = LOAD_S,
     ) -> None:
         """Empties the folder; starts no process.
 
@@ -53,19 +60,22 @@
             seed: Seed of all choices.
             show: Prints the report of a round.
             rate: Jobs of the clients per second.
+            load_s: Time in a round in which clients begin jobs.
         """
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
         self.failures: list[str] = []
         self.sums: dict[str, int] = {}
+        self._jobs: list[soak_jobs.Job] = []
         self._folder = folder
         self._seed = seed
         self._show = show
         self._rate = rate
+        self._load_s = load_s
         self._rng = random.Random(seed)
         self._cluster = soak_cluster.Cluster(folder, ZONES)
         self._store = soak_store.Store(self._cluster.store_address)
-        self._injector = soak_faults.Injector(
+        self._injector = soak_injector.Injector(
             self._cluster, self._store, self._rng
         )
 
@@ -101,7 +111,6 @@
                 tasks.cancel_scope.cancel()
 
     async def _start(self, tasks: anyio.abc.TaskGroup) -> None:
-        self._store.put("config", "main", make_manifest(3))
         for zone in ENGINE_ZONES:
             self._injector.add_server("llm", zone, "v1")
         for zone in LEDGER_ZONES:
@@ -118,6 +127,7 @@
                 await anyio.sleep(0.1)
             await anyio.sleep(WARM_UP_S)
             tasks.start_soon(self._cluster.watch_ends)
+            tasks.start_soon(self._cluster.watch_starvation)
             return
         raise NotReadyError(f"not ready; logs in {self._folder}")
 
@@ -151,43 +161,106 @@
             self._folder / "attempts.jsonl",
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(clients.run, self._rate, LOAD_S)
+            tasks.start_soon(clients.run, self._rate, self._load_s)
             tasks.start_soon(self._injector.play, planned)
         seen = soak_checks.read_servers(self._cluster)
+        found = self._judge(started_at, clients, seen)
+        self._jobs += clients.jobs
+        self._report(number, started_at, clients, seen, found)
+
+    def _judge(
+        self,
+        started_at: float,
+        clients: soak_clients.Clients,
+        seen: soak_checks.Seen,
+    ) -> list[soak_checks.Violation]:
         found = soak_checks.check(self._cluster, clients, seen)
+        found += soak_checks.check_late(self._jobs, seen, started_at)
+        found += soak_control_checks.check(
+            self._cluster,
+            clients.jobs,
+            seen,
+            self._store.acks,
+            self._injector.core,
+            self._injector.unplanned,
+            started_at,
+        )
+        found += [
+            soak_checks.Violation("CONFIG", problem)
+            for problem in self._injector.problems
+        ]
+        self._injector.problems.clear()
         found += soak_checks.check_logs(self._cluster, started_at)
-        self._report(number, started_at, clients, found)
+        return found
+
+    def _sum_starved(self, since: float) -> float:
+        """Returns for how long instances were slowed down, over all."""
+        return sum(
+            span.ends_at - span.starts_at
+            for instance in self._cluster.instances.values()
+            for span in instance.spans
+            if span.cause == "starved" and span.starts_at >= since
+        )
 
     def _report(
         self,
         number: int,
         started_at: float,
         clients: soak_clients.Clients,
+        seen: soak_checks.Seen,
         found: list[soak_checks.Violation],
     ) -> None:
         counts = count_jobs(clients.jobs)
         for name, count in counts.items():
             self.sums[name] = self.sums.get(name, 0) + count
         texts = [f"{item.rule}: {item.detail}" for item in found]
-        self.failures += [f"round {number}: {text}" for text in texts]
-        faults = [
-            f"{at - started_at:.2f} (t={at:.3f}) {text}"
+        with (self._folder / "violations.txt").open("a") as record:
+            record.writelines(f"round {number}: {text}\n" for text in texts)
+        shown = _choose_shown(texts)
+        self.failures += [f"round {number}: {text}" for text in shown]
+        self._show(
+            {
+                "round": number,
+                "seed": self._seed,
+                "folder": str(self._folder),
+                "faults": self._list_faults(started_at),
+                **counts,
+                "orders": _count_orders(seen, started_at),
+                "starved_s": round(self._sum_starved(started_at), 2),
+                "violations": dict(collections.Counter(v.rule for v in found)),
+                "shown": shown,
+            }
+        )
+
+    def _list_faults(self, since: float) -> list[str]:
+        return [
+            f"{at - since:.2f} (t={at:.3f}) {text}"
             for at, text in self._injector.log
-            if at >= started_at
+            if at >= since
         ]
-        report: Report = {
-            "round": number,
-            "seed": self._seed,
-            "faults": faults,
-            **counts,
-            "violations": texts,
-        }
-        if texts:
-            report["folder"] = str(self._folder)
-        self._show(report)
 
 
-def count_jobs(jobs: list[soak_clients.Job]) -> dict[str, int]:
+def _count_orders(seen: soak_checks.Seen, since: float) -> int:
+    return sum(
+        order["t"] >= since
+        for orders in seen.orders.values()
+        for order in orders
+    )
+
+
+def _choose_shown(texts: list[str]) -> list[str]:
+    """Returns the first violations of each rule."""
+    counts: collections.Counter[str] = collections.Counter()
+    shown = []
+    for text in texts:
+        rule = text.partition(":")[0]
+        counts[rule] += 1
+        if counts[rule] <= MAX_SHOWN:
+            shown.append(text)
+    return shown
+
+
+def count_jobs(jobs: list[soak_jobs.Job]) -> dict[str, int]:
     """Returns how many jobs were sent and served, and how many resumed."""
     resumed = [job for job in jobs if any(a.after for a in job.attempts)]
     going_on = [
@@ -206,65 +279,6 @@
     }
 
 
-def make_manifest(version: int) -> dict[str, object]:
-    """Returns a manifest with the routes of all kinds of requests."""
-    return {
-        "Version": version,
-        "Routes": [_make_route(kind) for kind in soak_clients.KINDS],
-        "Services": [
-            {"Name": "ledger", "MaxConnections": 100, "HealthPath": "/health"},
-            {
-                "Name": "llm",
-                "MaxConnections": 360,
-                "HealthPath": "/health",
-                "Engine": {
-                    "Slots": 64,
-                    "KvCapacity": 130000,
-                    "AdapterSlots": 20,
-                    "WeightsMb": 68000.0,
-                    "LoadsPerS": 4.5,
-                    "Stride": 3,
-                    "Models": [
-                        {
-                            "Name": "m0",
-                            "WeightsMb": 65500.0,
-                            "LoadS": 2.9,
-                            "Adapters": 3000,
-                            "AdapterMb": 40.0,
-                        }
-                    ],
-                },
-            },
-        ],
-        "Limits": {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 4194304,
-            "HeaderTimeoutMs": 3000,
-            "IdleTimeoutMs": 15000,
-        },
-    }
-
-
-def _make_route(kind: soak_clients.Kind) -> dict[str, object]:
-    name = "streaming" if kind.is_stream else "non_idempotent"
-    route: dict[str, object] = {
-        "Name": kind.name,
-        "Host": soak_clients.HOST,
-        "PathPrefix": f"/{kind.name}/",
-        "Service": kind.service,
-        "Kind": "idempotent" if kind.is_idempotent else name,
-        "TimeoutMs": int(1000 * kind.budget_s),
-        "TargetLatencyMs": 800 if kind.is_stream else 300,
-        "Priority": 2,
-        "MaxAttempts": 2 if kind.may_repeat else 1,
-    }
-    if kind.resumes:
-        route["Resumable"] = True
-    if kind.is_stream:
-        route["GapAimMs"] = 250
-    return route
-
-
 def run(
     folder: pathlib.Path, seed: int, minutes: float, rounds: int
 ) -> EntrySoak:
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import hashlib
 import json
 import os
 import pathlib
@@ -17,74 +16,11 @@
 
 import anyio
 import anyio.abc
+import soak_adapters
 import soak_http
+import soak_upstream
 
-MODEL = "m0"
 HEARTBEAT_S = 1.2
-LOAD_S = 0.25
-EVENT_TOKENS = 3
-BODY_BYTES = 800
-NEVER = float("inf")
-
-
-@dataclasses.dataclass(slots=True)
-class Config:
-    """Settings of a stand-in.
-
-    Attributes:
-        name: Instance id.
-        service: Name of its service.
-        zone: Availability zone.
-        address: `IP:PORT` to listen on.
-        store: Address of the store.
-        software: Version of its software.
-        record: Path of the file of events.
-        adapter_slots: Adapter slots; 0 for a plain server.
-        slots: Requests that run at a time.
-        work_s: Time until a plain response, or the first event.
-        event_s: Time between events.
-        seed: Seed of its random choices.
-        state: `ready` or `draining`.
-        is_beating: Whether it writes its entry.
-        names_leaving: Whether its responses say that it leaves.
-        refuses_until: Time until which it turns requests away.
-        names_retry: Whether those refusals say when to come back.
-        refuse_fraction: Fraction of requests that it turns away meanwhile.
-        late_copy_s: Time after which a refusal is sent again; 0 for never.
-        cut_fraction: Fraction of responses that it cuts.
-        cuts_inside: Whether streams are cut inside an event.
-        resets: Whether cut connections are reset.
-        ends_unframed: Whether streams end with their connection.
-        idle_close_fraction: Fraction of requests on kept connections at whose
-            arrival the connection is closed without reading on.
-        pause_s: Silence in the middle of each stream.
-    """
-
-    name: str
-    service: str
-    zone: str
-    address: str
-    store: str
-    software: str
-    record: str
-    adapter_slots: int = 0
-    slots: int = 64
-    work_s: float = 0.03
-    event_s: float = 0.06
-    seed: int = 0
-    state: str = "ready"
-    is_beating: bool = True
-    names_leaving: bool = False
-    refuses_until: float = 0.0
-    names_retry: bool = False
-    refuse_fraction: float = 1.0
-    late_copy_s: float = 0.0
-    cut_fraction: float = 0.0
-    cuts_inside: bool = False
-    resets: bool = False
-    ends_unframed: bool = False
-    idle_close_fraction: float = 0.0
-    pause_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,12 +40,6 @@
         return self.headers.get("x-request-id", "")
 
 
-def make_body(service: str, request_id: str, sent: bytes) -> bytes:
-    """Returns the body of a plain response, which a client can check."""
-    digest = hashlib.sha256(sent).hexdigest()
-    return f"{service} {request_id} {digest} ".encode().ljust(BODY_BYTES, b".")
-
-
 class CutError(Exception):
     """The stand-in ends the connection."""
 
@@ -117,7 +47,7 @@
 class StandIn:
     """A server of a service; a model engine if it has adapter slots."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: soak_upstream.Config) -> None:
         """Opens the file of events."""
         self._config = config
         self._born_ms = int(time.time() * 1000)
@@ -125,11 +55,8 @@
         flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
         self._record_fd = os.open(config.record, flags, 0o644)
         self._beats = 0
-        self._sequence = 0
         self._running = 0
-        self._ready_at: dict[str, float] = {}
-        self._using: dict[str, int] = {}
-        self._unloading: set[str] = set()
+        self._adapters = soak_adapters.Adapters(config.adapter_slots)
         self._connections: set[soak_http.Connection] = set()
         self._changed = anyio.Event()
 
@@ -175,28 +102,29 @@
         }
         if self._config.adapter_slots:
             entry["Models"] = self._list_models()
-            entry["AtHand"] = {"InMemory": [MODEL], "OnDisk": [MODEL]}
+            entry["AtHand"] = {
+                "InMemory": [soak_upstream.MODEL],
+                "OnDisk": [soak_upstream.MODEL],
+            }
         return entry
 
     def _list_models(self) -> list[dict[str, Any]]:
-        now = time.monotonic()
-        ready = [f"{n}@1" for n, at in self._ready_at.items() if at <= now]
-        return [{"Name": MODEL, "Version": 1, "Adapters": ready}]
+        ready = [f"{name}@1" for name in self._adapters.list_ready()]
+        return [{"Name": soak_upstream.MODEL, "Version": 1, "Adapters": ready}]
 
     def _make_report(self) -> dict[str, Any]:
-        now = time.monotonic()
-        coming = [n for n, at in self._ready_at.items() if at > now]
+        coming = self._adapters.list_coming()
         return {
             "Stage": "both",
             "Models": self._list_models(),
             "Busy": False,
-            "Sequence": self._sequence,
+            "Sequence": self._adapters.sequence,
             "Waiting": 0,
             "Running": self._running,
             "KvUsed": 0,
             "KvTotal": 130000,
             "Handles": 0,
-            "Coming": [f"{MODEL}/{name}@1" for name in coming],
+            "Coming": [f"{soak_upstream.MODEL}/{name}@1" for name in coming],
             "born": self._born_ms,
         }
 
@@ -281,7 +209,9 @@
 
     async def _order(self, request: Request) -> None:
         order = json.loads(request.body)
-        status = self._apply(request, order)
+        status = 421
+        if self._is_expected(request):
+            status = self._adapters.apply(order)
         self._note(
             "order",
             status=status,
@@ -289,6 +219,7 @@
             token=order.get("FencingToken"),
             operation=order.get("Operation"),
             adapter=order.get("Adapter", ""),
+            is_overloaded=self._adapters.is_overloaded,
         )
         await self._reply(request, status, {})
 
@@ -296,36 +227,6 @@
         name = self._config.name
         return request.headers.get("x-expect-instance", name) == name
 
-    def _apply(self, request: Request, order: dict[str, Any]) -> int:
-        if not self._is_expected(request):
-            return 421
-        if not order.get("Holder") or not order.get("FencingToken"):
-            return 400
-        if order.get("Precondition", self._sequence) != self._sequence:
-            return 409
-        adapter = order.get("Adapter", "")
-        if not adapter:
-            return 200
-        if adapter in self._unloading:
-            return 409
-        if order["Operation"] == "unload":
-            return self._unload(adapter)
-        if adapter in self._ready_at:
-            return 200
-        self._sequence += 1
-        if len(self._ready_at) >= self._config.adapter_slots:
-            self._note("overloaded", adapter=adapter)
-        self._ready_at[adapter] = time.monotonic() + LOAD_S
-        return 202
-
-    def _unload(self, adapter: str) -> int:
-        self._sequence += 1
-        if self._using.get(adapter):
-            self._unloading.add(adapter)
-            return 202
-        self._ready_at.pop(adapter, None)
-        return 200
-
     # Requests.
 
     async def _run(self, request: Request) -> None:
@@ -343,7 +244,7 @@
             await self._refuse(request, *refusal)
             return
         self._running += 1
-        self._using[adapter] = self._using.get(adapter, 0) + 1
+        self._adapters.acquire(adapter)
         ended = "closed"
         try:
             ended = await self._work(request)
@@ -353,13 +254,7 @@
         finally:
             self._note("end", id=request.request_id, how=ended)
             self._running -= 1
-            self._release(adapter)
-
-    def _release(self, adapter: str) -> None:
-        self._using[adapter] -= 1
-        if not self._using[adapter] and adapter in self._unloading:
-            self._unloading.discard(adapter)
-            self._ready_at.pop(adapter, None)
+            self._adapters.release(adapter)
 
     def _find_refusal(
         self, request: Request, adapter: str
@@ -370,13 +265,19 @@
         is_refusing = now < self._config.refuses_until
         if is_refusing and self._rng.random() < self._config.refuse_fraction:
             return 503, "wave"
-        is_engine = self._config.adapter_slots > 0
-        if is_engine and self._ready_at.get(adapter, NEVER) > now:
+        if self._config.adapter_slots and self._lacks(adapter):
             return 421, "adapter"
-        if self._running >= self._config.slots or adapter in self._unloading:
+        if self._running >= self._config.slots or self._adapters.is_unloading(
+            adapter
+        ):
             return 503, "full"
         return None
 
+    def _lacks(self, adapter: str) -> bool:
+        if self._rng.random() < self._config.missing_fraction:
+            return True
+        return not self._adapters.is_ready(adapter)
+
     async def _refuse(self, request: Request, status: int, why: str) -> None:
         self._note("reject", id=request.request_id, status=status, why=why)
         headers = {"X-Request-Id": request.request_id, "X-Not-Executed": "1"}
@@ -408,7 +309,9 @@
         if self._config.adapter_slots:
             await self._stream(request, headers, is_cut)
             return "complete"
-        body = make_body(self._config.service, request.request_id, request.body)
+        body = soak_upstream.make_body(
+            self._config.service, request.request_id, request.body
+        )
         response = soak_http.make_response(200, headers, body)
         if is_cut:
             size = self._rng.randrange(len(response))
@@ -422,14 +325,10 @@
         self, request: Request, headers: soak_http.Headers, is_cut: bool
     ) -> None:
         is_framed = not self._config.ends_unframed
-        headers["Content-Type"] = "text/event-stream"
-        headers |= {"Transfer-Encoding": "chunked"} if is_framed else {}
-        headers |= {} if is_framed else {"Connection": "close"}
-        head = soak_http.make_response_head(200, headers)
-        await request.connection.send(head)
+        await self._begin_stream(request, headers, is_framed)
         first = int(request.headers.get("last-event-id") or 0) + 1
         last = int(request.headers["x-token-count"].split(",")[1])
-        last = last // EVENT_TOKENS
+        last = last // soak_upstream.EVENT_TOKENS
         cut_at = self._rng.randint(first, last) if is_cut else 0
         for number in range(first, last + 1):
             event = self._make_event(request, number)
@@ -443,10 +342,24 @@
             pause_s = self._config.pause_s if pauses else 0.0
             await self._wait(request, self._config.event_s + pause_s)
         if not is_framed:
+            request.connection.set_reset(False)
             await request.connection.close()
             return
         await request.connection.send(b"0\r\n\r\n")
 
+    async def _begin_stream(
+        self, request: Request, headers: soak_http.Headers, is_framed: bool
+    ) -> None:
+        headers["Content-Type"] = "text/event-stream"
+        if is_framed:
+            headers["Transfer-Encoding"] = "chunked"
+        else:
+            headers["Connection"] = "close"
+        # Nothing but a reset tells the end of a broken stream without framing.
+        request.connection.set_reset(not is_framed)
+        head = soak_http.make_response_head(200, headers)
+        await request.connection.send(head)
+
     def _make_event(self, request: Request, number: int) -> bytes:
         stream = request.body.decode("latin-1")
         text = f"{self._config.software} {self._config.name}-{self._born_ms}"
@@ -460,7 +373,7 @@
 def main() -> None:
     """Runs a stand-in."""
     settings = json.loads(pathlib.Path(sys.argv[1]).read_text())
-    anyio.run(StandIn(Config(**settings)).run)
+    anyio.run(StandIn(soak_upstream.Config(**settings)).run)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/fleet/soak_upstream.py
@@ -0,0 +1,77 @@
+"""Settings of the stand-ins of upstreams, and what they answer."""
+
+import dataclasses
+import hashlib
+
+MODEL = "m0"
+EVENT_TOKENS = 3
+BODY_BYTES = 800
+
+
+@dataclasses.dataclass(slots=True)
+class Config:
+    """Settings of a stand-in.
+
+    Attributes:
+        name: Instance id.
+        service: Name of its service.
+        zone: Availability zone.
+        address: `IP:PORT` to listen on.
+        store: Address of the store.
+        software: Version of its software.
+        record: Path of the file of events.
+        adapter_slots: Adapter slots; 0 for a plain server.
+        slots: Requests that run at a time.
+        work_s: Time until a plain response, or the first event.
+        event_s: Time between events.
+        seed: Seed of its random choices.
+        state: `ready` or `draining`.
+        is_beating: Whether it writes its entry.
+        names_leaving: Whether its responses say that it leaves.
+        refuses_until: Time until which it turns requests away.
+        names_retry: Whether those refusals say when to come back.
+        refuse_fraction: Fraction of requests that it turns away meanwhile.
+        missing_fraction: Fraction of requests that an engine turns away as if
+            it lacked their adapter.
+        late_copy_s: Time after which a refusal is sent again; 0 for never.
+        cut_fraction: Fraction of responses that it cuts.
+        cuts_inside: Whether streams are cut inside an event.
+        resets: Whether cut connections are reset.
+        ends_unframed: Whether streams end with their connection.
+        idle_close_fraction: Fraction of requests on kept connections at whose
+            arrival the connection is closed without reading on.
+        pause_s: Silence in the middle of each stream.
+    """
+
+    name: str
+    service: str
+    zone: str
+    address: str
+    store: str
+    software: str
+    record: str
+    adapter_slots: int = 0
+    slots: int = 64
+    work_s: float = 0.03
+    event_s: float = 0.06
+    seed: int = 0
+    state: str = "ready"
+    is_beating: bool = True
+    names_leaving: bool = False
+    refuses_until: float = 0.0
+    names_retry: bool = False
+    refuse_fraction: float = 1.0
+    missing_fraction: float = 0.0
+    late_copy_s: float = 0.0
+    cut_fraction: float = 0.0
+    cuts_inside: bool = False
+    resets: bool = False
+    ends_unframed: bool = False
+    idle_close_fraction: float = 0.0
+    pause_s: float = 0.0
+
+
+def make_body(service: str, request_id: str, sent: bytes) -> bytes:
+    """Returns the body of a plain response, which a client can check."""
+    digest = hashlib.sha256(sent).hexdigest()
+    return f"{service} {request_id} {digest} ".encode().ljust(BODY_BYTES, b".")
--- /dev/null
+++ b/tests/fleet/test_entry_soak.py
@@ -0,0 +1,52 @@
+"""Rounds of the soak run on entry instances that are real processes."""
+
+import pathlib
+
+import anyio
+import soak_faults
+import soak_rounds
+
+SEED = 7
+RATE = 10.0
+LOAD_S = 9.0
+ROUNDS = (
+    (
+        soak_faults.Planned(1.0, soak_faults.Kill(("front-1",), 0.5)),
+        soak_faults.Planned(
+            2.0,
+            soak_faults.Misbehave(
+                "ledger",
+                soak_faults.EVERY,
+                4.0,
+                (
+                    ("refuses_until", True),
+                    ("refuse_fraction", 0.4),
+                    ("late_copy_s", 0.005),
+                ),
+            ),
+        ),
+        soak_faults.Planned(3.0, soak_faults.ChangeManifest()),
+    ),
+    (
+        soak_faults.Planned(1.0, soak_faults.Terminate(("front-2",), 0.0)),
+        soak_faults.Planned(
+            2.0, soak_faults.KillServers("ledger", 1, 1.0, True)
+        ),
+        soak_faults.Planned(3.0, soak_faults.FreezeServer("llm", 1.0)),
+    ),
+)
+
+
+def test_rules_hold_around_kills_and_refusals(tmp_path: pathlib.Path) -> None:
+    """Requests run once, refusals are true, streams are whole.
+
+    Guards against answers that hold only while all instances share a process:
+    a kill closes connections, and an accept queue outlives its process.
+    """
+    soak = soak_rounds.EntrySoak(
+        tmp_path / "soak", SEED, lambda report: None, RATE, LOAD_S
+    )
+    rounds = iter(ROUNDS)
+    anyio.run(soak.run, lambda: next(rounds), len(ROUNDS), float("inf"))
+    assert soak.failures == []
+    assert soak.sums["served"] > soak.sums["sent"] / 2
