--- a/tests/fleet/soak_cluster.py
+++ b/tests/fleet/soak_cluster.py
@@ -20,6 +20,7 @@
 import soak_upstream
 
 import deployment
+import links
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 FIRST_HOST = 11
@@ -148,20 +149,23 @@
         instances: Entry instances by name.
         servers: Servers that were ever started, by name.
         store_address: Address of the store.
+        store_links: The way of each instance to the store, by its name.
     """
 
     def __init__(self, folder: pathlib.Path, zones: tuple[str, ...]) -> None:
         """Writes no file and starts no process."""
         self.folder = folder
         self.store_address = f"{deployment.HOST}:{deployment.find_port()}"
+        self.store_links: dict[str, links.Link] = {}
         hosts = [f"127.0.0.{FIRST_HOST + n}" for n in range(len(zones))]
         ports = _find_ports(hosts, INSTANCE_PORTS)
-        self.instances = {
-            f"front-{n + 1}": _make_instance(
-                f"front-{n + 1}", zone, hosts[n], ports, self.store_address
+        self.instances: dict[str, Instance] = {}
+        for number, zone in enumerate(zones):
+            name = f"front-{number + 1}"
+            link = self.store_links[name] = links.Link(self.store_address)
+            self.instances[name] = _make_instance(
+                name, zone, hosts[number], ports, link.address
             )
-            for n, zone in enumerate(zones)
-        }
         self.servers: dict[str, Server] = {}
         self._processes: list[subprocess.Popen[bytes]] = []
 
--- a/tests/fleet/soak_faults.py
+++ b/tests/fleet/soak_faults.py
@@ -6,7 +6,7 @@
 SHORT_FREEZE_S = 1.0
 LONG_FREEZE_S = 6.0
 EVERY = 99
-RELEASE_AND_KILL_FRACTION = 0.25
+RELEASE_AND_KILL_FRACTION = 0.5
 
 Changes = tuple[tuple[str, bool | float], ...]
 """Names and values of settings of a stand-in that change."""
@@ -124,6 +124,19 @@
     loses_replies: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutStore:
+    """An instance does not reach the store.
+
+    Its connections end and new ones are refused; or, if it is silent, they
+    stay open and carry nothing, while new ones work.
+    """
+
+    name: str
+    for_s: float
+    is_silent: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DiscardHistory:
     """The store forgets its history."""
@@ -145,6 +158,7 @@
     | Misbehave
     | StoreDown
     | StoreSlow
+    | CutStore
     | DiscardHistory
     | ChangeManifest
 )
@@ -187,7 +201,7 @@
     release = Release("llm", fraction, 0.4, 6.0, rng.random() < 0.5)
     kill = Kill(tuple(instances), rng.uniform(0.1, 2.0))
     server_fault = _choose_server_fault(rng, instances)
-    planned = [Planned(2.5, release), Planned(rng.uniform(3.5, 7.0), kill)]
+    planned = [Planned(2.5, release), Planned(rng.uniform(4.0, 9.0), kill)]
     if not isinstance(server_fault, Release):
         planned.append(Planned(rng.uniform(1.0, 8.0), server_fault))
     return tuple(sorted(planned, key=lambda item: item.at_s))
@@ -234,9 +248,11 @@
 
 
 def _choose_store_fault(rng: random.Random, instances: list[str]) -> Fault:
-    del instances
+    one = rng.choice(instances)
     return rng.choice(
         (
+            CutStore(one, rng.uniform(1.0, 7.0), False),
+            CutStore(one, rng.uniform(1.0, 7.0), True),
             StoreDown(rng.uniform(1.0, 5.0)),
             StoreDown(rng.uniform(0.5, 2.0), rng.uniform(1.0, 4.0)),
             StoreSlow(rng.uniform(2.0, 5.0), slow_s=0.4),
--- a/tests/fleet/soak_injector.py
+++ b/tests/fleet/soak_injector.py
@@ -15,6 +15,8 @@
 import soak_store
 import soak_upstream
 
+import links
+
 NAMED_DRAIN_S = 2.0
 EXIT_S = 0.3
 FIRST_VERSION = 3
@@ -82,6 +84,7 @@
                 | soak_faults.Terminate()
                 | soak_faults.Freeze()
                 | soak_faults.Reload()
+                | soak_faults.CutStore()
             ):
                 await self._disturb_instances(fault)
             case (
@@ -150,6 +153,8 @@
                     await anyio.sleep(gap_s)
             case soak_faults.Freeze(name, for_s):
                 await self._freeze(instances[name], for_s)
+            case soak_faults.CutStore():
+                await self._cut_store(fault)
             case soak_faults.Reload(name):
                 instance = instances[name]
                 bounds = {**instance.settings["bounds"]}
@@ -158,6 +163,15 @@
                 self._cluster.write_settings(instance)
                 self._cluster.send_signal(instance, signal.SIGHUP)
 
+    async def _cut_store(self, fault: soak_faults.CutStore) -> None:
+        link = self._cluster.store_links[fault.name]
+        states = links.LinkState
+        with self._cluster.instances[fault.name].disturb("cut"):
+            state = states.SILENT if fault.is_silent else states.CUT
+            await link.set_state(state)
+            await anyio.sleep(fault.for_s)
+            await link.set_state(states.OPEN)
+
     async def _kill(
         self, instances: list[soak_cluster.Instance], down_s: float
     ) -> None:
--- a/tests/fleet/soak_rounds.py
+++ b/tests/fleet/soak_rounds.py
@@ -22,7 +22,7 @@
 ENGINE_ZONES = ("za", "za", "zb", "zb", "zc", "zc")
 LEDGER_ZONES = ("za", "zb", "zc")
 LOAD_S = 14.0
-RATE = 14.0
+RATE = 30.0
 START_TIMEOUT_S = 30.0
 WARM_UP_S = 5.0
 PROBE_PERIOD_S = 1.0
@@ -100,6 +100,8 @@
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._store.run)
+            for link in self._cluster.store_links.values():
+                tasks.start_soon(link.run)
             try:
                 await self._start(tasks)
                 for number in range(rounds):
