--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -219,6 +219,7 @@
             self._store,
             self._store_health,
             self._resumption.history,
+            lambda: self._cluster_state.era,
             self._find_store_rank,
             self._count_instances,
             self._resumption.check_view,
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -53,10 +53,12 @@
     Attributes:
         services: Versions by service.
         is_complete: Whether they are all that may have begun a stream.
+        era: Era of the store in which they were recorded.
     """
 
     services: dict[str, tuple[str, ...]]
     is_complete: bool
+    era: int = 0
 
 
 _UNREADABLE = _Versions({}, is_complete=False)
@@ -78,6 +80,7 @@
         store: object_store.ValueStore,
         store_health: store_follower.StoreHealth,
         history: stream_history.StreamHistory,
+        find_era: Callable[[], int],
         find_rank: Callable[[], int | None],
         count_instances: Callable[[], int],
         check_view: Callable[[], None],
@@ -92,6 +95,7 @@
             store: The store.
             store_health: Tracks whether the store is reachable.
             history: What this instance knows of streams.
+            find_era: Returns the era of the store.
             find_rank: Returns the rank of this instance among those that follow
                 the store, None if it does not.
             count_instances: Returns the number of instances.
@@ -109,6 +113,7 @@
         self._store = store
         self._store_health = store_health
         self._history = history
+        self._find_era = find_era
         self._find_rank = find_rank
         self._count_instances = count_instances
         self._check_view = check_view
@@ -234,12 +239,20 @@
     def _decode_versions(self, value: bytes) -> _Versions:
         if not value:
             return self._not_recorded
-        return _decode(self._versions_key, value, _Versions) or _UNREADABLE
+        versions = _decode(self._versions_key, value, _Versions)
+        if versions is None:
+            return _UNREADABLE
+        if versions.era == self._find_era():
+            return versions
+        # The store came back from a copy, which may lack a later version.
+        return dataclasses.replace(versions, is_complete=False)
 
     def _make_versions(self) -> _Versions:
         now = anyio.current_time()
         return _Versions(
-            self._history.list_versions(now), self._history.is_complete(now)
+            self._history.list_versions(now),
+            self._history.is_complete(now),
+            self._find_era(),
         )
 
     async def _record_versions(self) -> None:
--- a/tests/entry/test_stream_records.py
+++ b/tests/entry/test_stream_records.py
@@ -123,6 +123,7 @@
         store_follower.StoreHealth(state),
         history,
         lambda: 0,
+        lambda: 0,
         lambda: 1,
         lambda: None,
         lambda _: None,
