--- a/src/tamaracktide/observability/logs.py
+++ b/src/tamaracktide/observability/logs.py
@@ -78,13 +78,20 @@
     return logger.bind(**fields)
 
 
+CUT_RESPONSE = "ASGI callable returned without completing response."
+"""What uvicorn logs as an error where a response is broken off on purpose, so that
+its client does not take a part for all of it."""
+
+
 class _LibraryHandler(logging.Handler):
     """Forwards records of the standard `logging` module to loguru."""
 
     def emit(self, record: logging.LogRecord) -> None:
         """Logs a record at its level."""
+        message = record.getMessage()
+        level = "INFO" if message == CUT_RESPONSE else record.levelname
         logger.bind(library=record.name).opt(exception=record.exc_info).log(
-            record.levelname, "{}", record.getMessage()
+            level, "{}", message
         )
 
 
--- a/tests/observability/test_observability.py
+++ b/tests/observability/test_observability.py
@@ -63,6 +63,17 @@
     assert (second["message"], second["library"]) == ("3 {x}", "uvicorn")
 
 
+def test_response_that_is_broken_off_on_purpose_is_no_error(
+    log_path: pathlib.Path,
+) -> None:
+    """Guards against errors in the log that no operator can mend."""
+    library = logging.getLogger("uvicorn.error")
+    library.error(logs.CUT_RESPONSE)
+    library.error("another")
+    first, second = read_lines(log_path)
+    assert (first["level"], second["level"]) == ("INFO", "ERROR")
+
+
 def test_metrics_are_rendered_with_their_labels() -> None:
     """Metrics objects have separate registries."""
     updated, unused = metrics.Metrics(), metrics.Metrics()
