--- a/src/tamaracktide/observability/logs.py
+++ b/src/tamaracktide/observability/logs.py
@@ -79,8 +79,8 @@
 
 
 CUT_RESPONSE = "ASGI callable returned without completing response."
-"""What uvicorn logs as an error where a response is broken off on purpose, so that
-its client does not take a part for all of it."""
+"""What uvicorn logs as an error where a response is broken off on purpose, so
+that its client does not take a part for all of it."""
 
 
 class _LibraryHandler(logging.Handler):
