Test restorations of stores that start at era 0 and 7

A store that names no era until it is restored, and one that was restored before the instances started.

--- a/tests/fleet/test_restored_store.py
+++ b/tests/fleet/test_restored_store.py
@@ -65,9 +65,16 @@
             await anyio.sleep(0.05)
 
 
-async def test_manifest_written_after_a_restoration_comes_into_force() -> None:
-    """Guards against manifests that are ignored for their low revision."""
+@pytest.mark.parametrize("first_era", [0, 1, 7])
+async def test_manifest_written_after_a_restoration_comes_into_force(
+    first_era: int,
+) -> None:
+    """Guards against manifests that are ignored for their low revision.
+
+    The store may name no era before its first restoration.
+    """
     async with fleet_cluster.run_cluster() as cluster:
+        cluster.store.era = first_era
         await cluster.add_server(fleet_cluster.Server("p1"))
         async with entry_instances.run_instance(cluster) as instance:
             saved = cluster.store.make_copy()
@@ -191,13 +198,17 @@
     return holders
 
 
-async def test_holder_goes_on_after_it_has_written_its_lease_anew() -> None:
+@pytest.mark.parametrize("first_era", [0, 1])
+async def test_holder_goes_on_after_it_has_written_its_lease_anew(
+    first_era: int,
+) -> None:
     """The restored record is of another machine, with the same epoch.
 
     Guards against two holders with one fencing token, and against a cell
     without a holder for the term and the quiet period.
     """
     async with fleet_cluster.run_cluster() as cluster:
+        cluster.store.era = first_era
         engine = await cluster.add_server(fleet_cluster.Server("e1", slots=3))
         async with entry_instances.run_instance(cluster) as instance:
             assert (await instance.generate("r1", "a1")).status == 200
@@ -212,7 +223,7 @@
             record = cluster.store.objects["tamaracktide-leases"]["llm.z1"]
             assert record["Spec"]["holder"] == lost["holder"]
             assert record["Spec"]["epoch"] > lost["epoch"]
-            assert record["Spec"]["era"] == 2
+            assert record["Spec"]["era"] == first_era + 1
             tokens = [order["FencingToken"] for order in engine.orders]
             assert tokens == sorted(set(tokens))
 
