--- a/tests/fleet/soak_faults.py
+++ b/tests/fleet/soak_faults.py
@@ -137,6 +137,15 @@
     is_silent: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Partition:
+    """Instances reach no server: connections are reset, or hang if not."""
+
+    names: tuple[str, ...]
+    for_s: float
+    resets: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DiscardHistory:
     """The store forgets its history."""
@@ -159,6 +168,7 @@
     | StoreDown
     | StoreSlow
     | CutStore
+    | Partition
     | DiscardHistory
     | ChangeManifest
 )
@@ -223,6 +233,8 @@
             Terminate(every, 0.5),
             Freeze(one, SHORT_FREEZE_S),
             Freeze(one, LONG_FREEZE_S),
+            Partition((one,), rng.uniform(2.0, 6.0), rng.random() < 0.5),
+            Partition(every[:2], rng.uniform(2.0, 6.0), rng.random() < 0.5),
             Reload(one),
         )
     )
--- a/tests/fleet/soak_http.py
+++ b/tests/fleet/soak_http.py
@@ -48,6 +48,11 @@
         self.stream = stream
         self._buffer = bytearray()
 
+    @property
+    def raw_socket(self) -> socket.socket:
+        """The socket below."""
+        return self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+
     @property
     def has_unread(self) -> bool:
         """Whether bytes were received that nobody has read."""
@@ -105,7 +110,7 @@
 
     def set_reset(self, enabled: bool) -> None:
         """Sets whether the end of the connection or process is a reset."""
-        raw = self.stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        raw = self.raw_socket
         value = struct.pack("ii", int(enabled), 0)
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
 
--- a/tests/fleet/soak_injector.py
+++ b/tests/fleet/soak_injector.py
@@ -1,6 +1,7 @@
 """Plays the faults of a soak run on its processes and its store."""
 
 import contextlib
+import functools
 import random
 import signal
 import time
@@ -85,6 +86,7 @@
                 | soak_faults.Freeze()
                 | soak_faults.Reload()
                 | soak_faults.CutStore()
+                | soak_faults.Partition()
             ):
                 await self._disturb_instances(fault)
             case (
@@ -153,6 +155,8 @@
                     await anyio.sleep(gap_s)
             case soak_faults.Freeze(name, for_s):
                 await self._freeze(instances[name], for_s)
+            case soak_faults.Partition():
+                await self._partition(fault)
             case soak_faults.CutStore():
                 await self._cut_store(fault)
             case soak_faults.Reload(name):
@@ -172,6 +176,24 @@
             await anyio.sleep(fault.for_s)
             await link.set_state(states.OPEN)
 
+    async def _partition(self, fault: soak_faults.Partition) -> None:
+        instances = [self._cluster.instances[name] for name in fault.names]
+        with contextlib.ExitStack() as stack:
+            for instance in instances:
+                stack.enter_context(instance.disturb("partitioned"))
+            pids = [i.process.pid for i in instances if i.process is not None]
+            await self._change_all(cut_pids=pids, cut_resets=fault.resets)
+            await anyio.sleep(fault.for_s)
+            await self._change_all(cut_pids=[], cut_resets=False)
+
+    async def _change_all(self, **changes: object) -> None:
+        async with anyio.create_task_group() as tasks:
+            for server in self._cluster.servers.values():
+                if server.process is not None:
+                    tasks.start_soon(
+                        functools.partial(server.change, **changes)
+                    )
+
     async def _kill(
         self, instances: list[soak_cluster.Instance], down_s: float
     ) -> None:
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -18,9 +18,11 @@
 import anyio.abc
 import soak_adapters
 import soak_http
+import soak_peers
 import soak_upstream
 
 HEARTBEAT_S = 1.2
+HANG_POLL_S = 0.1
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,7 +138,9 @@
         count = 0
         try:
             while True:
+                await self._check_cut(connection)
                 head = await connection.read_head()
+                await self._check_cut(connection)
                 count += 1
                 if self._closes_unread(count):
                     return
@@ -144,12 +148,23 @@
         except (*soak_http.CLOSED, OSError):
             pass
         except CutError:
-            await connection.close(reset=self._config.resets)
+            resets = self._config.resets or self._config.cut_resets
+            await connection.close(reset=resets)
         finally:
             self._connections.discard(connection)
             with anyio.CancelScope(shield=True):
                 await connection.close()
 
+    async def _check_cut(self, connection: soak_http.Connection) -> None:
+        """Resets or leaves hanging a connection that must not be heard."""
+        pids = self._config.cut_pids
+        if not pids or not soak_peers.is_from(connection.raw_socket, pids):
+            return
+        if self._config.cut_resets:
+            raise CutError
+        while pids == self._config.cut_pids:
+            await anyio.sleep(HANG_POLL_S)
+
     def _closes_unread(self, count: int) -> bool:
         fraction = self._config.idle_close_fraction
         return count > 1 and self._rng.random() < fraction
@@ -197,14 +212,26 @@
         changes = json.loads(request.body)
         self._note("change", changes=changes)
         if changes.pop("reset_all", False):
-            for connection in list(self._connections - {request.connection}):
-                await connection.close(reset=True)
+            await self._reset(self._connections - {request.connection})
         for name, value in changes.items():
             setattr(self._config, name, value)
+        if changes.get("cut_resets"):
+            cut = {
+                connection
+                for connection in self._connections
+                if soak_peers.is_from(
+                    connection.raw_socket, self._config.cut_pids
+                )
+            }
+            await self._reset(cut)
         self._changed.set()
         self._changed = anyio.Event()
         await self._reply(request, 200, {})
 
+    async def _reset(self, connections: set[soak_http.Connection]) -> None:
+        for connection in list(connections):
+            await connection.close(reset=True)
+
     # Orders.
 
     async def _order(self, request: Request) -> None:
--- a/tests/fleet/soak_upstream.py
+++ b/tests/fleet/soak_upstream.py
@@ -40,6 +40,9 @@
         ends_unframed: Whether streams end with their connection.
         idle_close_fraction: Fraction of requests on kept connections at whose
             arrival the connection is closed without reading on.
+        cut_pids: Processes whose connections get no response.
+        cut_resets: Whether connections of these processes are reset; else they
+            hang.
         pause_s: Silence in the middle of each stream.
     """
 
@@ -68,6 +71,8 @@
     resets: bool = False
     ends_unframed: bool = False
     idle_close_fraction: float = 0.0
+    cut_pids: list[int] = dataclasses.field(default_factory=list)
+    cut_resets: bool = False
     pause_s: float = 0.0
 
 
