--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -100,7 +100,10 @@
 
     def record_end(self, request: requests.ClientRequest) -> None:
         """Records that a stream of this instance is complete."""
-        self.history.record_end(request.service.name, request.request_id)
+        begun_as = request.request_id
+        if request.resume_after:
+            begun_as = request.resumed_request
+        self.history.record_end(request.service.name, begun_as)
 
     async def find_software(
         self, request: requests.ClientRequest
@@ -123,13 +126,15 @@
             with anyio.move_on_after(QUERY_TIMEOUT_S):
                 found = await self._wait_for(begun_as, service, arrived_at)
         self._log_found(request, found)
-        if found is None:
-            raise errors.RefusalError(
-                result_codes.ResultCode.SOFTWARE_UNKNOWN,
-                f"software version that began {begun_as!r} is not known",
-                self._find_retry_after_s(request, arrived_at),
-            )
-        return found[0]
+        if found is not None:
+            # What the client holds from now on is of this version, too.
+            self.history.record_begin(service, begun_as, found[0], arrived_at)
+            return found[0]
+        raise errors.RefusalError(
+            result_codes.ResultCode.SOFTWARE_UNKNOWN,
+            f"software version that began {begun_as!r} is not known",
+            self._find_retry_after_s(request, arrived_at),
+        )
 
     def _find_retry_after_s(
         self, request: requests.ClientRequest, arrived_at: float
--- a/tests/fleet/test_entry_soak.py
+++ b/tests/fleet/test_entry_soak.py
@@ -3,9 +3,11 @@
 import pathlib
 
 import anyio
+import pytest
 import soak_faults
 import soak_rounds
 
+INSTANCES = tuple(f"front-{number}" for number in range(1, 5))
 SEED = 7
 RATE = 10.0
 LOAD_S = 9.0
@@ -50,3 +52,29 @@
     anyio.run(soak.run, lambda: next(rounds), len(ROUNDS), float("inf"))
     assert soak.failures == []
     assert soak.sums["served"] > soak.sums["sent"] / 2
+
+
+def make_release_and_kill(fraction: float) -> tuple[soak_faults.Planned, ...]:
+    """Returns a release and a kill of all instances while old servers serve."""
+    release = soak_faults.Release("llm", fraction, 0.4, 9.0, False)
+    kill = soak_faults.Kill(INSTANCES, 1.0)
+    return soak_faults.Planned(1.0, release), soak_faults.Planned(5.2, kill)
+
+
+@pytest.mark.parametrize("fraction", [1.0, 0.5])
+def test_streams_keep_their_software_version_after_a_kill_of_all(
+    tmp_path: pathlib.Path, fraction: float
+) -> None:
+    """Streams that are resumed go on, and at the version that began them.
+
+    Guards against instances that know only what serves after their start.
+    """
+    soak = soak_rounds.EntrySoak(
+        tmp_path / "soak", SEED, lambda report: None, 45.0, 12.0
+    )
+    faults = make_release_and_kill(fraction)
+    anyio.run(soak.run, lambda: faults, 1, float("inf"))
+    assert soak.failures == []
+    assert soak.sums["resumed"] > 0
+    if fraction < 1.0:
+        assert soak.sums["went_on"] > soak.sums["resumed"] / 2
--- a/tests/fleet/test_rejoined_streams.py
+++ b/tests/fleet/test_rejoined_streams.py
@@ -136,3 +136,25 @@
         ) as instance:
             await versioned_streams.prefer_last(cluster, engines)
             await versioned_streams.check_resumed(engines, instance, events)
+
+
+async def test_stream_resumes_again_after_a_second_version_has_appeared() -> (
+    None
+):
+    """Guards against a stream that is bound to its version only once (LOST).
+
+    All instances were killed while there was one version, and the client's
+    first retry broke off as well.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        old = await versioned_streams.add_engine(cluster, "old", "v1")
+        async with entry_instances.run_instance(cluster) as instance:
+            await anyio.sleep(RECORD_S)
+            first = await versioned_streams.resume(instance, "s0", "r0", 2)
+            assert first.status == 200
+            cluster.register(old, "z2")
+            new = await versioned_streams.add_engine(cluster, "new", "v2")
+            await anyio.sleep(RECORD_S)
+            again = await versioned_streams.resume(instance, "s1", "r0", 4)
+            assert again.status == 200
+            assert versioned_streams.find_versions([old, new], "s1") == {"v1"}
