--- a/src/tamaracktide/entry/lease_manager.py
+++ b/src/tamaracktide/entry/lease_manager.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import random
-import time
 import uuid
 
 import anyio
@@ -14,6 +13,7 @@
 from tamaracktide.core import leases
 from tamaracktide.core import rendezvous
 from tamaracktide.core import rows
+from tamaracktide.entry import clocks
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import settings as entry_settings
@@ -46,11 +46,6 @@
 """Time between two attempts to renew a lease through a peer."""
 
 
-def read_boot_time() -> float:
-    """Returns seconds of a clock that keeps running during a suspend."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 @dataclasses.dataclass(slots=True)
 class _Cell:
     lease: leases.Lease
@@ -103,7 +98,7 @@
         self._find_reported_holder = find_reported_holder
         self._on_change = on_change
         self._cells: dict[rows.CellId, _Cell] = {}
-        self._started_at = read_boot_time()
+        self._started_at = clocks.read_boot_time()
         self._era = leases.StoreEra()
         self._era_changed = anyio.Event()
         cluster.listen_for_eras(self._handle_era)
@@ -111,7 +106,9 @@
     def is_held(self, cell: rows.CellId) -> bool:
         """Whether this instance is allowed to start an order in a cell now."""
         state = self._cells.get(cell)
-        return state is not None and state.lease.is_held(read_boot_time())
+        return state is not None and state.lease.is_held(
+            clocks.read_boot_time()
+        )
 
     def find_epoch(self, cell: rows.CellId) -> int:
         """Returns the fencing token of a held lease."""
@@ -131,19 +128,19 @@
     @property
     def holds_any(self) -> bool:
         """Whether this instance holds a lease."""
-        now = read_boot_time()
+        now = clocks.read_boot_time()
         return any(state.lease.is_held(now) for state in self._cells.values())
 
     def may_be_held(self, cell: rows.CellId) -> bool:
         """Whether a cell has a lease holder or is expected to get one soon."""
-        settling = read_boot_time() < self._started_at + SETTLE_S
+        settling = clocks.read_boot_time() < self._started_at + SETTLE_S
         # A member without a relay does not know the holders.
         detached = not self._peers.is_relay and not self._peers.relay
         return settling or detached or bool(self.find_holder(cell))
 
     def list_lease_terms(self) -> tuple[entry_messages.LeaseNotice, ...]:
         """Returns the lease terms held now, for the report to peers."""
-        now = read_boot_time()
+        now = clocks.read_boot_time()
         return tuple(
             entry_messages.LeaseNotice(
                 cell=cell.text,
@@ -169,7 +166,7 @@
 
     def _make_cell(self) -> _Cell:
         lease = leases.Lease(self._make_settings())
-        lease.record_era(self._era, read_boot_time())
+        lease.record_era(self._era, clocks.read_boot_time())
         return _Cell(lease)
 
     def _observe_first_era(self) -> None:
@@ -184,7 +181,7 @@
         self._era_changed.set()
 
     def _apply_era(self, number: int, has_earlier: bool) -> None:
-        now = read_boot_time()
+        now = clocks.read_boot_time()
         self._era = leases.StoreEra(
             number=number, seen_at=now, has_earlier=has_earlier
         )
@@ -201,7 +198,7 @@
         )
 
     async def _maintain(self, cell: rows.CellId, state: _Cell) -> None:
-        now = read_boot_time()
+        now = clocks.read_boot_time()
         held = self._update_held(cell, state)
         if not held and not self._peers.is_relay:
             return
@@ -226,7 +223,7 @@
 
     def _update_held(self, cell: rows.CellId, state: _Cell) -> bool:
         """Detects a start or end of the lease term; returns if it is held."""
-        held = state.lease.is_held(read_boot_time())
+        held = state.lease.is_held(clocks.read_boot_time())
         if held != state.was_held:
             state.was_held = held
             logs.bind(cell=cell.text, epoch=state.lease.epoch).info(
@@ -293,7 +290,7 @@
             state.polled_at = now
             if not await self._read(cell, state):
                 return
-        if state.lease.propose("", read_boot_time()) is not None:
+        if state.lease.propose("", clocks.read_boot_time()) is not None:
             await self._write(cell, state)
 
     async def _read(self, cell: rows.CellId, state: _Cell) -> bool:
@@ -318,7 +315,7 @@
             return False
         if self._is_of_other_era(era):
             return False
-        state.lease.record_read(record, revision, read_boot_time())
+        state.lease.record_read(record, revision, clocks.read_boot_time())
         state.is_uncertain = False
         self._store_health.record_response()
         return True
@@ -372,7 +369,7 @@
         return True
 
     async def _write(self, cell: rows.CellId, state: _Cell) -> None:
-        started_at = read_boot_time()
+        started_at = clocks.read_boot_time()
         write = state.lease.propose(uuid.uuid4().hex[:12], started_at)
         if write is None:
             return
