Tell an upstream at its connection limit from one that ends

Upstreams reset connections beyond their limit. The connection that checks whether an upstream has ended was held for 50 ms, and such a reset counted as its end, so that a complete response was taken for a part.

Before, test_upstream_at_its_connection_limit_has_not_ended failed.

--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -170,20 +170,14 @@
         self._tasks.start_soon(self._check, entry)
 
     async def has_ended(self, entry: upstream_entries.UpstreamEntry) -> bool:
-        """Returns whether an upstream has ended, or ends right now.
+        """Returns whether an upstream refuses connections in a moment.
 
         Also if this instance is cut off from all upstreams, or the upstream
         leaves: to take a complete response for a part is the lesser harm.
         """
-        opened = await _open(self._backend, entry.address)
-        if isinstance(opened, Contact):
-            return opened is Contact.REFUSED
         # A killed process may lose its connections before its listener.
-        try:
-            await anyio.sleep(END_DELAY_S)
-            return opened.is_readable()
-        finally:
-            await opened.aclose()
+        await anyio.sleep(END_DELAY_S)
+        return await self._try_connect(entry) is Contact.REFUSED
 
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
@@ -249,22 +243,13 @@
 
 
 async def _connect(backend: network.Backend, address: str) -> Contact:
-    opened = await _open(backend, address)
-    if isinstance(opened, Contact):
-        return opened
-    await opened.aclose()
-    return Contact.REACHED
-
-
-async def _open(
-    backend: network.Backend, address: str
-) -> network.Stream | Contact:
-    """Opens a connection; returns why there is none otherwise."""
     host, _, port = address.rpartition(":")
     try:
-        return await backend.connect_tcp(host, int(port), CONNECT_PERIOD_S)
+        stream = await backend.connect_tcp(host, int(port), CONNECT_PERIOD_S)
     except httpcore.ConnectTimeout:
         return Contact.SILENT
     except httpcore.ConnectError as error:
         is_refused = isinstance(error.__cause__, ConnectionRefusedError)
         return Contact.REFUSED if is_refused else Contact.SILENT
+    await stream.aclose()
+    return Contact.REACHED
--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -28,17 +28,23 @@
         runs: Ids of the requests that arrived, in order.
         listener: Its listening socket; closed, it refuses connections.
         writers: Its open connections.
+        max_accepted: Connections after which it resets all further ones.
     """
 
     respond: Respond
     runs: list[str] = dataclasses.field(default_factory=list)
     listener: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
+    max_accepted: int = 1000
 
     async def handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Handles the requests of one connection."""
+        self.max_accepted -= 1
+        if self.max_accepted < 0:
+            _reset(writer)
+            return
         self.writers.add(writer)
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -61,9 +67,7 @@
     def _kill(self) -> None:
         self.stop_listening()
         for writer in self.writers:
-            opened = writer.get_extra_info("socket")
-            opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-            writer.transport.abort()
+            _reset(writer)
 
     def stop_listening(self) -> None:
         """Refuses new connections, as after the end of the process."""
@@ -71,6 +75,12 @@
         self.listener.close()
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    opened = writer.get_extra_info("socket")
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    writer.transport.abort()
+
+
 async def _read_request(reader: asyncio.StreamReader) -> str:
     """Reads a request with a body of known length; returns its id."""
     head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -166,6 +166,31 @@
         assert response.content == make_events(1, 2)
 
 
+async def test_upstream_at_its_connection_limit_has_not_ended() -> None:
+    """Guards against a complete stream that passes for a part (LOST)."""
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+        writer.write(make_events(1, 2))
+        await writer.drain()
+        server.max_accepted = 0
+        raise ConnectionError("complete")
+
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(
+            cluster, "e1", respond, is_engine=True
+        ) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        response = await instance.generate("r1")
+        assert response.content == make_events(1, 2)
+
+
 async def test_upstream_notices_at_once_that_a_client_has_left() -> None:
     """Guards against work that goes on beside its continuation (TWICE, GONE).
 
