--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -30,7 +30,6 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import load_margin
 from tamaracktide.core import paces
-from tamaracktide.core import resumed_streams
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -42,6 +41,7 @@
 from tamaracktide.entry import restarts
 from tamaracktide.entry import send_limits
 from tamaracktide.entry import slow_starts
+from tamaracktide.entry import submissions
 from tamaracktide.entry import timers
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.observability import logs
@@ -231,8 +231,10 @@
         """
         submitted_at = anyio.current_time()
         while True:
-            submit = self._make_submit(
+            submit = submissions.make_submit(
+                self.service,
                 request,
+                self.find_key(request),
                 (*avoid, *self._list_other_versions(software)),
                 resume_after or 0,
             )
@@ -296,56 +298,6 @@
             f"{utilization.waiting} requests queued"
         )
 
-    def _make_submit(
-        self,
-        request: requests.ClientRequest,
-        avoid: tuple[str, ...],
-        events_received: int,
-    ) -> cell_events.Submit:
-        key = self.find_key(request)
-        generation = request.generation
-        customer = key.adapter
-        if generation is None:
-            customer = request.route.name
-        elif not generation.adapter:
-            customer = f"{generation.model}:{generation.session}"
-        tokens = self._estimate_tokens(generation, events_received)
-        weight = 1.0
-        if request.caller is not None and request.caller.workspace:
-            customer = f"workspace:{request.caller.workspace}"
-            weight = request.caller.weight
-        lead = 0.0
-        if events_received:
-            customer = resumed_streams.name_account(customer)
-            lead = float(tokens.prompt)
-        return cell_events.Submit(
-            request_id=request.request_id,
-            customer=customer,
-            weight=weight,
-            key=key,
-            prompt_tokens=tokens.prompt,
-            max_tokens=tokens.output,
-            deadline=request.expires_at,
-            prefix=generation.prefix if generation else "",
-            avoid=tuple(sorted(set(avoid))),
-            lead=lead,
-        )
-
-    def _estimate_tokens(
-        self, generation: requests.Generation | None, events_received: int
-    ) -> resumed_streams.Tokens:
-        """Returns the tokens that an upstream reads and generates."""
-        if generation is None:
-            return resumed_streams.Tokens(prompt=0, output=1)
-        whole = resumed_streams.Tokens(
-            generation.prompt_tokens,
-            generation.expected_tokens or generation.max_tokens,
-        )
-        if self.service.engine is None:
-            return whole
-        generated = events_received * self.service.engine.event_tokens
-        return resumed_streams.estimate_remaining(whole, generated)
-
     def _make_placement(
         self,
         request: requests.ClientRequest,
