Write the streams of the tests of ended connections in one place

Five servers of test_ended_connections.py wrote the same head and events, and raw_servers.py had its own copy of the socket option that resets a connection, which is sockets.RESET_ON_CLOSE. No assertion changes; the module's 8 tests, ruff and mypy pass.

--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -6,12 +6,10 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
-import socket
-import struct
 
 import fleet_cluster
 
-NO_LINGER = struct.pack("ii", 1, 0)
+from tamaracktide import sockets
 
 Respond = Callable[
     [str, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
@@ -77,7 +75,7 @@
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     opened = writer.get_extra_info("socket")
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    opened.setsockopt(*sockets.RESET_ON_CLOSE)
     writer.transport.abort()
 
 
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -34,6 +34,15 @@
     return b"".join(b"id: %d\ndata: t\n\n" % number for number in numbers)
 
 
+async def write_two_events(
+    request_id: str, writer: asyncio.StreamWriter
+) -> None:
+    """Writes the beginning of a stream with neither a length nor chunks."""
+    writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
+    writer.write(make_events(1, 2))
+    await writer.drain()
+
+
 async def test_stream_of_a_killed_upstream_is_not_complete() -> None:
     """Guards against a stream that ends before its last event (ORDER).
 
@@ -45,9 +54,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
-        writer.write(make_events(1, 2))
-        await writer.drain()
+        await write_two_events(request_id, writer)
         server.stop_listening()
         raise ConnectionError("killed")
 
@@ -73,9 +80,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
-        writer.write(make_events(1, 2))
-        await writer.drain()
+        await write_two_events(request_id, writer)
         server.kill_after(EXIT_S)
         raise ConnectionError("killed")
 
@@ -103,9 +108,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
-        writer.write(make_events(1, 2))
-        await writer.drain()
+        await write_two_events(request_id, writer)
         cluster.register(cluster.servers["e1"], state="draining")
         await anyio.sleep(LEAVING_S)
         server.stop_listening()
@@ -152,9 +155,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
-        writer.write(make_events(1, 2))
-        await writer.drain()
+        await write_two_events(request_id, writer)
         raise ConnectionError("complete")
 
     async with (
@@ -174,9 +175,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        writer.write(raw_servers.make_head(request_id, STREAM_HEAD))
-        writer.write(make_events(1, 2))
-        await writer.drain()
+        await write_two_events(request_id, writer)
         server.max_accepted = 0
         raise ConnectionError("complete")
 
