--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -129,6 +129,16 @@
         """Returns every known object, to be sent to a peer."""
         return list(self._items.values())
 
+    def find_first_registered(self) -> str | None:
+        """Returns the instance whose registration is the oldest, if any."""
+        prefix = self._adapter.collections.instances
+        found = [
+            (item.era, item.version, key.removeprefix(prefix))
+            for key, item in self._items.items()
+            if key.startswith(prefix)
+        ]
+        return min(found)[2] if found else None
+
     def find_versions(self) -> catch_up.StoreVersions:
         """Returns the newest known version in each collection."""
         collections = self._adapter.collections
--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -45,6 +45,9 @@
 them, as they all start at about the same time. Their relay plan would else
 change with each of them."""
 
+FIRST_ERA = 1
+"""Latest era of a store that was never restored."""
+
 REGISTRATION_WAIT_S = 0.8
 """Time for which the list of instances waits for the registration."""
 
@@ -93,6 +96,8 @@
         self._peers = peers
         self._store_use = store_follower.StoreUse()
         self._catch_up = catch_up.CatchUp()
+        self._is_new = False
+        self._is_first_start: bool | None = None
         self._registered = anyio.Event()
         self._must_register = anyio.Event()
         state.listen_for_eras(self._handle_era)
@@ -106,6 +111,24 @@
             return report_exchange.NOT_USED_S
         return self._store_health.unreachable_s
 
+    @property
+    def is_first_start(self) -> bool:
+        """Whether no instance of the deployment had registered before.
+
+        Only the instance that registered first knows. Registrations are kept,
+        but a restored store may lack them.
+        """
+        if self._is_first_start is None:
+            state = self._cluster_state
+            if self._collections.instances not in state.listed:
+                return False
+            self._is_first_start = (
+                self._is_new
+                and state.era <= FIRST_ERA
+                and state.find_first_registered() == self._settings.instance
+            )
+        return self._is_first_start
+
     def make_followers(self) -> Iterator[store_follower.Follower]:
         """Returns the followers of all collections, which must be run."""
         collections = self._collections
@@ -216,6 +239,7 @@
     async def _write_registration(self, key: str, value: bytes) -> None:
         try:
             await self._store.create(key, value)
+            self._is_new = True
             await anyio.sleep(FIRST_LIST_DELAY_S)
         except errors.PreconditionFailedError:
             stored = await self._store.read(key)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -379,6 +379,8 @@
             {name: record.ip for name, record in records.items()},
             {name: record.zone for name, record in records.items()},
         )
+        if self._objects.is_first_start:
+            self._resumption.apply_first_start()
 
     def _apply_lease_change(self) -> None:
         self._engine_controller.wake()
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -66,6 +66,7 @@
         self._instance = instance
         self._is_view_current = is_view_current
         self._metrics = metrics
+        self._is_first_start = False
         self._unsent: dict[str, str] = {}
         self._waiting: dict[str, anyio.Event] = {}
         self._queries: dict[tuple[str, str], entry_messages.StreamQuery] = {}
@@ -236,6 +237,20 @@
         if not self._is_view_current():
             self.history.interrupt(anyio.current_time())
 
+    def apply_first_start(self) -> None:
+        """Applies that no stream had begun before this instance started."""
+        if self._is_first_start:
+            return
+        self._is_first_start = True
+        now = anyio.current_time()
+        self.history.restore_ages({}, now, is_complete=True)
+        logs.bind(versions=self.history.list_versions(now)).info(
+            "first start of the deployment; no stream began before"
+        )
+        self._tell_versions()
+        self._get_records().record_soon()
+        self._wake_all()
+
     def apply_restored(self, newly_mixed: frozenset[str]) -> None:
         """Continues what waited until the records in the store were read."""
         self._announce_mixed(newly_mixed)
--- a/tests/fleet/test_lost_stream_records.py
+++ b/tests/fleet/test_lost_stream_records.py
@@ -183,18 +183,21 @@
             assert versioned_streams.find_versions([old], "s0") == set()
 
 
-async def test_record_of_an_earlier_era_says_nothing_of_later_versions() -> (
-    None
-):
+@pytest.mark.parametrize("age", ["with records", "before all registrations"])
+async def test_record_of_an_earlier_era_says_nothing_of_later_versions(
+    age: str,
+) -> None:
     """Guards against a record that the store has lost the end of (ORDER).
 
     All instances are killed as the store comes back from an older copy.
     """
     async with fleet_cluster.run_cluster() as cluster:
         old = await versioned_streams.add_engine(cluster, "old", "v1")
+        saved = cluster.store.make_copy()
         async with entry_instances.run_instance(cluster) as instance:
             await anyio.sleep(RECORD_S)
-            saved = cluster.store.make_copy()
+            if age == "with records":
+                saved = cluster.store.make_copy()
             cluster.register(old, "z2")
             new = await versioned_streams.add_engine(cluster, "new", "v2")
             await anyio.sleep(RECORD_S)
--- a/tests/fleet/test_rejoined_streams.py
+++ b/tests/fleet/test_rejoined_streams.py
@@ -158,3 +158,21 @@
             again = await versioned_streams.resume(instance, "s1", "r0", 4)
             assert again.status == 200
             assert versioned_streams.find_versions([old, new], "s1") == {"v1"}
+
+
+async def test_streams_go_on_after_a_kill_soon_after_the_first_start() -> None:
+    """Guards against a new deployment that knows of no version for a minute.
+
+    No setting says that it is new, and there was one version only (LOST).
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await versioned_streams.add_versions(cluster, "v1")
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await anyio.sleep(RECORD_S)
+            after = await versioned_streams.begin_stream(instance, "r0")
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await versioned_streams.check_resumed(engines, instance, [after])
