KNOWN-RED: streams of one version beside one that appears during a kill of all

What callers see: all instances are killed while a service has one software version; another one is listed when they start again: each retry is refused with 2114 and has not run (LOST).

Not mended: no way was found that is safe for ORDER within these modules.

--- a/tests/fleet/test_rejoined_streams.py
+++ b/tests/fleet/test_rejoined_streams.py
@@ -176,3 +176,22 @@
             cluster, is_first_start=False
         ) as instance:
             await versioned_streams.check_resumed(engines, instance, [after])
+
+
+async def test_stream_of_one_version_goes_on_after_another_has_appeared() -> (
+    None
+):
+    """Guards against streams that only a killed instance knew of (LOST).
+
+    All instances are killed while there is one version; another one is there
+    when they start again.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        old = await versioned_streams.add_engine(cluster, "old", "v1")
+        async with entry_instances.run_instance(cluster) as instance:
+            await anyio.sleep(RECORD_S)
+            after = await versioned_streams.begin_stream(instance, "r0")
+        cluster.register(old, "z2")
+        new = await versioned_streams.add_engine(cluster, "new", "v2")
+        async with entry_instances.run_instance(cluster) as instance:
+            await versioned_streams.check_resumed([old, new], instance, [after])
