--- a/tests/fleet/test_rejoined_streams.py
+++ b/tests/fleet/test_rejoined_streams.py
@@ -178,6 +178,36 @@
             await versioned_streams.check_resumed(engines, instance, [after])
 
 
+async def test_every_instance_of_a_new_deployment_knows_that_it_is_new() -> (
+    None
+):
+    """Guards against a record that a later instance makes incomplete (LOST).
+
+    The stream begins at an instance that did not register first.
+    """
+    port = deployment.find_port()
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await versioned_streams.add_versions(cluster, "v1")
+        after = []
+        async with contextlib.AsyncExitStack() as stack:
+            for name, host in (("n2", "127.0.0.2"), ("n1", "127.0.0.1")):
+                instance = await stack.enter_async_context(
+                    entry_instances.run_instance(
+                        cluster,
+                        name=name,
+                        host=host,
+                        peer_port=port,
+                        is_first_start=False,
+                    )
+                )
+            await anyio.sleep(RECORD_S)
+            after.append(await versioned_streams.begin_stream(instance, "r0"))
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await versioned_streams.check_resumed(engines, instance, after)
+
+
 async def test_stream_of_one_version_goes_on_after_another_has_appeared() -> (
     None
 ):
