--- a/tests/fleet/test_rejoined_streams.py
+++ b/tests/fleet/test_rejoined_streams.py
@@ -158,3 +158,70 @@
             again = await versioned_streams.resume(instance, "s1", "r0", 4)
             assert again.status == 200
             assert versioned_streams.find_versions([old, new], "s1") == {"v1"}
+
+
+async def test_streams_go_on_after_a_kill_soon_after_the_first_start() -> None:
+    """Guards against a new deployment that knows of no version for a minute.
+
+    No setting says that it is new, and there was one version only (LOST).
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await versioned_streams.add_versions(cluster, "v1")
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await anyio.sleep(RECORD_S)
+            after = await versioned_streams.begin_stream(instance, "r0")
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await versioned_streams.check_resumed(engines, instance, [after])
+
+
+async def test_every_instance_of_a_new_deployment_knows_that_it_is_new() -> (
+    None
+):
+    """Guards against a record that a later instance makes incomplete (LOST).
+
+    The stream begins at an instance that did not register first.
+    """
+    port = deployment.find_port()
+    async with fleet_cluster.run_cluster() as cluster:
+        engines = await versioned_streams.add_versions(cluster, "v1")
+        after = []
+        async with contextlib.AsyncExitStack() as stack:
+            for name, host in (("n2", "127.0.0.2"), ("n1", "127.0.0.1")):
+                instance = await stack.enter_async_context(
+                    entry_instances.run_instance(
+                        cluster,
+                        name=name,
+                        host=host,
+                        peer_port=port,
+                        is_first_start=False,
+                    )
+                )
+            await anyio.sleep(RECORD_S)
+            after.append(await versioned_streams.begin_stream(instance, "r0"))
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await versioned_streams.check_resumed(engines, instance, after)
+
+
+async def test_stream_of_one_version_goes_on_after_another_has_appeared() -> (
+    None
+):
+    """Guards against streams that only a killed instance knew of (LOST).
+
+    All instances are killed while there is one version; another one is there
+    when they start again.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        old = await versioned_streams.add_engine(cluster, "old", "v1")
+        async with entry_instances.run_instance(cluster) as instance:
+            await anyio.sleep(RECORD_S)
+            after = await versioned_streams.begin_stream(instance, "r0")
+        cluster.register(old, "z2")
+        new = await versioned_streams.add_engine(cluster, "new", "v2")
+        async with entry_instances.run_instance(cluster) as instance:
+            await versioned_streams.check_resumed([old, new], instance, [after])
