--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -191,7 +191,11 @@
                 calls.FailureKind.TIMEOUT,
                 f"no data received for {timeout_s:g} s",
             )
-        except (httpcore.ReadError, httptools.HttpParserError) as error:
+        except (
+            httpcore.ReadError,
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
             if self.complete:
                 self.keep_alive = False
                 return None
