--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import socket
 
 import fleet_cluster
 
@@ -16,6 +17,9 @@
 ]
 """Responds to the request with an id."""
 
+MAX_QUEUED = 4
+"""Connections that fill the queue of a listening socket."""
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class RawServer:
@@ -72,6 +76,22 @@
         assert self.listener is not None
         self.listener.close()
 
+    def stop_answering(self) -> list[socket.socket]:
+        """Leaves new connections unanswered, as after the end of the machine.
+
+        Returns:
+            What must be closed: a listening socket whose queue is full.
+        """
+        assert self.listener is not None
+        address = self.listener.sockets[0].getsockname()
+        self.stop_listening()
+        opened = [socket.create_server(address, backlog=0)]
+        for _ in range(MAX_QUEUED):
+            opened.append(socket.socket())
+            opened[-1].setblocking(False)
+            opened[-1].connect_ex(address)
+        return opened
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     opened = writer.get_extra_info("socket")
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import socket
 
 import anyio
 import entry_instances
@@ -125,6 +126,37 @@
             await instance.generate("r1")
 
 
+async def test_stream_of_an_upstream_that_vanished_is_not_complete() -> None:
+    """Guards against a stream that ends before its last event (ORDER).
+
+    The machine goes with its process: nobody refuses a connection.
+    """
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await write_two_events(request_id, writer)
+        opened.extend(server.stop_answering())
+        raise ConnectionError("gone")
+
+    opened: list[socket.socket] = []
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(
+            cluster, "e1", respond, is_engine=True
+        ) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        try:
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await instance.generate("r1")
+        finally:
+            for left in opened:
+                left.close()
+
+
 async def test_body_of_a_killed_upstream_is_not_complete() -> None:
     """Guards against a part of a body that passes for all of it (MIXED)."""
 
