--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -170,14 +170,15 @@
         self._tasks.start_soon(self._check, entry)
 
     async def has_ended(self, entry: upstream_entries.UpstreamEntry) -> bool:
-        """Returns whether an upstream refuses connections in a moment.
+        """Returns whether an upstream accepts no connections in a moment.
 
+        It refuses them, or nobody answers: its machine may have ended with it.
         Also if this instance is cut off from all upstreams, or the upstream
         leaves: to take a complete response for a part is the lesser harm.
         """
         # A killed process may lose its connections before its listener.
         await anyio.sleep(END_DELAY_S)
-        return await self._try_connect(entry) is Contact.REFUSED
+        return await self._try_connect(entry) is not Contact.REACHED
 
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
