--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -92,6 +92,13 @@
             opened[-1].connect_ex(address)
         return opened
 
+    def start_again(self) -> socket.socket:
+        """Ends and starts again at once; returns its new listening socket."""
+        assert self.listener is not None
+        address = self.listener.sockets[0].getsockname()
+        self.stop_listening()
+        return socket.create_server(address)
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     opened = writer.get_extra_info("socket")
--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import time
 
 import anyio
 import entry_instances
@@ -14,12 +15,20 @@
 import pytest
 import raw_servers
 
+from tamaracktide.entry import pauses
+
 pytestmark = pytest.mark.anyio
 
 STREAM_HEAD = "Content-Type: text/event-stream"
 EXIT_S = 0.005
 """Time in which the kernel ends a process."""
 
+READ_S = 0.1
+"""Time in which an instance forwards the events that have arrived."""
+
+PAUSE_S = pauses.MIN_PAUSE_S + pauses.TICK_S
+"""Pause of a process that counts as held up."""
+
 LEAVING_S = 1.0
 """Time after which an instance knows that an upstream is leaving."""
 
@@ -157,6 +166,41 @@
                 left.close()
 
 
+async def test_upstream_may_have_started_again_during_a_pause() -> None:
+    """Guards against a stream that ends before its last event (ORDER).
+
+    The process that checks whether the upstream has ended was held up.
+    """
+
+    async def respond(
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await write_two_events(request_id, writer)
+        await anyio.sleep(READ_S)
+        writer.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+        started.append(server.start_again())
+        # Nothing else runs meanwhile, as in a stopped process.
+        time.sleep(PAUSE_S)
+        raise ConnectionError("killed")
+
+    started: list[socket.socket] = []
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(
+            cluster, "e1", respond, is_engine=True
+        ) as server,
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        try:
+            with pytest.raises(httpcore.RemoteProtocolError):
+                await instance.generate("r1")
+        finally:
+            for left in started:
+                left.close()
+
+
 async def test_body_of_a_killed_upstream_is_not_complete() -> None:
     """Guards against a part of a body that passes for all of it (MIXED)."""
 
