--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -433,6 +433,7 @@
                 load_margin=self._loader.margin,
                 load=self._loader.load,
                 record_exit=self.crashes.record_exit,
+                was_held_up=lambda: self._pauses.was_held_up,
                 backend=self._upstream_client.backend,
                 tasks=self._tasks,
             ),
--- a/src/tamaracktide/entry/reachability.py
+++ b/src/tamaracktide/entry/reachability.py
@@ -69,6 +69,7 @@
         "_refresh",
         "_refused",
         "_tasks",
+        "_was_held_up",
     )
 
     def __init__(
@@ -77,6 +78,7 @@
         entries: Callable[[], Mapping[str, upstream_entries.UpstreamEntry]],
         refresh: Callable[[], None],
         record_exit: Callable[[upstream_entries.UpstreamEntry], None],
+        was_held_up: Callable[[], bool],
         backend: network.Backend,
         tasks: anyio.abc.TaskGroup,
     ) -> None:
@@ -87,6 +89,7 @@
             entries: Returns the upstreams of the service.
             refresh: Called when an outcome changes the set of used upstreams.
             record_exit: Called when an upstream has ended.
+            was_held_up: Returns whether a pause of this process has just ended.
             backend: Opens the connections.
             tasks: Task group that runs the connection attempts.
         """
@@ -96,6 +99,7 @@
         self._refresh = refresh
         self._record_exit = record_exit
         self._tasks = tasks
+        self._was_held_up = was_held_up
         self._checking: set[str] = set()
         self._contact_at: dict[str, float] = {}
         self._refused: dict[str, upstream_entries.UpstreamEntry] = {}
@@ -170,15 +174,24 @@
         self._tasks.start_soon(self._check, entry)
 
     async def has_ended(self, entry: upstream_entries.UpstreamEntry) -> bool:
-        """Returns whether an upstream accepts no connections in a moment.
+        """Returns whether an upstream may have ended a moment ago.
 
-        It refuses them, or nobody answers: its machine may have ended with it.
-        Also if this instance is cut off from all upstreams, or the upstream
-        leaves: to take a complete response for a part is the lesser harm.
+        It refuses connections, or nobody answers: its machine may have ended
+        with it. After a pause of this process it may have started again
+        meanwhile. Also if this instance is cut off from all upstreams, or the
+        upstream leaves: to take a complete response for a part is the lesser
+        harm.
         """
         # A killed process may lose its connections before its listener.
         await anyio.sleep(END_DELAY_S)
-        return await self._try_connect(entry) is not Contact.REACHED
+        contact = await self._try_connect(entry)
+        held_up = self._was_held_up()
+        if contact is Contact.REACHED and not held_up:
+            return False
+        logs.bind(
+            upstream=entry.upstream, contact=contact.value, held_up=held_up
+        ).info("upstream may have ended within a response")
+        return True
 
     async def _check(self, entry: upstream_entries.UpstreamEntry) -> None:
         try:
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -114,6 +114,7 @@
         load_margin: Learns how late adapters are loaded.
         load: Requests the load of an adapter and waits for its end.
         record_exit: Called when an upstream refuses connections.
+        was_held_up: Returns whether a pause of this process has just ended.
         backend: Opens the connections that check upstreams.
         tasks: Task group that runs the loads and timers.
     """
@@ -128,6 +129,7 @@
     load_margin: load_margin.LoadMargin
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
     record_exit: Callable[[upstream_entries.UpstreamEntry], None]
+    was_held_up: Callable[[], bool]
     backend: network.Backend
     tasks: anyio.abc.TaskGroup
 
@@ -184,6 +186,7 @@
             lambda: self._entries,
             self.refresh_health,
             dependencies.record_exit,
+            dependencies.was_held_up,
             dependencies.backend,
             dependencies.tasks,
         )
--- a/tests/entry/test_reachability.py
+++ b/tests/entry/test_reachability.py
@@ -87,6 +87,7 @@
             },
             upstream.refresh,
             upstream.exits.append,
+            lambda: False,
             network.Backend(),
             tasks,
         )
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -104,6 +104,7 @@
                 load_margin=load_margin.LoadMargin(),
                 load=self._load,
                 record_exit=lambda entry: None,
+                was_held_up=lambda: False,
                 backend=network.Backend(),
                 tasks=self.tasks,
             ),
