--- a/tests/upstreams/test_streams.py
+++ b/tests/upstreams/test_streams.py
@@ -4,6 +4,7 @@
 are reused for the next request.
 """
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import socket
@@ -18,6 +19,9 @@
 
 pytestmark = pytest.mark.anyio
 SETTINGS = upstream_settings.UpstreamSettings()
+LONG_BODY_BYTES = 32 << 20
+"""Size of a body that no socket takes at once."""
+
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -191,6 +195,89 @@
                 assert failure.kind is calls.FailureKind.TIMEOUT
 
 
+class EarlyUpstream:
+    """Answers each request before it has read its body.
+
+    Attributes:
+        answered: Set by the test once the response has arrived.
+        body: What it reads of the first body after that.
+        connections: Number of accepted connections.
+        open: Number of those that it serves.
+    """
+
+    def __init__(self) -> None:
+        """Starts without connections."""
+        self.answered = anyio.Event()
+        self.body = b""
+        self.connections = self.open = 0
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves a connection."""
+        self.connections += 1
+        self.open += 1
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK)
+            await self.answered.wait()
+            self.body = await reader.readexactly(LONG_BODY_BYTES)
+        writer.transport.abort()
+        self.open -= 1
+
+
+@contextlib.asynccontextmanager
+async def run_early_upstream() -> AsyncIterator[
+    tuple[EarlyUpstream, streams.StreamClient, calls.Call]
+]:
+    """Runs such an upstream, a client, and makes a call with a long body."""
+    upstream = EarlyUpstream()
+    opened = socket.socket()
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 14)
+    opened.bind(("127.0.0.1", 0))
+    call = calls.Call(
+        method="POST",
+        address=f"127.0.0.1:{opened.getsockname()[1]}",
+        target="/x",
+        body=b"x" * LONG_BODY_BYTES,
+        timeout_s=1.0,
+    )
+    async with await asyncio.start_server(upstream.handle, sock=opened):
+        try:
+            async with streams.StreamClient(SETTINGS) as client:
+                yield upstream, client, call
+        finally:
+            upstream.answered.set()
+            while upstream.open:
+                await anyio.sleep(0.01)
+
+
+async def test_upstream_may_answer_before_it_has_read_a_request() -> None:
+    """Guards against a ready response that is lost (LOST, MIXED).
+
+    It reads on later, and then gets the rest of the body.
+    """
+    async with run_early_upstream() as (upstream, client, call):
+        response = await client.send(call)
+        assert isinstance(response, calls.Response)
+        upstream.answered.set()
+        with anyio.fail_after(5.0):
+            while not upstream.body:
+                await anyio.sleep(0.01)
+        assert upstream.body == call.body
+
+
+async def test_request_does_not_wait_for_the_rest_of_another_ones_body() -> (
+    None
+):
+    """Guards against a request behind a body that nobody reads (LOST)."""
+    async with run_early_upstream() as (upstream, client, call):
+        for _ in range(2):
+            response = await client.send(call)
+            assert isinstance(response, calls.Response)
+        assert upstream.connections == 2
+
+
 async def test_expired_idle_connections_are_closed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
