--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -148,9 +148,14 @@
             self.stream.end_on_close()
         await self.stream.aclose()
 
-    def is_readable(self) -> bool:
-        """Whether an idle connection has unexpected data or was closed."""
-        return self.stream.is_readable()
+    @property
+    def is_usable(self) -> bool:
+        """Whether an idle connection may take the next request.
+
+        Not if it was closed or has unexpected data, or if its peer has not yet
+        read the previous request, to which it has responded.
+        """
+        return not (self.stream.has_unsent or self.stream.is_readable())
 
     async def send(
         self, request: bytes, timeout_s: float
--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -51,10 +51,12 @@
         if len(self.buffer) > MAX_READ_AHEAD_BYTES and self.transport:
             self.transport.pause_reading()
         self._wake_reader()
+        self._writable.set()
 
     def eof_received(self) -> bool:
         self.is_ended = True
         self._wake_reader()
+        self._writable.set()
         # The connection stays open until `aclose`.
         return True
 
@@ -70,7 +72,8 @@
             self._timer.cancel()
 
     def pause_writing(self) -> None:
-        self._writable.clear()
+        if not (self.buffer or self.is_ended):
+            self._writable.clear()
 
     def resume_writing(self) -> None:
         self._writable.set()
@@ -141,7 +144,10 @@
         return self.error is None and self._writable.is_set()
 
     async def wait_writable(self) -> None:
-        """Waits until most of what was written is sent; may raise `error`."""
+        """Waits until most is sent or something arrives; may raise `error`.
+
+        A peer may respond before it has read what was written.
+        """
         await self._writable.wait()
         if self.error is not None:
             raise self.error
@@ -191,7 +197,7 @@
         return bool(poll.poll(0))
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Sends bytes.
+        """Sends bytes, in the background once the peer responds.
 
         Raises:
             httpcore.WriteTimeout: They were not taken in time, in seconds.
@@ -211,6 +217,11 @@
         except OSError as error:
             raise httpcore.WriteError(str(error)) from error
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether written bytes still wait to be sent."""
+        return self._transport.get_write_buffer_size() > 0
+
     def end_on_close(self) -> None:
         """Has `aclose` end a connection that it would reset."""
         opened: socket.socket = self._transport.get_extra_info("socket")
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -210,7 +210,7 @@
         while idle:
             connection = idle.pop()
             age_s = time.monotonic() - connection.idle_since
-            if age_s < KEEPALIVE_EXPIRY_S and not connection.is_readable():
+            if age_s < KEEPALIVE_EXPIRY_S and connection.is_usable:
                 return connection
             await connection.close()
         return None
