--- a/tests/fleet/test_ended_connections.py
+++ b/tests/fleet/test_ended_connections.py
@@ -223,6 +223,48 @@
         assert response.status == 502
 
 
+async def test_response_is_of_one_upstream() -> None:
+    """Guards against the head of one upstream with another one's body (MIXED).
+
+    A request that may be repeated is answered with events, which no upstream
+    can continue; the first upstream ends after the head.
+    """
+
+    def make_respond(name: str) -> raw_servers.Respond:
+        async def respond(
+            request_id: str,
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            event = f"id: 1\ndata: {name}\n\n"
+            lines = (
+                STREAM_HEAD,
+                f"Content-Length: {len(event)}",
+                f"X-By: {name}",
+            )
+            writer.write(raw_servers.make_head(request_id, *lines))
+            asked.append(name)
+            if len(asked) == 1:
+                await writer.drain()
+                await anyio.sleep(READ_S)
+                raise ConnectionError("killed")
+            writer.write(event.encode())
+
+        return respond
+
+    asked: list[str] = []
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        raw_servers.run_server(cluster, "p1", make_respond("p1")),
+        raw_servers.run_server(cluster, "p2", make_respond("p2")),
+        entry_instances.run_instance(cluster) as instance,
+    ):
+        response = await instance.send("/safe/x", "r1")
+    assert response.status == 200
+    name = dict(response.headers)[b"x-by"]
+    assert response.content == b"id: 1\ndata: %s\n\n" % name
+
+
 async def test_stream_that_ends_with_its_connection_is_complete() -> None:
     """An upstream that goes on may end a stream in this way."""
 
