--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -331,7 +331,7 @@
     ) -> results.Result:
         """Forwards a response whose headers fit the request, and closes it."""
         try:
-            if 200 <= opened.status < 300 and _is_event_stream(opened):
+            if _is_forwarded_at_once(run.request.route, opened):
                 return await self._forward_stream(run, attempt, opened)
             response = await opened.read(opened.max_answer_bytes)
             if isinstance(response, calls.Failure):
@@ -499,6 +499,18 @@
         outcomes.record_pace(run, attempt, event_s)
 
 
+def _is_forwarded_at_once(
+    route: routing_document.Route, opened: streams.StreamedResponse
+) -> bool:
+    """Whether the client receives the events of a response as they arrive.
+
+    On other routes another upstream answers anew if this one fails.
+    """
+    is_streaming = route.kind is routing_document.RequestKind.STREAMING
+    is_success = 200 <= opened.status < 300
+    return is_streaming and is_success and _is_event_stream(opened)
+
+
 def _is_event_stream(opened: streams.StreamedResponse) -> bool:
     for name, value in opened.headers:
         if name == b"content-type":
