--- a/tests/fleet/test_late_responses.py
+++ b/tests/fleet/test_late_responses.py
@@ -61,10 +61,11 @@
 
     A success that names a request passed for the end of an unload.
     """
-    engine = LateEngine("e1", slots=2, adapters={"a1": 1, "a2": 1})
+    adapters = {"a1": 1, "a2": 1, "a3": 1}
+    engine = LateEngine("e1", slots=3, adapters=adapters)
     async with fleet_cluster.run_cluster() as cluster:
         await cluster.add_server(engine)
         async with entry_instances.run_instance(cluster) as instance:
-            response = await instance.generate("r1", "a3")
+            response = await instance.generate("r1", "a4")
     assert engine.max_held <= engine.slots
     assert response.status == 200
