--- a/src/tamaracktide/entry/engine_controller.py
+++ b/src/tamaracktide/entry/engine_controller.py
@@ -397,9 +397,7 @@
             response = await self._dependencies.upstream_client.send(call)
         outcome = engine_orders.Outcome.UNCERTAIN
         if isinstance(response, calls.Response):
-            outcome = self._dependencies.adapter.parse_order_outcome(
-                response.status
-            )
+            outcome = self._dependencies.adapter.parse_order_outcome(response)
         now = anyio.current_time()
         load_results = engine.orders.record_outcome(
             order, outcome, now, self._predict_load_s(entry, order)
--- a/src/tamaracktide/entry/platform_adapter.py
+++ b/src/tamaracktide/entry/platform_adapter.py
@@ -180,8 +180,10 @@
     ) -> calls.Call:
         """Returns the call that sends an order to an engine."""
 
-    def parse_order_outcome(self, status: int) -> engine_orders.Outcome:
-        """Returns the outcome of an order from its response status."""
+    def parse_order_outcome(
+        self, response: calls.Response
+    ) -> engine_orders.Outcome:
+        """Returns the outcome of an order; uncertain if this is no response."""
 
     def make_report_call(self, address: str, timeout_s: float) -> calls.Call:
         """Returns the call that requests an engine's state."""
