--- a/tests/upstreams/test_streams.py
+++ b/tests/upstreams/test_streams.py
@@ -176,6 +176,25 @@
         assert upstream.connections == 2
 
 
+@pytest.mark.parametrize(
+    ("stated", "connections"),
+    [(b"timeout=0", 2), (b"max=9, timeout=0", 2), (b"timeout=60", 1), (b"", 1)],
+)
+async def test_connection_is_not_reused_as_its_peer_closes_it(
+    stated: bytes, connections: int
+) -> None:
+    """Guards against a request that crosses the close of its connection (LOST).
+
+    It may have run then; the upstream states for how long it keeps one.
+    """
+    head, _, body = OK.partition(b"\r\n\r\n")
+    stating = head + b"\r\nKeep-Alive: " + stated + b"\r\n\r\n" + body
+    async with run_upstream(stating, OK) as (upstream, client):
+        assert await send(upstream, client) == (200, b"ok")
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == connections
+
+
 async def test_silent_upstream_is_a_timeout() -> None:
     """A request that is not taken times out as one that is not answered."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
