--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -18,6 +18,12 @@
 """Headers without which the end of the connection ends a body."""
 
 
+CLOSE_MARGIN_S = 0.1
+"""Time before the stated end in which a request could cross the close."""
+
+MAX_STATED_IDLE_S = 3600
+
+
 class Connection:
     """A connection and the parser state of its current response.
 
@@ -26,6 +32,7 @@
         stream: The TCP stream.
         max_pending_bytes: Maximum number of bytes that wait for a boundary.
         idle_since: When it became idle, seconds of the monotonic clock.
+        stated_idle_s: Time for which its peer keeps it then, as far as stated.
         headers: Headers of the current response.
         headers_complete: Whether all of them have arrived.
         complete: Whether the current response has arrived completely.
@@ -48,6 +55,7 @@
         "keep_alive",
         "max_pending_bytes",
         "parser",
+        "stated_idle_s",
         "stream",
     )
 
@@ -69,6 +77,7 @@
             max_pending_bytes, "the end of the headers, or the next body bytes"
         )
         self.idle_since = 0.0
+        self.stated_idle_s: float = MAX_STATED_IDLE_S
         self.reset(has_body=True)
 
     def reset(self, *, has_body: bool) -> None:
@@ -130,6 +139,7 @@
             return
         self.complete = True
         self.keep_alive = self.parser.should_keep_alive()
+        self.stated_idle_s = _find_stated_idle_s(self.headers)
 
     def drain_body(self) -> bytes:
         """Returns and clears the body bytes received since the last call."""
@@ -226,3 +236,16 @@
         return calls.Failure(
             calls.FailureKind.BROKEN, "connection closed within the response"
         )
+
+
+def _find_stated_idle_s(headers: list[tuple[bytes, bytes]]) -> float:
+    """Returns for how long a peer keeps an idle connection, with a margin."""
+    for name, value in headers:
+        if name != b"keep-alive":
+            continue
+        for part in value.split(b","):
+            key, _, seconds = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and seconds.isdigit():
+                stated_s = min(MAX_STATED_IDLE_S, int(seconds))
+                return stated_s - CLOSE_MARGIN_S
+    return MAX_STATED_IDLE_S
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -210,7 +210,8 @@
         while idle:
             connection = idle.pop()
             age_s = time.monotonic() - connection.idle_since
-            if age_s < KEEPALIVE_EXPIRY_S and connection.is_usable:
+            max_age_s = min(KEEPALIVE_EXPIRY_S, connection.stated_idle_s)
+            if age_s < max_age_s and connection.is_usable:
                 return connection
             await connection.close()
         return None
