--- a/src/tamaracktide/core/routing_document.py
+++ b/src/tamaracktide/core/routing_document.py
@@ -74,7 +74,12 @@
                 return False
 
     def choose_service(self, request_id: str) -> str:
-        """Returns the service for a request, chosen by a hash of its id."""
+        """Returns the service for a request, chosen by a hash of its id.
+
+        Args:
+            request_id: Its id; that of the request which began the stream if it
+                resumes one.
+        """
         if len(self.shares) == 1:
             return self.shares[0].service
         total = sum(share.weight for share in self.shares)
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -245,7 +245,9 @@
         table = self._cluster_state.table or table
         route = self._find_route(table, fields.host, target)
         caller = callers.identify(table, route, fields, relayed)
-        service = route.choose_service(fields.request_id)
+        # A resumed stream goes on at the service that began it.
+        begun_as = fields.resumed_request or fields.request_id
+        service = route.choose_service(begun_as)
         deadline = started_at + route.timeout_s
         if fields.time_left_s is not None:
             deadline = started_at + fields.time_left_s
