--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -13,6 +13,7 @@
 from tamaracktide.core import routing_document
 from tamaracktide.core import stalls
 from tamaracktide.core import stream_timing
+from tamaracktide.entry import attestation
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import hedging
 from tamaracktide.entry import outcomes
@@ -84,6 +85,7 @@
         count_instances: Callable[[], int],
         resumption: entry_resumption.Resumption,
         peer_forwarder: peer_forwarding.PeerForwarder,
+        attestor: attestation.Attestor,
         metrics: metrics_module.Metrics,
     ) -> None:
         """Builds a forwarder for all services."""
@@ -92,12 +94,13 @@
         self._crashes = crashes
         self._outcomes = outcomes.OutcomeRecorder(crashes)
         self._sender = sending.Sender(
-            adapter, upstream_client, find_version, find_cell
+            adapter, upstream_client, find_version, find_cell, attestor
         )
         self._hedger = hedging.Hedger(
             self._sender, peer_forwarder, self._outcomes, crashes, metrics
         )
         self._resumption = resumption
+        self._attestor = attestor
         self._peer_forwarder = peer_forwarder
         self._retries = retries
         self._count_instances = count_instances
@@ -448,7 +451,9 @@
             if block is None:
                 continue
             if progress.software is None and not attempt.is_relayed:
-                progress.software = attempt.placement.entry.software
+                progress.software = await self._attestor.find_software(
+                    run.request, attempt.placement.entry, opened.process
+                )
                 self._resumption.record_begin(run.request, progress.software)
             _record_events(run, attempt, block)
             await responder.write(block.data)
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -14,6 +14,7 @@
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import usage_caps
 from tamaracktide.entry import app as entry_app
+from tamaracktide.entry import attestation
 from tamaracktide.entry import cells as entry_cells
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import crashes as entry_crashes
@@ -281,6 +282,13 @@
             self._count_instances,
             self._resumption,
             self._peer_forwarder,
+            attestation.Attestor(
+                self._adapter,
+                self._upstream_client,
+                self._resumption.record_unlisted,
+                self._metrics,
+                self._tasks,
+            ),
             self._metrics,
         )
 
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -85,6 +85,16 @@
             self.history.apply_upstreams(changed, removed, now)
         )
 
+    def record_unlisted(self, service: str, software: str) -> None:
+        """Records that upstreams run a version that no entry names."""
+        self._announce_mixed(
+            self.history.restore_ages(
+                {service: {software: 0.0}},
+                anyio.current_time(),
+                is_complete=False,
+            )
+        )
+
     def record_begin(
         self, request: requests.ClientRequest, software: str
     ) -> None:
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -5,6 +5,7 @@
 import anyio
 
 from tamaracktide.core import routing_document
+from tamaracktide.entry import attestation
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import requests
 from tamaracktide.entry import results
@@ -42,6 +43,7 @@
         find_cell: Callable[
             [routing_document.Service], service_cell.ServiceCell
         ],
+        attestor: attestation.Attestor,
     ) -> None:
         """Builds a sender.
 
@@ -52,8 +54,10 @@
                 none.
             find_cell: Returns the cell of a service, which applies the limits
                 that its upstreams name.
+            attestor: Decides whether a stream is resumed on a connection.
         """
         self._adapter = adapter
+        self._attestor = attestor
         self._find_cell = find_cell
         self._upstream_client = upstream_client
         self._find_version = find_version
@@ -103,10 +107,16 @@
             ),
             fresh=fresh,
             on_silence=on_silence,
+            admit=self._attestor.make_admit(
+                request,
+                placement.entry,
+                has_begun=progress.software is not None,
+            ),
         )
         if isinstance(opened, calls.Failure):
             if not opened.may_have_run:
-                return results.NotRun(opened.detail, unreachable=True)
+                is_unreachable = opened.kind is calls.FailureKind.UNREACHABLE
+                return results.NotRun(opened.detail, unreachable=is_unreachable)
             return results.make_lost_response(opened)
         failure = self._check(request, placement, opened)
         if failure is None:
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -43,6 +43,8 @@
         client_resumes: Streams that clients resumed, by `pool` and `source`
             (how the software version that began them is known, `unknown` if
             it is not).
+        process_reports: Reports that tell the start of an upstream's process,
+            by `pool` and `result` (attested, differs or unknown).
         held_up_seconds: Seconds for which the process was held up.
         tokens: Tokens forwarded to clients, by `pool`.
         grants: Grants issued (scheduler) or received (gateway), by `pool`.
@@ -92,6 +94,9 @@
         self.client_resumes = self._counter(
             "client_resumes_total", "Streams resumed by clients"
         )
+        self.process_reports = self._counter(
+            "process_reports_total", "Reports of the start of a process"
+        )
         self.held_up_seconds = self._counter(
             "held_up_seconds_total", "Seconds the process was held up"
         )
--- a/src/tamaracktide/upstreams/calls.py
+++ b/src/tamaracktide/upstreams/calls.py
@@ -33,6 +33,11 @@
     TIMEOUT = "timeout"
     BROKEN = "broken"
     TOO_LARGE = "too large"
+    NOT_ADMITTED = "not admitted"
+
+
+NOT_SENT_KINDS = frozenset((FailureKind.UNREACHABLE, FailureKind.NOT_ADMITTED))
+"""Failures before a request was sent."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +55,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether the upstream may have received the request."""
-        return self.kind is not FailureKind.UNREACHABLE
+        return self.kind not in NOT_SENT_KINDS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -3,6 +3,7 @@
 import httpcore
 import httptools
 
+from tamaracktide.core import connected_processes
 from tamaracktide.core import pending_bytes
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import network
@@ -23,6 +24,7 @@
 
     Attributes:
         address: `host:port` of its peer.
+        process: The process of the upstream that it leads to.
         stream: The TCP stream.
         max_pending_bytes: Maximum number of bytes that wait for a boundary.
         idle_since: When it became idle, seconds of the monotonic clock.
@@ -48,21 +50,26 @@
         "keep_alive",
         "max_pending_bytes",
         "parser",
+        "process",
         "stream",
     )
 
     def __init__(
-        self, address: str, stream: network.Stream, max_pending_bytes: int
+        self,
+        process: connected_processes.Process,
+        stream: network.Stream,
+        max_pending_bytes: int,
     ) -> None:
         """Wraps an open stream.
 
         Args:
-            address: `host:port` of its peer.
+            process: The process that it leads to.
             stream: The TCP stream.
             max_pending_bytes: Maximum number of bytes that wait for the end of
                 the headers, or of the framing of the body.
         """
-        self.address = address
+        self.address = process.address
+        self.process = process
         self.stream = stream
         self.max_pending_bytes = max_pending_bytes
         self._pending = pending_bytes.PendingBytes(
@@ -152,6 +159,10 @@
         """Whether an idle connection has unexpected data or was closed."""
         return self.stream.is_readable()
 
+    def has_ended(self) -> bool:
+        """Whether its end has arrived, read or not."""
+        return self.stream.has_ended()
+
     async def send(
         self, request: bytes, timeout_s: float
     ) -> calls.Failure | None:
--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -190,6 +190,16 @@
         poll.register(opened, select.POLLIN)
         return bool(poll.poll(0))
 
+    def has_ended(self) -> bool:
+        """Whether the end has arrived, read by the loop or not."""
+        opened: socket.socket = self.get_extra_info("socket")
+        if self._receiver.is_ended or opened.fileno() < 0:
+            return True
+        poll = select.poll()
+        # Errors and resets are reported in any case.
+        poll.register(opened, select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends bytes.
 
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -12,6 +12,8 @@
 import httpcore
 
 from tamaracktide import sockets
+from tamaracktide.core import connected_processes
+from tamaracktide.observability import logs
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import connections
 from tamaracktide.upstreams import network
@@ -28,6 +30,9 @@
 that waits until something arrives or the connection ends. Returns whether to go
 on waiting."""
 
+Admit = Callable[[connected_processes.Process], Awaitable[bool]]
+"""Decides whether a request may be sent to the process of its connection."""
+
 
 async def _receive(
     connection: connections.Connection,
@@ -66,6 +71,11 @@
         self.status = connection.parser.get_status_code()
         self.headers = tuple(connection.headers)
 
+    @property
+    def process(self) -> connected_processes.Process:
+        """The process of the upstream that responds."""
+        return self._connection.process
+
     @property
     def ended_by_close(self) -> bool:
         """Whether only the end of its connection tells that it is complete."""
@@ -135,6 +145,8 @@
         self.settings = settings
         self.total = calls.make_total(settings)
         self._idle: dict[str, list[connections.Connection]] = {}
+        self._opened: dict[str, set[connections.Connection]] = {}
+        self._processes = connected_processes.ConnectedProcesses()
 
     async def __aenter__(self) -> Self:
         """Returns the client itself."""
@@ -151,6 +163,7 @@
         *,
         fresh: bool = False,
         on_silence: OnSilence | None = None,
+        admit: Admit | None = None,
     ) -> StreamedResponse | calls.Failure:
         """Sends a call and returns when the response headers have arrived.
 
@@ -160,6 +173,8 @@
                 connections may be unresponsive.
             on_silence: Decides, before and within the response, whether the
                 timeout of the call ends it; None for yes.
+            admit: Decides whether the call is sent to the process of its
+                connection; None for yes.
         """
         connection = None if fresh else await self._find_idle(call.address)
         if connection is None:
@@ -167,14 +182,32 @@
             if isinstance(connected, calls.Failure):
                 return connected
             connection = connected
+        if admit is not None and not await self._is_admitted(connection, admit):
+            return calls.Failure(
+                calls.FailureKind.NOT_ADMITTED,
+                f"not sent to the process at {call.address}",
+            )
         response: StreamedResponse | calls.Failure | None = None
         try:
             response = await self._exchange(connection, call, on_silence)
         finally:
             if not isinstance(response, StreamedResponse):
-                await connection.close()
+                await self._close(connection)
         return response
 
+    async def _is_admitted(
+        self, connection: connections.Connection, admit: Admit
+    ) -> bool:
+        """Whether a call may be sent on a connection; else keeps it as idle."""
+        is_admitted = False
+        try:
+            is_admitted = await admit(connection.process)
+            is_admitted = is_admitted and not connection.is_readable()
+        finally:
+            if not is_admitted:
+                self._keep(connection)
+        return is_admitted
+
     async def send(self, call: calls.Call) -> calls.Response | calls.Failure:
         """Sends a call and returns the complete response."""
         response = await self.open(call)
@@ -189,22 +222,43 @@
     async def close_idle(self, address: str) -> None:
         """Closes the idle connections to an address."""
         for connection in self._idle.pop(address, []):
-            await connection.close()
+            await self._close(connection)
 
     async def return_connection(
         self, connection: connections.Connection
     ) -> None:
         """Keeps a reusable connection as idle and closes any other."""
-        if connection.keep_alive:
-            now = time.monotonic()
-            connection.idle_since = now
-            idle = self._idle.setdefault(connection.address, [])
-            idle.append(connection)
-            while now - idle[0].idle_since >= KEEPALIVE_EXPIRY_S:
-                await idle.pop(0).close()
+        if not connection.keep_alive:
+            await self._close(connection)
             return
+        self._keep(connection)
+        idle = self._idle[connection.address]
+        while connection.idle_since - idle[0].idle_since >= KEEPALIVE_EXPIRY_S:
+            await self._close(idle.pop(0))
+
+    def _keep(self, connection: connections.Connection) -> None:
+        connection.idle_since = time.monotonic()
+        self._idle.setdefault(connection.address, []).append(connection)
+
+    async def _close(self, connection: connections.Connection) -> None:
+        self._forget(connection)
         await connection.close()
 
+    def _forget(self, connection: connections.Connection) -> None:
+        """Records once that a connection has ended."""
+        opened = self._opened.get(connection.address, set())
+        if connection not in opened:
+            return
+        opened.remove(connection)
+        process = connection.process
+        if not self._processes.close(process):
+            return
+        del self._opened[connection.address]
+        if process.started_ms is not None:
+            logs.bind(
+                address=process.address, started_ms=process.started_ms
+            ).info("process of an upstream unknown: all connections ended")
+
     async def _find_idle(self, address: str) -> connections.Connection | None:
         idle = self._idle.get(address, [])
         while idle:
@@ -212,7 +266,7 @@
             age_s = time.monotonic() - connection.idle_since
             if age_s < KEEPALIVE_EXPIRY_S and not connection.is_readable():
                 return connection
-            await connection.close()
+            await self._close(connection)
         return None
 
     async def _connect(
@@ -234,9 +288,25 @@
                 calls.FailureKind.UNREACHABLE,
                 f"cannot connect to {address}: {error}",
             )
-        return connections.Connection(
-            address, stream, self.settings.max_pending_bytes
+        return self._add(address, stream)
+
+    def _add(
+        self, address: str, stream: network.Stream
+    ) -> connections.Connection:
+        """Returns a new connection; those that have ended say nothing of it."""
+        for ended in [
+            other
+            for other in self._opened.get(address, ())
+            if other.has_ended()
+        ]:
+            self._forget(ended)
+        connection = connections.Connection(
+            self._processes.open(address),
+            stream,
+            self.settings.max_pending_bytes,
         )
+        self._opened.setdefault(address, set()).add(connection)
+        return connection
 
     async def _exchange(
         self,
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -24,6 +24,8 @@
 HOST = "127.0.0.1"
 MODEL = "base"
 KEEP_ALIVE_S = 30.0
+ACCEPT_S = 0.01
+"""Time in which the loop ends to accept the connections that have come."""
 
 
 async def _read_body(receive: asgi.Receive) -> bytes:
@@ -477,6 +479,8 @@
         self.runs.append(request_id)
         self.headers_by_request[request_id] = head
         if self._must_crash(head):
+            # asyncio never closes what it accepts as its listener is closed.
+            await anyio.sleep(ACCEPT_S)
             self.has_crashed = True
             self.close()
             raise ConnectionError("crashed")
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -212,3 +212,30 @@
                 await stream.read(1000, 1.0)
         with pytest.raises(httpcore.WriteError):
             await stream.write(b"late", 1.0)
+
+
+async def test_end_is_seen_before_the_loop_reads_it() -> None:
+    """Guards against a stream resumed after a restart in place (ORDER).
+
+    The end of a process counts before the next connection, also behind data
+    that was not read yet.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        port = listener.getsockname()[1]
+        stream = await network.Backend().connect_tcp("127.0.0.1", port, 1.0)
+        peer, _ = listener.accept()
+        assert not stream.has_ended()
+        peer.sendall(b"data")
+        assert not stream.has_ended()
+        peer.close()
+        assert stream.has_ended()
+        assert not stream.get_extra_info("is_readable")
+        await stream.aclose()
+
+
+async def test_closed_stream_has_ended() -> None:
+    """Its descriptor may belong to another connection by then."""
+    async with connect(lambda _: anyio.sleep_forever()) as stream:
+        await stream.aclose()
+        await anyio.sleep(0)
+        assert stream.has_ended()
--- a/tests/upstreams/test_streams.py
+++ b/tests/upstreams/test_streams.py
@@ -12,6 +12,7 @@
 import anyio.abc
 import pytest
 
+from tamaracktide.core import connected_processes
 from tamaracktide.upstreams import calls
 from tamaracktide.upstreams import settings as upstream_settings
 from tamaracktide.upstreams import streams
@@ -206,3 +207,47 @@
         assert await send(upstream, client) == (200, b"ok")
         assert upstream.connections == 3
         assert client.count_idle(upstream.address) == 1
+
+
+async def open_response(
+    upstream: Upstream,
+    client: streams.StreamClient,
+    admit: streams.Admit | None = None,
+) -> streams.StreamedResponse:
+    """Returns a response whose body is not read yet."""
+    opened = await client.open(make_call(upstream), admit=admit)
+    assert isinstance(opened, streams.StreamedResponse)
+    return opened
+
+
+async def test_connections_that_are_open_at_once_have_one_process() -> None:
+    """Those that are opened after the last one has ended have another."""
+    async with run_upstream(OK, OK, OK) as (upstream, client):
+        first = await open_response(upstream, client)
+        second = await open_response(upstream, client)
+        assert second.process is first.process
+        for opened in (first, second):
+            await opened.read_and_close(100)
+        await client.close_idle(upstream.address)
+        third = await open_response(upstream, client)
+        assert third.process is not first.process
+        await third.read_and_close(100)
+
+
+async def test_call_that_is_not_admitted_is_not_sent() -> None:
+    """Its connection is kept, so that its process stays known."""
+
+    async def admit(process: connected_processes.Process) -> bool:
+        return process.started_ms is None
+
+    async with run_upstream(OK, OK) as (upstream, client):
+        opened = await open_response(upstream, client, admit)
+        opened.process.record_report(1, 0.0)
+        await opened.read_and_close(100)
+        failure = await client.open(make_call(upstream), admit=admit)
+        assert isinstance(failure, calls.Failure)
+        assert failure.kind is calls.FailureKind.NOT_ADMITTED
+        assert not failure.may_have_run
+        assert client.count_idle(upstream.address) == 1
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 1
