--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+import json
 import socket
 
 import fleet_cluster
@@ -51,7 +52,10 @@
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 while True:
-                    request_id = await _read_request(reader)
+                    target, request_id = await _read_request(reader)
+                    if target == "/report":
+                        writer.write(_make_report())
+                        continue
                     self.runs.append(request_id)
                     await self.respond(request_id, reader, writer)
         finally:
@@ -106,8 +110,20 @@
     writer.transport.abort()
 
 
-async def _read_request(reader: asyncio.StreamReader) -> str:
-    """Reads a request with a body of known length; returns its id."""
+def _make_report() -> bytes:
+    """Returns a response that tells the start of the registered process."""
+    report = {"Sequence": 0, "born": fleet_cluster.Server("").born}
+    body = json.dumps(report).encode()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+async def _read_request(reader: asyncio.StreamReader) -> tuple[str, str]:
+    """Reads a request with a body of known length.
+
+    Returns:
+        Its target and its id.
+    """
     head = await reader.readuntil(b"\r\n\r\n")
     headers = {
         name.strip().lower(): value.strip()
@@ -116,7 +132,8 @@
         )
     }
     await reader.readexactly(int(headers.get(b"content-length", b"0")))
-    return headers.get(b"x-request-id", b"").decode()
+    target = head.split(b" ", 2)[1].decode()
+    return target, headers.get(b"x-request-id", b"").decode()
 
 
 @contextlib.asynccontextmanager
