--- a/tests/fleet/test_soak_checks.py
+++ b/tests/fleet/test_soak_checks.py
@@ -163,6 +163,34 @@
     assert list_rules(cluster, job) == []
 
 
+def test_late_run_of_an_earlier_attempt_breaks_twice(
+    cluster: soak_cluster.Cluster,
+) -> None:
+    """Its own sender has to end it, before or after the next attempt."""
+    first = {"id": "j-1", "path": "/plan/1"}
+    second = {"id": "j-2", "path": "/plan/1"}
+    attempts = (
+        make_attempt(1, status=0),
+        make_attempt(2, status=200, instance="front-2"),
+    )
+    job = make_job("plan", *attempts)
+    write(
+        cluster,
+        "llm-1",
+        {"t": 21.0, "kind": "begin", **second},
+        {"t": 24.0, "kind": "end", "how": "complete", **second},
+    )
+    begin = {"t": 23.0, "kind": "begin", **first}
+    end = {"kind": "end", "how": "closed", **first}
+    write(cluster, "llm-2", begin, {"t": 23.3, **end})
+    assert list_rules(cluster, job) == []
+    write(cluster, "llm-2", begin, {"t": 23.5, **end})
+    assert list_rules(cluster, job) == ["TWICE"]
+    span = soak_cluster.Span(18.0, 22.9, "frozen")
+    cluster.instances["front-1"].spans.append(span)
+    assert list_rules(cluster, job) == []
+
+
 def test_run_of_closed_as_unread_breaks_twice(
     cluster: soak_cluster.Cluster,
 ) -> None:
