Notice a client that leaves behind pipelined requests

What was seen: a client sends further requests on its connection before the first one is answered, and closes it. The upstream worked on until the timeout of the route (GONE); idempotent requests were also hedged meanwhile.

Cause, two faults of the HTTP protocol of uvicorn. It stops to read behind the first queued request, so that the end of the connection is not seen; and when the connection is lost, it tells the request that arrived last, which has not begun, and not the one in progress.

Ruled out: that the entry instance ignores a disconnect; it cancels at once when it is told, as without pipelined requests. The first form of the test passed without the fix, since the route's timeout of 5 s ended the request within the 5 s of the test; the test sets a timeout of 60 s.

Change: up to 16 requests of a connection are read while the first is in progress, and all that are not answered learn of its end. Queued requests of a client that has left are still not begun, which the test asserts. Above 16 the old behaviour remains: a client that queues more is not seen to leave.

--- a/src/tamaracktide/http_server.py
+++ b/src/tamaracktide/http_server.py
@@ -7,10 +7,41 @@
 
 import anyio
 import uvicorn
+from uvicorn.protocols.http import httptools_impl
 
 from tamaracktide.gateway import asgi
 from tamaracktide.observability import logs
 
+MAX_PIPELINED_REQUESTS = 16
+"""Requests on a connection, with the one in progress, above which no more is
+read from it."""
+
+
+class Connection(httptools_impl.HttpToolsProtocol):
+    """A connection whose end is noticed also behind pipelined requests.
+
+    Otherwise nothing is read behind the first of them, and the end of the
+    connection is told to the last of them, which has not begun.
+    """
+
+    _unanswered: tuple[httptools_impl.RequestResponseCycle, ...] = ()
+
+    def on_headers_complete(self) -> None:
+        """Begins or queues a request; called by the parser."""
+        super().on_headers_complete()
+        earlier = [c for c in self._unanswered if not c.response_complete]
+        self._unanswered = (*earlier, self.cycle)
+        if self.pipeline and len(self._unanswered) <= MAX_PIPELINED_REQUESTS:
+            self.flow.resume_reading()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Tells all requests that the client has left."""
+        super().connection_lost(exc)
+        for cycle in self._unanswered:
+            if not cycle.response_complete:
+                cycle.disconnected = True
+                cycle.message_event.set()
+
 
 class CancellableServer(uvicorn.Server):
     """A server that closes its listening sockets when it is cancelled."""
@@ -79,7 +110,7 @@
             app,
             host=host,
             port=port,
-            http="httptools",
+            http=Connection,
             loop="asyncio",
             ws="none",
             lifespan="off",
--- a/tests/fleet/test_closed_connections.py
+++ b/tests/fleet/test_closed_connections.py
@@ -40,6 +40,10 @@
 notice at all."""
 
 
+LONG_TIMEOUT_MS = 60_000
+"""Timeout of routes that does not end a request in a test."""
+
+
 @pytest.fixture
 def anyio_backend() -> str:
     """Entry instances run on asyncio."""
@@ -143,6 +147,18 @@
         tasks.cancel_scope.cancel()
 
 
+def make_request(request_id: str) -> bytes:
+    """Returns a request of a client."""
+    lines = (
+        "GET /safe/x HTTP/1.1",
+        "Host: h.example",
+        f"X-Request-Id: {request_id}",
+        "",
+        "",
+    )
+    return "\r\n".join(lines).encode()
+
+
 @pytest.mark.parametrize("path", ["/once/x", "/safe/x"])
 async def test_upstream_stops_as_the_client_leaves(path: str) -> None:
     """Guards against work that goes on after the client has left (GONE).
@@ -159,6 +175,39 @@
     assert result
 
 
+@pytest.mark.parametrize("count", [2, 3])
+async def test_upstream_stops_as_a_pipelining_client_leaves(count: int) -> None:
+    """Guards against a client that leaves unnoticed (GONE).
+
+    It has sent its next requests before the first one is answered. Those are
+    not begun.
+    """
+    document = fleet_cluster.make_document()
+    for route in document["Routes"]:
+        route["TimeoutMs"] = LONG_TIMEOUT_MS
+    async with (
+        fleet_cluster.run_cluster() as cluster,
+        run_server(cluster) as server,
+    ):
+        cluster.store.put("config", "main", document)
+        await check_pipelining_client_leaves(cluster, server, count)
+
+
+async def check_pipelining_client_leaves(
+    cluster: fleet_cluster.Cluster, server: HalfOpenServer, count: int
+) -> None:
+    """Sends requests on one connection and leaves during the first one."""
+    async with entry_instances.run_instance(cluster) as instance:
+        host, _, port = instance.settings.caller_address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as client:
+            for number in range(count):
+                await client.send(make_request(f"r{number}"))
+                await wait_begun(server)
+        result = await has_stopped(server)
+    assert result
+    assert server.begun == 1
+
+
 async def test_upstream_stops_as_another_one_takes_over() -> None:
     """Guards against two upstreams that work on one request (TWICE)."""
     async with (
