Bound the questions that wait for the records of streams

What was seen: by reading; not observed on a deployment. A relay keeps each question of a member about a stream until the records in the store are read. While the store gives no response there is no such moment, and clients of the members go on to retry, so the questions grow without a bound.

Ruled out: that questions expire with the 0.4 s for which a member waits; nothing removed them.

Change: at most 1,000 questions are kept, the newest; one that is asked again counts as new. A member whose question is dropped refuses its retry as not run, as it does after 0.4 s in any case.

Measured: tests/entry/test_resumption.py failed before, with a bound of 2 set by the test (all three were answered), and passes after, 4 passed.

--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -35,6 +35,9 @@
 MAX_UNSENT = 10_000
 """Maximum number of streams that are kept for an instance without a relay."""
 
+MAX_QUERIES = 1_000
+"""Maximum number of questions of members that wait for the records."""
+
 
 class Resumption:
     """Knows the software versions of streams and exchanges them with peers.
@@ -211,9 +214,17 @@
         for other in self._get_peers().list_linked():
             if other is not peer:
                 other.send(query)
-        self._queries[query.asker, query.request_id] = query
+        self._keep(query)
         self._request_load()
 
+    def _keep(self, query: entry_messages.StreamQuery) -> None:
+        """Keeps a question until the records are read, and the newest only."""
+        key = (query.asker, query.request_id)
+        self._queries.pop(key, None)
+        self._queries[key] = query
+        while len(self._queries) > MAX_QUERIES:
+            del self._queries[next(iter(self._queries))]
+
     def send_unsent(self) -> None:
         """Sends what this instance began since the last report.
 
--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -255,3 +255,28 @@
         await links.resumption.find_software(_make_retry())
     assert refusal.value.retry_after_s is not None
     assert refusal.value.retry_after_s > DEADLINE_S - 5.0
+
+
+async def test_relay_keeps_a_bounded_number_of_questions(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against memory that grows while the store gives no response.
+
+    The newest questions are answered once the records are read.
+    """
+    monkeypatch.setattr(resumption, "MAX_QUERIES", 2)
+    links: dict[str, _Links] = {}
+    relay, member = _Links("n1", links), _Links("n2", links)
+    peer: Any = _Peer("n2", "n1", links, is_member=True)
+    for name in ("r0", "r1", "r0", "r2"):
+        query = entry_messages.StreamQuery(request_id=name, asker="n2")
+        relay.resumption.handle_query(peer, query)
+    streams = {"v1": ("r0", "r1", "r2")}
+    notice = entry_messages.StreamsNotice(streams=streams)
+    relay.resumption.apply_notice(notice)
+    relay.resumption.apply_restored(frozenset())
+    await anyio.wait_all_tasks_blocked()
+    now = anyio.current_time()
+    history = member.resumption.history
+    known = [name for name in streams["v1"] if history.find(name, now)]
+    assert known == ["r0", "r2"]
