--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -271,7 +271,7 @@
     for name in ("r0", "r1", "r0", "r2"):
         query = entry_messages.StreamQuery(request_id=name, asker="n2")
         relay.resumption.handle_query(peer, query)
-    streams = {"v1": ("r0", "r1", "r2")}
+    streams: dict[str, tuple[str, ...]] = {"v1": ("r0", "r1", "r2")}
     notice = entry_messages.StreamsNotice(streams=streams)
     relay.resumption.apply_notice(notice)
     relay.resumption.apply_restored(frozenset())
