Count all registered instances while none is linked

What was seen: suspected by the review, now shown by a test. An instance that is cut off from all others for 30 s counted itself alone, and took the whole extra of the retry budget (and of limits that are divided), while the others went on with their shares: their sum could reach nearly twice the bound (BUDGET).

Cause: the number of instances is what the links tell, kept for 30 s after a decrease. A cut and an end of all others look alike there.

Change: without any link, all registered instances count. If the others have really ended, the last one keeps its share, which errs on the safe side for the bound; what it may send by the fraction of its own requests is not affected. Not changed: a cut into two parts of several instances each still divides by the instances of a part after 30 s, as registrations never end and so can't count for good.

--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -170,9 +170,16 @@
         )
 
     def count_instances(self) -> int:
-        """Returns the number of instances; a decrease counts only later."""
+        """Returns the number of instances; a decrease counts only later.
+
+        An instance without a link can't tell whether the others have ended or
+        serve on, and counts all that are registered.
+        """
         now = anyio.current_time()
         count = self._count_current()
+        peers = self._get_peers()
+        if not peers.list_linked():
+            count = max(count, 1 + len(peers.list_instances()))
         if count >= self._max_instances or now >= self._max_until:
             self._max_instances = count
             self._max_until = now + INSTANCE_EXPIRY_S
--- a/tests/entry/test_report_exchange.py
+++ b/tests/entry/test_report_exchange.py
@@ -18,6 +18,7 @@
 from tamaracktide.core import running_counts
 from tamaracktide.core import upstream_health
 from tamaracktide.entry import peers as entry_peers
+from tamaracktide.entry import report_exchange
 from tamaracktide.protocol import entry_messages
 
 pytestmark = pytest.mark.anyio
@@ -343,3 +344,22 @@
 def test_report_period_leaves_time_for_a_lost_packet() -> None:
     """A link survives one lost report between relays."""
     assert entry_peers.LINK_TIMEOUT_S > 2 * entry_peers.RELAY_REPORT_PERIOD_S
+
+
+@pytest.mark.parametrize("instances", [4, 30])
+async def test_instance_that_is_cut_off_counts_all_that_are_registered(
+    instances: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an instance that takes the whole retry budget (BUDGET).
+
+    The others go on with their shares while it reaches none of them.
+    """
+    monkeypatch.setattr(report_exchange, "INSTANCE_EXPIRY_S", 0.0)
+    zones = memory_network.make_zones(instances, 3)
+    async with memory_network.run_network(zones) as network:
+        name, instance = next(iter(network.instances.items()))
+        count = instance.exchange.count_instances
+        await wait_until(lambda: count() == instances)
+        network.cut_off.add(name)
+        await wait_until(lambda: not instance.peers.list_linked())
+        assert count() == instances
