Reserve the ports of processes that do not listen yet

What was seen: in 80 runs of a scheduler's test with pauses of the event loop, beside other work (a trial), one was cancelled as its scheduler started; its error was lost with the runner of the test. Found by reading then, and shown by a test: two runs of tests on one machine use the same ranges of ports, and one chooses a port of the other while nothing listens on it, between its choice and the start of the process, or while a killed process is down (8 s in tests/failures, up to 3 s in the soak). The process can then not listen.

Ruled out: a collision between workers of one run, which have separate ranges, and with outgoing connections, whose ports are higher.

Change: a port that was chosen is reserved by the UDP port of its number until the process ends, for the last 256 ports. The checks of tests are as before.

--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -26,6 +26,9 @@
 MIN_PORT = 12_000
 PORTS_PER_WORKER = 2_000
 WORKER_RANGES = 9
+MAX_RESERVED_PORTS = 256
+"""Ports that a process keeps reserved; those of finished tests are older."""
+
 HOST = "127.0.0.1"
 SECRET = "quickstart-secret"
 TOKEN = "quickstart-token"
@@ -73,7 +76,8 @@
 
     Ports are below the ephemeral range: an outgoing connection could otherwise
     take the port before the process binds it. Each test worker uses a separate
-    range of ports.
+    range of ports. Other runs on the machine do not choose the port while this
+    one goes on, also while nothing listens on it.
     """
     for port in itertools.islice(_ports, PORTS_PER_WORKER):
         with socket.socket() as probe:
@@ -81,10 +85,30 @@
                 probe.bind((HOST, port))
             except OSError:
                 continue
+        if _reserve(port):
             return port
     raise OSError("no free TCP port in the range of this worker")
 
 
+def _reserve(port: int) -> bool:
+    """Reserves a port until this process ends; returns whether it is free.
+
+    The UDP port of the same number tells other processes, and its reservation
+    ends with this one, however it ends.
+    """
+    if port in _reserved:
+        return True
+    with socket.socket(type=socket.SOCK_DGRAM) as mark:
+        try:
+            mark.bind((HOST, port))
+        except OSError:
+            return False
+        _reserved[port] = mark.detach()
+    if len(_reserved) > MAX_RESERVED_PORTS:
+        os.close(_reserved.pop(next(iter(_reserved))))
+    return True
+
+
 def _list_ports() -> Iterator[int]:
     """Returns an endless cycle of this process's ports from a random one."""
     worker = os.environ.get("PYTEST_XDIST_WORKER", "")
@@ -124,6 +148,7 @@
 
 
 _ports = _list_ports()
+_reserved: dict[int, int] = {}
 
 
 class Deployment:
