Close the connections of a cancelled server of the inner protocol

What was seen: KNOWN-RED entry 9, test_request_that_crashed_two_upstreams_is_refused_everywhere, once: a socket of a server was open at its teardown.

Cause, of the product: the server of the inner protocol starts its closing in the background when it is cancelled and does not wait for it. A connection whose opening handshake is not complete is not closed at all, until the time-out of the handshake, and its task, when cancelled, leaves the socket open. A process that ends closes them; what goes on in it does not, and peers wait for their time-outs.

Ruled out, by a cancel at each iteration of a connection attempt: attempts of anyio, httpcore and upstreams.network leave no socket open.

Change: when cancelled, the server waits for the closing handshakes, 0.2 s at most, and resets what is open then, also before its handshake. The check in tests/leftovers.py is unchanged.

--- a/src/tamaracktide/protocol/server.py
+++ b/src/tamaracktide/protocol/server.py
@@ -1,5 +1,6 @@
 """Server side of the inner protocol."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
@@ -15,6 +16,9 @@
 from tamaracktide.protocol import messages
 from tamaracktide.protocol import settings as protocol_settings
 
+CLOSE_LIMIT_S = 0.2
+"""Time for the closing handshakes of a server that is cancelled."""
+
 Handler = Callable[[connection.Connection], Awaitable[None]]
 
 
@@ -26,7 +30,7 @@
     *,
     task_status: anyio.abc.TaskStatus[str] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
-    """Accepts connections until cancelled.
+    """Accepts connections until cancelled, and closes them.
 
     Args:
         address: `IP:PORT` to listen on; port 0 lets the system choose.
@@ -61,7 +65,8 @@
             return None
         return socket.respond(401, "the inner token is not valid\n")
 
-    async with websockets.asyncio.server.serve(
+    opened_connections: set[websockets.asyncio.server.ServerConnection] = set()
+    listening = await websockets.asyncio.server.serve(
         accept,
         host,
         int(port),
@@ -71,7 +76,45 @@
         ping_interval=None,
         open_timeout=settings.handshake_timeout_s,
         close_timeout=connection.GOODBYE_TIMEOUT_S,
-    ) as server:
-        bound = next(iter(server.sockets)).getsockname()
+        create_connection=_make_recorded_type(opened_connections),
+    )
+    try:
+        bound = next(iter(listening.sockets)).getsockname()
         task_status.started(f"{bound[0]}:{bound[1]}")
         await anyio.sleep_forever()
+    finally:
+        with anyio.CancelScope(shield=True):
+            await _close(listening, opened_connections)
+
+
+def _make_recorded_type(
+    connections: set[websockets.asyncio.server.ServerConnection],
+) -> type[websockets.asyncio.server.ServerConnection]:
+    """Returns a type of connections that are in a set while they are open."""
+
+    class RecordedConnection(websockets.asyncio.server.ServerConnection):
+        """A connection that is recorded before its handshake."""
+
+        def connection_made(self, transport: asyncio.BaseTransport) -> None:
+            connections.add(self)
+            super().connection_made(transport)
+
+        def connection_lost(self, exc: Exception | None) -> None:
+            connections.discard(self)
+            super().connection_lost(exc)
+
+    return RecordedConnection
+
+
+async def _close(
+    listening: websockets.asyncio.server.Server,
+    connections: set[websockets.asyncio.server.ServerConnection],
+) -> None:
+    """Closes a server and its connections, those of silent peers by a reset."""
+    listening.close()
+    with anyio.move_on_after(CLOSE_LIMIT_S):
+        await listening.wait_closed()
+    for opened in list(connections):
+        opened.transport.abort()
+    with anyio.move_on_after(CLOSE_LIMIT_S):
+        await listening.wait_closed()
--- a/tests/protocol/test_connection.py
+++ b/tests/protocol/test_connection.py
@@ -1,5 +1,6 @@
 """Tests of connections: handshake, limits, `Goodbye` and heartbeats."""
 
+import asyncio
 from collections.abc import AsyncIterator
 import contextlib
 import dataclasses
@@ -233,3 +234,21 @@
                 await anyio.sleep(0.001)
         tasks.cancel_scope.cancel()
     assert opened.heartbeats_sent == 1
+
+
+async def test_cancelled_server_has_closed_its_connections() -> None:
+    """Guards against connections that stay open after their server has ended.
+
+    One peer has completed its handshake, one has not begun it.
+    """
+    before = asyncio.all_tasks()
+    async with run_server(echo) as address:
+        opened = await client.open_connection(address, HELLO, SETTINGS)
+        host, _, port = address.rpartition(":")
+        silent = await anyio.connect_tcp(host, int(port))
+        await anyio.wait_all_tasks_blocked()
+    left = asyncio.all_tasks() - before
+    assert not left
+    with pytest.raises(errors.ProtocolError):
+        await opened.receive()
+    await silent.aclose()
