--- a/tests/fleet/test_lost_stream_records.py
+++ b/tests/fleet/test_lost_stream_records.py
@@ -207,3 +207,25 @@
         ) as instance:
             await versioned_streams.resume(instance, "s0", "r0", after)
             assert versioned_streams.find_versions([old], "s0") == set()
+
+
+async def test_stream_goes_on_after_a_kill_soon_after_the_first_start() -> None:
+    """Guards against streams that are lost while there is one version (LOST).
+
+    All instances are killed before they have run for as long as a stream may be
+    resumed, and nothing tells them that the deployment had just started.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        await versioned_streams.add_engine(cluster, "old", "v1")
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            after = await versioned_streams.begin_stream(instance, "r0")
+            await anyio.sleep(RECORD_S)
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            response = await versioned_streams.resume(
+                instance, "s0", "r0", after
+            )
+    assert response.status == 200
