Let resumed streams go first, and predict their end from the pace of tokens

Cause: the remaining time came from the mean of duration over tokens.

Ruled out: batch slots (18 to 27 of 65 in use as the clients come back).

Change: the pace is measured after the first event and weighted by tokens, for resumed streams only; they precede new requests in grants and loads while their customer is within its fair share.

--- a/src/tamaracktide/core/admission.py
+++ b/src/tamaracktide/core/admission.py
@@ -10,6 +10,7 @@
 from tamaracktide.core import fairness
 from tamaracktide.core import inventory
 from tamaracktide.core import randomness
+from tamaracktide.core import resumed_streams
 
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
@@ -136,7 +137,7 @@
 
     def compute_expiry(self, submit: cell_events.Submit, now: float) -> float:
         """Returns the time until which a request submitted now may wait."""
-        service_s = self._estimates.predict_service_s(submit.max_tokens)
+        service_s = resumed_streams.predict_service_s(submit, self._estimates)
         service_s *= SERVICE_TIME_FACTOR
         return min(
             now + self._settings.max_queue_s, submit.deadline - service_s
--- a/src/tamaracktide/core/cell_events.py
+++ b/src/tamaracktide/core/cell_events.py
@@ -185,7 +185,8 @@
         alone: Whether no other request may run beside it, as it is suspected
             of crashing upstreams.
         lead: Tokens that its customer has been charged for it before; an idle
-            customer starts so much earlier.
+            customer starts so much earlier. It is 0 unless the request goes on
+            with a stream that began elsewhere.
     """
 
     request_id: str
@@ -303,6 +304,19 @@
     request_id: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Decode:
+    """Tokens that an engine generated after the first event of a response.
+
+    Attributes:
+        tokens: Number of tokens.
+        seconds: Time from the first to the last event.
+    """
+
+    tokens: int
+    seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GrantEnded:
     """A granted request ended, with any outcome.
@@ -313,12 +327,14 @@
         generated_tokens: Tokens that were generated.
         adapter_missing: Whether the engine responded that the adapter is not
             loaded.
+        decode: Tokens that the engine generated after the first event.
     """
 
     grant_id: str
     prompt_tokens: int = 0
     generated_tokens: int = 0
     adapter_missing: bool = False
+    decode: Decode | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/core/estimates.py
+++ b/src/tamaracktide/core/estimates.py
@@ -1,10 +1,13 @@
 """Running estimates of the durations of loads and requests."""
 
+from tamaracktide.core import cell_events
 from tamaracktide.core import cell_settings
 from tamaracktide.core import cell_state
 
 _SMOOTHING_FACTOR = 0.05
 _MIN_SERVICE_S = 0.01
+_INITIAL_TOKENS = 128.0
+"""Tokens of a response before the first measurement."""
 
 
 class Estimates:
@@ -17,14 +20,23 @@
         output_fraction: Generated tokens as a fraction of the allowed maximum.
     """
 
-    __slots__ = ("load_s", "output_fraction", "service_s", "token_s")
+    __slots__ = (
+        "_decode_s",
+        "_decode_tokens",
+        "load_s",
+        "output_fraction",
+        "service_s",
+        "token_s",
+    )
 
     def __init__(self, settings: cell_settings.CellSettings) -> None:
         """Initializes the estimates from the settings."""
         self.load_s = settings.load_s
         self.token_s = settings.token_s
         self.output_fraction = 0.5
-        self.service_s = 128 * settings.token_s
+        self.service_s = _INITIAL_TOKENS * settings.token_s
+        self._decode_tokens = _INITIAL_TOKENS
+        self._decode_s = _INITIAL_TOKENS * settings.token_s
 
     def add_load(self, duration_s: float) -> None:
         """Records the duration of a load."""
@@ -43,6 +55,21 @@
             fraction - self.output_fraction
         )
 
+    def add_decode(self, decode: cell_events.Decode) -> None:
+        """Records the time between the tokens of a response."""
+        self._decode_tokens += _SMOOTHING_FACTOR * (
+            decode.tokens - self._decode_tokens
+        )
+        self._decode_s += _SMOOTHING_FACTOR * (decode.seconds - self._decode_s)
+
+    def predict_decode_s(self, max_tokens: int) -> float:
+        """Returns the expected time from the first token to the last one.
+
+        It does not depend on the length of the measured responses.
+        """
+        token_s = self._decode_s / self._decode_tokens
+        return max_tokens * self.output_fraction * token_s
+
     def predict_service_s(self, max_tokens: int) -> float:
         """Returns the expected duration of a request once granted."""
         return max_tokens * self.output_fraction * self.token_s
--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -16,6 +16,7 @@
 import sortedcontainers
 
 from tamaracktide.core import cell_state
+from tamaracktide.core import resumed_streams
 from tamaracktide.core import rows
 
 MIN_FAIR_SHARE = 2.0
@@ -71,6 +72,7 @@
         groups: Waiting requests by group.
         pins: Running requests by the engine-side name of their slot.
         start_order: Sort keys and expiry times of its waiting requests.
+        resumes: Whether its requests go on with streams that began elsewhere.
     """
 
     customer: str
@@ -82,6 +84,7 @@
     start_order: sortedcontainers.SortedList[tuple[float, int, float]] = (
         dataclasses.field(default_factory=sortedcontainers.SortedList)
     )
+    resumes: bool = False
 
     @property
     def waiting(self) -> int:
@@ -135,6 +138,18 @@
         )
 
 
+def get_service_order(
+    account: Account, fair_shares: FairShares
+) -> tuple[bool, float]:
+    """Returns the sort key of an account: the lowest one is served first.
+
+    Resumed streams precede new requests while their customer is within its
+    fair share.
+    """
+    precedes = account.resumes and not fair_shares.is_exceeded_by(account)
+    return not precedes, account.start
+
+
 class FairQueue:
     """The waiting requests of a cell, by customer.
 
@@ -177,6 +192,7 @@
         elif not account.active:
             account.start = max(account.start, earliest)
         account.weight = submit.weight
+        account.resumes = resumed_streams.is_resumed(submit)
         account.start_order.add((*get_start_order(waiter), waiter.expires_at))
         self.demand += 1
         group_key = GroupKey(submit.key, submit.avoid)
@@ -270,10 +286,13 @@
         )
 
     def iterate_groups(
-        self,
+        self, fair_shares: FairShares
     ) -> Iterator[tuple[Account, GroupKey, Group]]:
-        """Yields the waiting groups in fair-queueing order."""
-        for account in self.list_backlogged():
+        """Yields the waiting groups in the order in which they are served."""
+        for account in sorted(
+            self.list_backlogged(),
+            key=lambda account: get_service_order(account, fair_shares),
+        ):
             for group_key, group in account.list_groups():
                 yield account, group_key, group
 
--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -41,9 +41,10 @@
             return grants
         fair_shares = self._parts.admission.compute_fair_shares()
         order = [
-            (account.start, account.customer)
+            (fairness.get_service_order(account, fair_shares), account.customer)
             for account in queue.list_backlogged()
         ]
+        heapq.heapify(order)
         while order:
             _, customer = heapq.heappop(order)
             account = queue.accounts[customer]
@@ -52,7 +53,8 @@
                 continue
             grants.append(grant)
             if account.waiting:
-                heapq.heappush(order, (account.start, customer))
+                tag = fairness.get_service_order(account, fair_shares)
+                heapq.heappush(order, (tag, customer))
         return grants
 
     def _grant_next(
@@ -202,6 +204,8 @@
         if grant is None:
             return
         cost = float(event.prompt_tokens + event.generated_tokens)
+        if event.decode is not None:
+            self._parts.estimates.add_decode(event.decode)
         if event.generated_tokens:
             self._parts.estimates.add_completion(
                 grant, event.generated_tokens, now
--- a/src/tamaracktide/core/load_planner.py
+++ b/src/tamaracktide/core/load_planner.py
@@ -44,7 +44,9 @@
         loads: list[cell_actions.Load] = []
         starved: list[fairness.GroupKey] = []
         fair_shares = parts.admission.compute_fair_shares()
-        for account, group_key, group in parts.queue.iterate_groups():
+        for account, group_key, group in parts.queue.iterate_groups(
+            fair_shares
+        ):
             needed, replica = parts.placer.needs_load(
                 group_key, parts.queue.count_waiting(group_key.key), now
             )
--- a/src/tamaracktide/core/resumed_streams.py
+++ b/src/tamaracktide/core/resumed_streams.py
@@ -3,11 +3,16 @@
 Load pattern: all instances were killed, and clients take up all streams at once
 while engines are full. A stream that is taken for a new one waits behind those,
 or seems to miss its deadline; it is refused, and its client has lost what it
-had received.
+had received. What the instance has measured since its start are short responses
+only, as no long one has ended yet, and most of their time is the wait for their
+first token.
 """
 
 import dataclasses
 
+from tamaracktide.core import cell_events
+from tamaracktide.core import estimates
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tokens:
@@ -46,3 +51,25 @@
     is that of a customer.
     """
     return f"resumed:{customer}"
+
+
+def is_resumed(submit: cell_events.Submit) -> bool:
+    """Whether a request goes on with a stream that began elsewhere."""
+    return submit.lead > 0
+
+
+def predict_service_s(
+    submit: cell_events.Submit, measured: estimates.Estimates
+) -> float:
+    """Returns the expected duration of a request once it is granted.
+
+    A resumed stream is refused only if its remaining tokens alone take too
+    long: its client would lose what it has received.
+
+    Args:
+        submit: The request.
+        measured: Durations of earlier requests.
+    """
+    if is_resumed(submit):
+        return measured.predict_decode_s(submit.max_tokens)
+    return measured.predict_service_s(submit.max_tokens)
--- a/src/tamaracktide/core/stream_timing.py
+++ b/src/tamaracktide/core/stream_timing.py
@@ -16,6 +16,8 @@
         first_s: Time from the request to the first event; None before it.
         longest_gap_s: Longest time between two arrivals.
         sent_at: When the request was sent.
+        later_events: Events after those that arrived first.
+        later_s: Time from the first arrival to the last.
         event_s: The latest sample of its pace; None before the first.
     """
 
@@ -24,6 +26,8 @@
         "_last_at",
         "event_s",
         "first_s",
+        "later_events",
+        "later_s",
         "longest_gap_s",
         "sent_at",
     )
@@ -34,6 +38,8 @@
         self.longest_gap_s = 0.0
         self.event_s: float | None = None
         self.sent_at = sent_at
+        self.later_events = 0
+        self.later_s = 0.0
         self._last_at = sent_at
         self._gaps: list[float] = []
 
@@ -48,6 +54,8 @@
         else:
             gap_s = now - self._last_at
             self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            self.later_events += events
+            self.later_s += gap_s
             self._gaps.append(gap_s / events)
         self._last_at = now
         return self._take_sample() if len(self._gaps) >= MAX_GAPS else None
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from tamaracktide.core import cell_events
 from tamaracktide.core import ramps
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import results
@@ -54,7 +55,12 @@
                 cell.reachability.record_unreachable(attempt.placement.entry)
             case results.LostResponse():
                 self._record_loss(run, attempt, result)
-        cell.release(attempt.placement, tokens, missing=missing)
+        cell.release(
+            attempt.placement,
+            tokens,
+            missing=missing,
+            decode=_measure_decode(run, attempt),
+        )
 
     def record_silence(self, run: runs.Run, attempt: runs.Attempt) -> None:
         """Records once that the upstream of an attempt is silent."""
@@ -91,6 +97,18 @@
             run.cell.refresh_health()
 
 
+def _measure_decode(
+    run: runs.Run, attempt: runs.Attempt
+) -> cell_events.Decode | None:
+    """Returns what an engine generated after the first event, if anything."""
+    timing, engine = attempt.timing, run.request.service.engine
+    if timing is None or engine is None or not timing.later_events:
+        return None
+    return cell_events.Decode(
+        timing.later_events * engine.event_tokens, timing.later_s
+    )
+
+
 def _log_failure(
     run: runs.Run, attempt: runs.Attempt, result: results.Result | None
 ) -> None:
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -402,6 +402,7 @@
         tokens: int = 0,
         *,
         missing: bool,
+        decode: cell_events.Decode | None = None,
     ) -> None:
         """Releases a batch slot.
 
@@ -409,6 +410,7 @@
             placement: The granted batch slot.
             tokens: Number of generated tokens.
             missing: Whether the upstream reported that it lacks the adapter.
+            decode: Tokens that were generated after the first event.
         """
         counts = self.running.get(placement.entry.upstream, {})
         remaining = counts.get(placement.key.adapter, 0) - 1
@@ -421,6 +423,7 @@
                 grant_id=placement.grant_id,
                 generated_tokens=tokens,
                 adapter_missing=missing,
+                decode=decode,
             )
         )
 
