Log what resumed streams wait for

A resumed stream that was refused or given up left no line that says which engines of its version lacked the adapter, a batch slot or the time to read its prompt.

--- a/src/tamaracktide/core/cell.py
+++ b/src/tamaracktide/core/cell.py
@@ -3,6 +3,7 @@
 import heapq
 
 from tamaracktide import result_codes
+from tamaracktide.core import blockers
 from tamaracktide.core import cell_actions
 from tamaracktide.core import cell_events
 from tamaracktide.core import cell_invariants
@@ -94,6 +95,14 @@
         )
         self._granter.check_exclusive()
 
+    def find_blockers(
+        self, submit: cell_events.Submit, now: float
+    ) -> blockers.Blockers:
+        """Returns what a waiting request lacks at which engines."""
+        return blockers.find_blockers(
+            submit, self._parts.inventory, self.settings, now
+        )
+
     def measure_utilization(self) -> routing.CellUtilization:
         """Returns the utilization by which gateways choose between cells.
 
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -30,6 +30,7 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import load_margin
 from tamaracktide.core import paces
+from tamaracktide.core import resumed_streams
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -257,6 +258,7 @@
         """Waits until a request is granted a batch slot."""
         queued_request = _QueuedRequest(anyio.Event())
         request_id = submit.request_id
+        submitted_at = anyio.current_time()
         self._refresh_ready()
         self._waiting[request_id] = queued_request
         try:
@@ -266,6 +268,8 @@
                 await queued_request.done.wait()
         finally:
             del self._waiting[request_id]
+            if resumed_streams.is_resumed(submit):
+                self._log_resumed(submit, queued_request.result, submitted_at)
             if queued_request.result is None:
                 self._handle(cell_events.Withdraw(request_id))
         match queued_request.result:
@@ -278,6 +282,31 @@
             case None:
                 raise errors.InvariantError(f"{request_id}: no result")
 
+    def _log_resumed(
+        self,
+        submit: cell_events.Submit,
+        result: cell_actions.Grant | cell_actions.Refuse | None,
+        submitted_at: float,
+    ) -> None:
+        """Logs what became of a resumed stream, and what it waited for."""
+        now = anyio.current_time()
+        match result:
+            case cell_actions.Grant(upstream=upstream):
+                outcome = f"granted at {upstream}"
+            case cell_actions.Refuse(code=code):
+                outcome = f"refused: {code.name}"
+            case None:
+                outcome = "withdrawn"
+        found = self._cell.find_blockers(submit, now)
+        logs.bind(
+            request_id=submit.request_id,
+            adapter=submit.key.text,
+            waited_s=round(now - submitted_at, 3),
+            time_left_s=round(submit.deadline - now, 3),
+            tokens_left=submit.max_tokens,
+            **dataclasses.asdict(found),
+        ).info("resumed stream {}", outcome)
+
     def _list_other_versions(self, software: str | None) -> list[str]:
         """Returns the upstreams of other software versions."""
         if software is None:
