Keep adapters loaded while clients of broken streams come back

Cause: the engines still have the adapters of the streams that broke off as the instances start. In the 1.5 s until the clients are back, new requests have about 90 of 180 adapter slots loaded anew, and these stay in use.

Ruled out: the load budget (holders declined about 900 loads a second for want of a slot, and carried out 35 to 50).

Weighed: adapters in the records, which would free some slots earlier; not needed so far, and the records do not grow.

--- a/src/tamaracktide/entry/cells.py
+++ b/src/tamaracktide/entry/cells.py
@@ -75,6 +75,13 @@
         for cell in self.by_service.values():
             cell.remove_upstreams(upstreams)
 
+    def suspend_evictions(
+        self, upstreams: Collection[str], suspended: bool
+    ) -> None:
+        """Suspends evictions on some engines, or resumes them."""
+        for cell in self.by_service.values():
+            cell.suspend_evictions(upstreams, suspended)
+
     def apply_counts(self, counts: running_counts.Counts) -> None:
         """Applies the changed counts of requests of other instances."""
         for cell in self.by_service.values():
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -14,6 +14,7 @@
 from tamaracktide.core import upstream_entries
 from tamaracktide.core import usage_caps
 from tamaracktide.entry import app as entry_app
+from tamaracktide.entry import awaited_streams
 from tamaracktide.entry import cells as entry_cells
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import crashes as entry_crashes
@@ -150,6 +151,14 @@
         )
         self._stream_records = self._make_stream_records()
         self._resumption.records = self._stream_records
+        self._awaited = awaited_streams.AwaitedStreams(
+            lambda: self._cluster_state.upstreams.values(),
+            lambda: self._resumption.history.mixed,
+            self._cells.suspend_evictions,
+            tasks,
+        )
+        self._stream_records.on_inherit = self._awaited.begin
+        self._resumption.on_return = self._awaited.record_return
         self._cluster_state.listen_for_eras(self._stream_records.handle_era)
         self._leases = lease_manager.LeaseManager(
             settings,
@@ -385,7 +394,12 @@
         self._cells.refresh_orderable()
 
     def _is_in_use(self, upstream: str, name: str) -> bool:
-        """Whether a request of any instance uses an adapter on an upstream."""
+        """Whether an adapter on an upstream must stay loaded.
+
+        A request of any instance uses it, or a stream that is awaited may.
+        """
+        if self._awaited.is_suspended(upstream):
+            return True
         if self._cells.is_in_use(upstream, name):
             return True
         return name in self._exchange.count_running(upstream)
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -43,6 +43,7 @@
         peers: The links; set after construction.
         records: The records in the store; set after construction.
         history: What this instance knows of streams.
+        on_return: Called with the request that began a resumed stream.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         """
         self.peers: entry_peers.Peers | None = None
         self.records: stream_records.StreamRecords | None = None
+        self.on_return: Callable[[str], None] = lambda _: None
         self._started_at = anyio.current_time()
         self.history = stream_history.StreamHistory(self._started_at)
         self._instance = instance
@@ -127,6 +129,7 @@
                 found = await self._wait_for(begun_as, service, arrived_at)
         self._log_found(request, found)
         if found is not None:
+            self.on_return(begun_as)
             # What the client holds from now on is of this version, too.
             self.history.record_begin(service, begun_as, found[0], arrived_at)
             return found[0]
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -483,6 +483,18 @@
         if events:
             self._handle(cell_events.EventBatch(tuple(events)))
 
+    @_contain
+    def suspend_evictions(
+        self, upstreams: Collection[str], suspended: bool
+    ) -> None:
+        """Suspends evictions on some engines, or resumes them."""
+        events = [
+            cell_events.EvictionsSuspended(name, suspended)
+            for name in self._entries.keys() & upstreams
+        ]
+        if events:
+            self._handle(cell_events.EventBatch(tuple(events)))
+
     def _remove(
         self, upstreams: Collection[str]
     ) -> list[cell_events.CellEvent]:
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -71,6 +71,8 @@
     Attributes:
         loaded_at: Start of the last read of all records that succeeded, seconds
             of the loop's clock.
+        on_inherit: Called with the number of streams that this instance had
+            recorded before it was started again, by software version.
     """
 
     def __init__(
@@ -105,6 +107,7 @@
             tasks: Task group that reads the records.
         """
         self.loaded_at = float("-inf")
+        self.on_inherit: Callable[[dict[str, int]], None] = lambda _: None
         self._prefix = prefix
         self._key = f"{prefix}{STREAMS_NAME}{settings.instance}"
         # Without a record, versions may have served before, unless nothing has.
@@ -292,6 +295,7 @@
             value, self._revision = await self._read(self._key)
             self._streams = _decode(self._key, value, _Streams) or {}
             self._history.inherit(self._streams, anyio.current_time())
+            self.on_inherit({v: len(ids) for v, ids in self._streams.items()})
         wanted = self._history.list_to_record(anyio.current_time())
         if wanted == self._streams:
             return
--- a/tests/entry/test_stream_records.py
+++ b/tests/entry/test_stream_records.py
@@ -206,3 +206,22 @@
         assert msgspec.json.decode(value)["is_complete"]
         assert history.is_complete(anyio.current_time())
         tasks.cancel_scope.cancel()
+
+
+async def test_start_tells_how_many_streams_of_each_version_broke_off() -> None:
+    """Guards against a start that awaits no stream of its earlier process."""
+    store = Store()
+    key = f"{PREFIX}{stream_records.STREAMS_NAME}n1"
+    recorded = msgspec.json.encode({"v1": ["r1", "r2"], "v2": ["r3"]})
+    await store.create(key, recorded)
+    broken: list[dict[str, int]] = []
+    async with anyio.create_task_group() as tasks:
+        history = stream_history.StreamHistory(anyio.current_time())
+        records = make_records(store, history, tasks)
+        records.on_inherit = broken.append
+        entries = [make_entry("e1", "v1"), make_entry("e2", "v2")]
+        history.apply_upstreams(entries, (), anyio.current_time())
+        tasks.start_soon(records.run)
+        await wait_until(lambda: bool(broken))
+        assert broken == [{"v1": 2, "v2": 1}]
+        tasks.cancel_scope.cancel()
