Record streams twenty times a second, and queue prompts of resumed streams

Cause: what begins between two records is in none. New requests of other instances are sent to an engine as soon as its backlog is short, before the resumed streams of this one.

Prompts of resumed streams queue at an engine for up to 0.3 s while their customer is within its share; new requests of all instances wait until the backlog is short again.

--- a/src/tamaracktide/core/blockers.py
+++ b/src/tamaracktide/core/blockers.py
@@ -6,6 +6,7 @@
 from tamaracktide.core import cell_settings
 from tamaracktide.core import cell_state
 from tamaracktide.core import inventory
+from tamaracktide.core import resumed_streams
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,7 +51,7 @@
     ready = cell_state.SlotState.READY
     loaded = [e for e, s in zip(engines, states, strict=True) if s is ready]
     free = [engine for engine in loaded if engine.free_batch_slots]
-    limit = now + settings.max_prefill_backlog_s
+    limit = now + resumed_streams.find_max_backlog_s(submit, settings)
     return Blockers(
         engines=len(engines),
         loaded=len(loaded),
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -16,6 +16,7 @@
 from tamaracktide.core import ramps
 from tamaracktide.core import randomness
 from tamaracktide.core import rendezvous
+from tamaracktide.core import resumed_streams
 from tamaracktide.core import rows
 
 EVICTION_HORIZON_S = 100.0
@@ -181,6 +182,9 @@
             return None
         packed = self._find_packed(submit.key, submit.avoid, now)
         holds_ramps = self._inventory.holds_ramps()
+        max_backlog_s = resumed_streams.find_max_backlog_s(
+            submit, self._settings, over_share=over_share
+        )
         best: tuple[cell_state.Engine, cell_state.Slot] | None = None
         best_score = float("-inf")
         for engine, slot in candidates:
@@ -191,11 +195,8 @@
                 self.recheck_at = min(self.recheck_at, at)
                 continue
             backlog_s = engine.prefill_done_at - now
-            if backlog_s > self._settings.max_prefill_backlog_s:
-                at = (
-                    engine.prefill_done_at
-                    - self._settings.max_prefill_backlog_s
-                )
+            if backlog_s > max_backlog_s:
+                at = engine.prefill_done_at - max_backlog_s
                 self.recheck_at = min(self.recheck_at, at)
                 continue
             next_send_at = engine.find_next_send(now)
--- a/src/tamaracktide/core/resumed_streams.py
+++ b/src/tamaracktide/core/resumed_streams.py
@@ -11,8 +11,14 @@
 import dataclasses
 
 from tamaracktide.core import cell_events
+from tamaracktide.core import cell_settings
 from tamaracktide.core import estimates
 
+MAX_BACKLOG_S = 0.3
+"""Prefill time that may be queued at an engine when the prompt of a resumed
+stream is sent: some prompts. New requests of all instances wait until it is
+nearly done, so that the streams that broke off precede them everywhere."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tokens:
@@ -73,3 +79,21 @@
     if is_resumed(submit):
         return measured.predict_decode_s(submit.max_tokens)
     return measured.predict_service_s(submit.max_tokens)
+
+
+def find_max_backlog_s(
+    submit: cell_events.Submit,
+    settings: cell_settings.CellSettings,
+    *,
+    over_share: bool = False,
+) -> float:
+    """Returns the longest prefill backlog of an engine that gets a request.
+
+    Args:
+        submit: The request.
+        settings: The cell's settings.
+        over_share: Whether its customer exceeds its fair share.
+    """
+    if is_resumed(submit) and not over_share:
+        return max(MAX_BACKLOG_S, settings.max_prefill_backlog_s)
+    return settings.max_prefill_backlog_s
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -23,9 +23,10 @@
 from tamaracktide.object_api import object_store
 from tamaracktide.observability import logs
 
-RECORD_PERIOD_S = 0.25
+RECORD_PERIOD_S = 0.05
 """Minimum time between two records of an instance. Streams that begin within it
-before all instances are killed are not resumed; they take seconds."""
+before all instances are killed are not resumed, and their clients retry in vain
+for seconds."""
 
 MAX_RECORDS_PER_S = 100.0
 """Records of all instances together above which the period grows. Leases need
--- a/tests/core/test_resumed_streams.py
+++ b/tests/core/test_resumed_streams.py
@@ -162,8 +162,8 @@
     """
     made = _make_cell()
     _submit_all(made, [_submit(f"n{n}", n) for n in range(80)], 0.0)
-    _submit_all(made, [_resume(f"r{n}", 4 * n) for n in range(20)], 0.01)
-    granted: list[str] = []
+    resumed = [_resume(f"r{n}", 4 * n) for n in range(20)]
+    granted = _list_granted(_submit_all(made, resumed, 0.01))
     for step in range(1, 40):
         granted += _list_granted(made.handle(cell_events.Tick(), 0.05 * step))
     assert {name[0] for name in granted[:20]} == {"r"}
@@ -201,3 +201,29 @@
     for step in range(1, 11):
         granted += _list_granted(made.handle(cell_events.Tick(), 0.07 * step))
     assert sum(name.startswith("n") for name in granted) >= len(granted) // 2
+
+
+def test_new_prompts_wait_while_those_of_resumed_streams_are_read() -> None:
+    """Guards against new requests of other instances that are sent between."""
+    made = _make_cell()
+    made.handle(cell_events.PromptSent("e0", 2 * PROMPT_TOKENS), 0.0)
+    assert not _list_granted(made.handle(_submit("n", 1), 0.0))
+    assert _list_granted(made.handle(_resume("r", 2), 0.0)) == ["r"]
+    made.handle(cell_events.PromptSent("e0", 4 * PROMPT_TOKENS), 0.0)
+    assert not _list_granted(made.handle(_resume("s", 3), 0.0))
+
+
+def test_resumed_streams_find_their_adapters_while_evictions_wait() -> None:
+    """Guards against new requests that take the adapter slots (LOST).
+
+    120 new requests for other adapters come before the clients are back.
+    """
+    made = _make_cell(accepts_loads=True)
+    for name in ENGINES:
+        made.handle(cell_events.EvictionsSuspended(name), 0.0)
+    new = [_submit(f"n{n}", 1000 + n) for n in range(120)]
+    assert not _list_loaded(_submit_all(made, new, 0.0))
+    resumed = [_resume(f"r{n}", SLOTS * n) for n in range(len(ENGINES))]
+    assert len(_list_granted(_submit_all(made, resumed, 1.5))) == len(resumed)
+    ended = cell_events.EvictionsSuspended(ENGINES[0], False)
+    assert _list_loaded(made.handle(ended, 2.7))
