Keep adapters of awaited streams at the lease holder, not new versions out

While evictions were suspended, the lease holder took every adapter for one in use, and so declined new versions of adapters too, which need no further slot. It now only refuses to unload one for another, and says so in the reason of its refusal.

--- a/src/tamaracktide/core/engine_orders.py
+++ b/src/tamaracktide/core/engine_orders.py
@@ -157,6 +157,7 @@
         is_state_known: Whether the state of the engine at this count is known
             exactly.
         model_ready_at: Time at which a loading model becomes usable, seconds.
+        keeps_adapters: Whether no adapter is evicted for another one now.
     """
 
     __slots__ = (
@@ -168,6 +169,7 @@
         "_slots",
         "adapters",
         "is_state_known",
+        "keeps_adapters",
         "model_ready_at",
         "orders",
         "started_ms",
@@ -188,6 +190,7 @@
         self.adapters: dict[str, dict[str, AdapterState]] = {}
         self.is_state_known = False
         self.model_ready_at: dict[str, float] = {}
+        self.keeps_adapters = False
         self._slots = slots
         self._load_s = load_s
         self._load_requests: dict[tuple[str, str], list[LoadRequest]] = {}
@@ -440,6 +443,8 @@
 
     def _describe_slots(self, in_use: IsInUse, now: float) -> str:
         """Describes why no adapter slot can be freed."""
+        if self.keeps_adapters:
+            return "no adapter slot is free: evictions are suspended"
         in_use_count = loading_count = 0
         for model, adapters in self.adapters.items():
             for adapter, state in adapters.items():
@@ -464,6 +469,8 @@
         Returns:
             Model and adapter; None if no adapter can be evicted.
         """
+        if self.keeps_adapters:
+            return None
         victim_key: tuple[str, str] | None = None
         lowest_rate = float("inf")
         for model, adapters in self.adapters.items():
--- a/src/tamaracktide/entry/engine_controller.py
+++ b/src/tamaracktide/entry/engine_controller.py
@@ -88,6 +88,7 @@
         leases: Tracks in which cells this instance holds the lease.
         popularity: Request rates of adapters.
         is_in_use: Returns whether a request uses an adapter on an engine.
+        keeps_adapters: Returns whether an engine must evict no adapter now.
         count_loads: Returns the number of adapters loading on all engines.
         deliver: Receives the results of load requests.
         announce: Announces the state of an engine to all instances.
@@ -100,6 +101,7 @@
     leases: lease_manager.LeaseManager
     popularity: popularity.Popularity
     is_in_use: Callable[[str, str], bool]
+    keeps_adapters: Callable[[str], bool]
     count_loads: Callable[[], int]
     deliver: Deliver
     announce: Callable[[entry_messages.EngineNotice], None]
@@ -274,6 +276,9 @@
             # A further load would only slow down those in flight.
             await self._sleep(engine, SATURATED_PAUSE_S)
             return True
+        orders.keeps_adapters = self._dependencies.keeps_adapters(
+            orders.upstream
+        )
         order, load_results = orders.find_next(
             self._predict_rate, lambda m, a: self._is_used(engine, m, a), now
         )
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -267,6 +267,7 @@
                 leases=self._leases,
                 popularity=self._popularity,
                 is_in_use=self._is_in_use,
+                keeps_adapters=self._awaited.is_suspended,
                 count_loads=self._count_loads,
                 deliver=self._loader.deliver,
                 announce=self._announce_engine,
@@ -394,12 +395,7 @@
         self._cells.refresh_orderable()
 
     def _is_in_use(self, upstream: str, name: str) -> bool:
-        """Whether an adapter on an upstream must stay loaded.
-
-        A request of any instance uses it, or a stream that is awaited may.
-        """
-        if self._awaited.is_suspended(upstream):
-            return True
+        """Whether a request of any instance uses an adapter on an upstream."""
         if self._cells.is_in_use(upstream, name):
             return True
         return name in self._exchange.count_running(upstream)
--- a/tests/core/test_engine_orders.py
+++ b/tests/core/test_engine_orders.py
@@ -130,6 +130,21 @@
     assert results[0].declined
 
 
+def test_full_engine_unloads_nothing_while_it_keeps_its_adapters() -> None:
+    """Guards against new requests that take the slots of awaited streams."""
+    orders = _make_orders({"a": 1, "b": 1, "c": 1, "d": 1})
+    orders.keeps_adapters = True
+    assert orders.submit(_make_request("e"), 10.0) is None
+    order, results = _find_next(orders, 10.0)
+    assert order is None
+    assert isinstance(results[0], engine_orders.Rejected)
+    assert results[0].declined
+    assert orders.submit(_make_request("a", version=2), 10.0) is None
+    order, _ = _find_next(orders, 10.0)
+    assert order is not None
+    assert order.adapter == "a"
+
+
 def test_older_version_in_use_is_not_replaced_here() -> None:
     """Another engine has the new version sooner than a busy engine."""
     orders = _make_orders({"a": 1})
--- a/tests/entry/test_engine_controller.py
+++ b/tests/entry/test_engine_controller.py
@@ -110,6 +110,7 @@
                 leases=cast(lease_manager.LeaseManager, leases),
                 popularity=popularity.Popularity(),
                 is_in_use=lambda upstream, name: False,
+                keeps_adapters=lambda _: False,
                 count_loads=lambda: 0,
                 deliver=results.append,
                 announce=lambda notice: None,
