Serve the stream that must start first first, and refuse fewer of them

Cause: a resumed stream with little time left waited behind others with more; and the pace just after a start is slow, 0.018 s a token, as all prompts are read again.

Change: among resumed streams the first to expire precedes; one is refused only if not even half of its predicted time is left. Half of all streams are shorter than their clients expect.

--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -101,6 +101,13 @@
         """Batch slots that it could use now."""
         return self.running + self.waiting
 
+    def find_first_expiry(self) -> float:
+        """Returns when the first of its waiting requests expires."""
+        return min(
+            (expires_at for _, _, expires_at in self.start_order),
+            default=math.inf,
+        )
+
     def list_groups(self) -> list[tuple[GroupKey, Group]]:
         """Returns the groups, ordered by the target start of their first."""
         return sorted(
@@ -144,10 +151,11 @@
     """Returns the sort key of an account: the lowest one is served first.
 
     Resumed streams precede new requests while their customer is within its
-    fair share.
+    fair share, the one that must start first before the others.
     """
-    precedes = account.resumes and not fair_shares.is_exceeded_by(account)
-    return not precedes, account.start
+    if account.resumes and not fair_shares.is_exceeded_by(account):
+        return False, account.find_first_expiry()
+    return True, account.start
 
 
 class FairQueue:
--- a/src/tamaracktide/core/resumed_streams.py
+++ b/src/tamaracktide/core/resumed_streams.py
@@ -14,6 +14,11 @@
 from tamaracktide.core import cell_settings
 from tamaracktide.core import estimates
 
+MIN_PREDICTED_FRACTION = 0.5
+"""Fraction of the predicted time of a resumed stream that must be left. Half of
+all streams are shorter than their clients expect, and tokens take longer than
+they will while all prompts are read again."""
+
 MAX_BACKLOG_S = 0.3
 """Prefill time that may be queued at an engine when the prompt of a resumed
 stream is sent: some prompts. New requests of all instances wait until it is
@@ -69,15 +74,16 @@
 ) -> float:
     """Returns the expected duration of a request once it is granted.
 
-    A resumed stream is refused only if its remaining tokens alone take too
-    long: its client would lose what it has received.
+    A resumed stream is refused only if even `MIN_PREDICTED_FRACTION` of its
+    remaining tokens takes too long: its client would lose what it has received.
 
     Args:
         submit: The request.
         measured: Durations of earlier requests.
     """
     if is_resumed(submit):
-        return measured.predict_decode_s(submit.max_tokens)
+        decode_s = measured.predict_decode_s(submit.max_tokens)
+        return MIN_PREDICTED_FRACTION * decode_s
     return measured.predict_service_s(submit.max_tokens)
 
 
--- a/tests/core/test_resumed_streams.py
+++ b/tests/core/test_resumed_streams.py
@@ -203,6 +203,27 @@
     assert sum(name.startswith("n") for name in granted) >= len(granted) // 2
 
 
+def test_stream_that_must_start_first_goes_first() -> None:
+    """Guards against streams that wait until it is too late for them."""
+    made = _make_cell()
+    made.handle(cell_events.PromptSent("e0", 8 * PROMPT_TOKENS), 0.0)
+    late = [_resume(f"l{n}", n) for n in range(6)]
+    assert not _list_granted(_submit_all(made, late, 0.0))
+    assert not _list_granted(made.handle(_resume("r", 9, deadline=3.0), 0.1))
+    granted: list[str] = []
+    for step in range(1, 8):
+        granted += _list_granted(made.handle(cell_events.Tick(), 0.1 * step))
+    assert granted[0] == "r"
+    assert len(granted) > 1
+
+
+def test_stream_that_may_be_shorter_than_expected_goes_on() -> None:
+    """Guards against refusals of streams that may still end in time (LOST)."""
+    made = _make_cell()
+    may_end = _resume("r", 1, max_tokens=1000, deadline=4.0)
+    assert _list_granted(made.handle(may_end, 0.0)) == ["r"]
+
+
 def test_new_prompts_wait_while_those_of_resumed_streams_are_read() -> None:
     """Guards against new requests of other instances that are sent between."""
     made = _make_cell()
