--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -15,6 +15,7 @@
 from tamaracktide.core import usage_caps
 from tamaracktide.entry import app as entry_app
 from tamaracktide.entry import attestation
+from tamaracktide.entry import awaited_streams
 from tamaracktide.entry import cells as entry_cells
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import crashes as entry_crashes
@@ -151,6 +152,14 @@
         )
         self._stream_records = self._make_stream_records()
         self._resumption.records = self._stream_records
+        self._awaited = awaited_streams.AwaitedStreams(
+            lambda: self._cluster_state.upstreams.values(),
+            lambda: self._resumption.history.mixed,
+            self._cells.suspend_evictions,
+            tasks,
+        )
+        self._stream_records.on_inherit = self._awaited.begin
+        self._resumption.on_return = self._awaited.record_return
         self._cluster_state.listen_for_eras(self._stream_records.handle_era)
         self._leases = lease_manager.LeaseManager(
             settings,
@@ -259,6 +268,7 @@
                 leases=self._leases,
                 popularity=self._popularity,
                 is_in_use=self._is_in_use,
+                keeps_adapters=self._awaited.is_suspended,
                 count_loads=self._count_loads,
                 deliver=self._loader.deliver,
                 announce=self._announce_engine,
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -30,6 +30,7 @@
 from tamaracktide.core import cell_events
 from tamaracktide.core import load_margin
 from tamaracktide.core import paces
+from tamaracktide.core import resumed_streams
 from tamaracktide.core import routing_document
 from tamaracktide.core import rows
 from tamaracktide.core import running_counts
@@ -260,6 +261,7 @@
         """Waits until a request is granted a batch slot."""
         queued_request = _QueuedRequest(anyio.Event())
         request_id = submit.request_id
+        submitted_at = anyio.current_time()
         self._refresh_ready()
         self._waiting[request_id] = queued_request
         try:
@@ -269,6 +271,8 @@
                 await queued_request.done.wait()
         finally:
             del self._waiting[request_id]
+            if resumed_streams.is_resumed(submit):
+                self._log_resumed(submit, queued_request.result, submitted_at)
             if queued_request.result is None:
                 self._handle(cell_events.Withdraw(request_id))
         match queued_request.result:
@@ -281,6 +285,31 @@
             case None:
                 raise errors.InvariantError(f"{request_id}: no result")
 
+    def _log_resumed(
+        self,
+        submit: cell_events.Submit,
+        result: cell_actions.Grant | cell_actions.Refuse | None,
+        submitted_at: float,
+    ) -> None:
+        """Logs what became of a resumed stream, and what it waited for."""
+        now = anyio.current_time()
+        match result:
+            case cell_actions.Grant(upstream=upstream):
+                outcome = f"granted at {upstream}"
+            case cell_actions.Refuse(code=code):
+                outcome = f"refused: {code.name}"
+            case None:
+                outcome = "withdrawn"
+        found = self._cell.find_blockers(submit, now)
+        logs.bind(
+            request_id=submit.request_id,
+            adapter=submit.key.text,
+            waited_s=round(now - submitted_at, 3),
+            time_left_s=round(submit.deadline - now, 3),
+            tokens_left=submit.max_tokens,
+            **dataclasses.asdict(found),
+        ).info("resumed stream {}", outcome)
+
     def _list_other_versions(self, software: str | None) -> list[str]:
         """Returns the upstreams of other software versions."""
         if software is None:
@@ -405,6 +434,7 @@
         tokens: int = 0,
         *,
         missing: bool,
+        decode: cell_events.Decode | None = None,
     ) -> None:
         """Releases a batch slot.
 
@@ -412,6 +442,7 @@
             placement: The granted batch slot.
             tokens: Number of generated tokens.
             missing: Whether the upstream reported that it lacks the adapter.
+            decode: Tokens that were generated after the first event.
         """
         counts = self.running.get(placement.entry.upstream, {})
         remaining = counts.get(placement.key.adapter, 0) - 1
@@ -424,6 +455,7 @@
                 grant_id=placement.grant_id,
                 generated_tokens=tokens,
                 adapter_missing=missing,
+                decode=decode,
             )
         )
 
@@ -454,6 +486,18 @@
         if events:
             self._handle(cell_events.EventBatch(tuple(events)))
 
+    @_contain
+    def suspend_evictions(
+        self, upstreams: Collection[str], suspended: bool
+    ) -> None:
+        """Suspends evictions on some engines, or resumes them."""
+        events = [
+            cell_events.EvictionsSuspended(name, suspended)
+            for name in self._entries.keys() & upstreams
+        ]
+        if events:
+            self._handle(cell_events.EventBatch(tuple(events)))
+
     def _remove(
         self, upstreams: Collection[str]
     ) -> list[cell_events.CellEvent]:
