--- a/src/tamaracktide/entry/awaited_streams.py
+++ b/src/tamaracktide/entry/awaited_streams.py
@@ -51,9 +51,10 @@
             if entry.service not in mixed:
                 continue
             engines.setdefault(entry.software, []).append(entry.upstream)
-        self._suspended = self._streams.begin(broken, engines, now)
-        if not self._suspended:
+        begun = self._streams.begin(broken, engines, now)
+        if not begun:
             return
+        self._suspended = begun
         until = self._streams.find_until(now)
         logs.bind(
             streams=dict(broken),
--- a/tests/entry/test_suspended_evictions.py
+++ b/tests/entry/test_suspended_evictions.py
@@ -72,3 +72,20 @@
                 await anyio.sleep(0.01)
         assert not awaited.is_suspended("a")
         tasks.cancel_scope.cancel()
+
+
+async def test_record_that_is_read_again_suspends_evictions_no_longer() -> None:
+    """Guards against engines that evict nothing any more.
+
+    A store that comes back from a copy has the record of an instance read
+    again while it awaits its streams.
+    """
+    calls: Calls = []
+    async with anyio.create_task_group() as tasks:
+        awaited = _begin(tasks, calls)
+        awaited.begin({"v1": 2})
+        assert awaited.is_suspended("a")
+        awaited.record_return("r1")
+        awaited.record_return("r2")
+        assert calls == [(frozenset("a"), True), (frozenset("a"), False)]
+        tasks.cancel_scope.cancel()
