--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -198,17 +198,21 @@
     async def _is_admitted(
         self, connection: connections.Connection, admit: Admit
     ) -> bool:
-        """Whether a call may be sent on a connection; else keeps it as idle."""
-        is_admitted = False
+        """Whether a call may be sent on a connection.
+
+        Else nothing was sent, so that a usable connection is idle again.
+        """
+        is_admitted = is_usable = False
         try:
             is_admitted = await admit(connection.process)
-            is_admitted = is_admitted and connection.is_usable
         finally:
-            if not is_admitted:
-                # Nothing was sent, so an idle connection has stayed idle.
+            is_usable = connection.is_usable
+            if not is_usable:
+                await self._close(connection)
+            elif not is_admitted:
                 idle_since = connection.idle_since or time.monotonic()
                 self._keep(connection, idle_since)
-        return is_admitted
+        return is_admitted and is_usable
 
     async def send(self, call: calls.Call) -> calls.Response | calls.Failure:
         """Sends a call and returns the complete response."""
--- a/tests/upstreams/test_streams.py
+++ b/tests/upstreams/test_streams.py
@@ -39,6 +39,7 @@
         script: Bytes to send for each request; empty ones, and those that end
             in a line of `!`, close the connection.
         connections: Number of accepted connections.
+        accepted: The accepted connections.
         address: Its address.
     """
 
@@ -46,14 +47,18 @@
         """Uses a script."""
         self.script = list(script)
         self.connections = 0
+        self.accepted: list[anyio.abc.SocketStream] = []
         self.address = ""
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
         """Serves a connection."""
         self.connections += 1
+        self.accepted.append(stream)
         async with stream:
             with contextlib.suppress(
-                anyio.EndOfStream, anyio.BrokenResourceError
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
             ):
                 while await stream.receive():
                     response = self.script.pop(0)
@@ -357,3 +362,19 @@
         assert client.count_idle(upstream.address) == 1
         assert await send(upstream, client) == (200, b"ok")
         assert upstream.connections == 1
+
+
+async def test_connection_that_ends_before_its_call_is_sent_is_closed() -> None:
+    """Guards against dead connections to addresses that nobody uses again."""
+
+    async def admit(process: connected_processes.Process) -> bool:
+        await upstream.accepted[0].aclose()
+        await anyio.sleep(0.05)
+        return process.started_ms is None
+
+    async with run_upstream(OK, OK) as (upstream, client):
+        assert await send(upstream, client) == (200, b"ok")
+        failure = await client.open(make_call(upstream), admit=admit)
+        assert isinstance(failure, calls.Failure)
+        assert not failure.may_have_run
+        assert client.count_idle(upstream.address) == 0
