--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -196,6 +196,11 @@
         poll.register(opened, select.POLLIN)
         return bool(poll.poll(0))
 
+    @property
+    def is_ended(self) -> bool:
+        """Whether the loop has read the end."""
+        return self._receiver.is_ended
+
     def has_ended(self) -> bool:
         """Whether the end has arrived, read by the loop or not."""
         opened: socket.socket = self.get_extra_info("socket")
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -297,7 +297,18 @@
                 calls.FailureKind.UNREACHABLE,
                 f"cannot connect to {address}: {error}",
             )
-        return self._add(address, stream)
+        connection = self._add(address, stream)
+        await self._close_ended()
+        return connection
+
+    async def _close_ended(self) -> None:
+        """Closes the idle connections that have ended, to any address."""
+        for address, idle in list(self._idle.items()):
+            for connection in [c for c in idle if c.stream.is_ended]:
+                idle.remove(connection)
+                await self._close(connection)
+            if not idle:
+                del self._idle[address]
 
     def _add(
         self, address: str, stream: network.Stream
--- a/tests/upstreams/test_streams.py
+++ b/tests/upstreams/test_streams.py
@@ -378,3 +378,23 @@
         assert isinstance(failure, calls.Failure)
         assert not failure.may_have_run
         assert client.count_idle(upstream.address) == 0
+
+
+async def test_ended_connections_of_an_upstream_that_is_gone_are_closed() -> (
+    None
+):
+    """Guards against sockets that stay open for every address that was used."""
+    async with (
+        run_upstream(OK) as (gone, client),
+        run_upstream(OK, OK) as (upstream, _),
+    ):
+        assert await send(gone, client) == (200, b"ok")
+        assert await send(upstream, client) == (200, b"ok")
+        await gone.accepted[0].aclose()
+        await anyio.sleep(0.05)
+        assert client.count_idle(gone.address) == 1
+        opened = await client.open(make_call(upstream), fresh=True)
+        assert isinstance(opened, streams.StreamedResponse)
+        await opened.read_and_close(100)
+        assert client.count_idle(gone.address) == 0
+        assert client.count_idle(upstream.address) == 2
