--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -198,17 +198,21 @@
     async def _is_admitted(
         self, connection: connections.Connection, admit: Admit
     ) -> bool:
-        """Whether a call may be sent on a connection; else keeps it as idle."""
-        is_admitted = False
+        """Whether a call may be sent on a connection.
+
+        Else nothing was sent, so that a usable connection is idle again.
+        """
+        is_admitted = is_usable = False
         try:
             is_admitted = await admit(connection.process)
-            is_admitted = is_admitted and connection.is_usable
         finally:
-            if not is_admitted:
-                # Nothing was sent, so an idle connection has stayed idle.
+            is_usable = connection.is_usable
+            if not is_usable:
+                await self._close(connection)
+            elif not is_admitted:
                 idle_since = connection.idle_since or time.monotonic()
                 self._keep(connection, idle_since)
-        return is_admitted
+        return is_admitted and is_usable
 
     async def send(self, call: calls.Call) -> calls.Response | calls.Failure:
         """Sends a call and returns the complete response."""
@@ -293,7 +297,18 @@
                 calls.FailureKind.UNREACHABLE,
                 f"cannot connect to {address}: {error}",
             )
-        return self._add(address, stream)
+        connection = self._add(address, stream)
+        await self._close_ended()
+        return connection
+
+    async def _close_ended(self) -> None:
+        """Closes the idle connections that have ended, to any address."""
+        for address, idle in list(self._idle.items()):
+            for connection in [c for c in idle if c.stream.is_ended]:
+                idle.remove(connection)
+                await self._close(connection)
+            if not idle:
+                del self._idle[address]
 
     def _add(
         self, address: str, stream: network.Stream
