Take ended connections out of the pool before any of them is closed

Closing does not yield today; a stream that does would let another call change these lists meanwhile. No change of behaviour; tests/upstreams pass.

--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -303,12 +303,17 @@
 
     async def _close_ended(self) -> None:
         """Closes the idle connections that have ended, to any address."""
-        for address, idle in list(self._idle.items()):
-            for connection in [c for c in idle if c.stream.is_ended]:
-                idle.remove(connection)
-                await self._close(connection)
-            if not idle:
-                del self._idle[address]
+        ended = [
+            connection
+            for idle in self._idle.values()
+            for connection in idle
+            if connection.stream.is_ended
+        ]
+        for connection in ended:
+            self._idle[connection.address].remove(connection)
+        self._idle = {a: idle for a, idle in self._idle.items() if idle}
+        for connection in ended:
+            await self._close(connection)
 
     def _add(
         self, address: str, stream: network.Stream
