--- a/tests/core/test_resumed_streams.py
+++ b/tests/core/test_resumed_streams.py
@@ -203,6 +203,26 @@
     assert sum(name.startswith("n") for name in granted) >= len(granted) // 2
 
 
+def test_resumed_streams_of_one_customer_do_not_delay_another() -> None:
+    """Guards against small customers that wait for all prompts of a large one.
+
+    There are batch slots for all, but an engine reads the prompts one by one.
+    """
+    made = _make_cell()
+    many = [
+        dataclasses.replace(
+            _resume(f"r{n}", n % SLOTS), customer="resumed:large"
+        )
+        for n in range(60)
+    ]
+    granted = _list_granted(_submit_all(made, many, 0.0))
+    granted += _list_granted(made.handle(_submit("small", 1), 0.01))
+    for step in range(1, 100):
+        granted += _list_granted(made.handle(cell_events.Tick(), 0.05 * step))
+    assert len(granted) == len(many) + 1
+    assert granted.index("small") < len(many) // 2
+
+
 def test_stream_that_must_start_first_goes_first() -> None:
     """Guards against streams that wait until it is too late for them."""
     made = _make_cell()
