--- a/src/tamaracktide/core/blockers.py
+++ b/src/tamaracktide/core/blockers.py
@@ -51,7 +51,9 @@
     ready = cell_state.SlotState.READY
     loaded = [e for e, s in zip(engines, states, strict=True) if s is ready]
     free = [engine for engine in loaded if engine.free_batch_slots]
-    limit = now + resumed_streams.find_max_backlog_s(submit, settings)
+    limit = now + resumed_streams.find_max_backlog_s(
+        submit, settings, precedes=True
+    )
     return Blockers(
         engines=len(engines),
         loaded=len(loaded),
--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -150,14 +150,27 @@
 ) -> tuple[bool, float]:
     """Returns the sort key of an account: the lowest one is served first.
 
-    Resumed streams precede new requests while their customer is within its
-    fair share, the one that must start first before the others.
+    Resumed streams precede new requests, the one that must start first before
+    the others.
     """
-    if account.resumes and not fair_shares.is_exceeded_by(account):
+    if has_precedence(account, fair_shares):
         return False, account.find_first_expiry()
     return True, account.start
 
 
+def has_precedence(account: Account, fair_shares: FairShares) -> bool:
+    """Whether the requests of an account go before those of others.
+
+    Resumed streams do while their customer is within its fair share, and only
+    some of each customer at a time: the time to read prompts is in no share.
+    """
+    return (
+        account.resumes
+        and account.running < resumed_streams.MAX_PRECEDING
+        and not fair_shares.is_exceeded_by(account)
+    )
+
+
 class FairQueue:
     """The waiting requests of a cell, by customer.
 
--- a/src/tamaracktide/core/granting.py
+++ b/src/tamaracktide/core/granting.py
@@ -66,9 +66,12 @@
         """Grants the customer's first request that can be placed."""
         queue = self._parts.queue
         over_share = fair_shares.is_exceeded_by(account)
+        precedes = fairness.has_precedence(account, fair_shares)
         for _, group in account.list_groups():
             waiter = group[0]
-            ready = self._parts.placer.find_ready(waiter, over_share, now)
+            ready = self._parts.placer.find_ready(
+                waiter, over_share, precedes, now
+            )
             if ready is not None:
                 engine, slot = ready
                 priority = self._find_priority(account, over_share)
--- a/src/tamaracktide/core/placement.py
+++ b/src/tamaracktide/core/placement.py
@@ -162,12 +162,22 @@
         self._packed = _Packed((-1, 0, 0), frozenset(), ())
 
     def find_ready(
-        self, waiter: cell_state.Waiter, over_share: bool, now: float
+        self,
+        waiter: cell_state.Waiter,
+        over_share: bool,
+        precedes: bool,
+        now: float,
     ) -> tuple[cell_state.Engine, cell_state.Slot] | None:
         """Returns the best engine that has the adapter ready, or None.
 
         A pool that prefers full batches uses an engine outside the packed set
         only if no packed engine can load the adapter.
+
+        Args:
+            waiter: The request.
+            over_share: Whether its customer exceeds its fair share.
+            precedes: Whether it goes before new requests, if it is resumed.
+            now: Current time, seconds.
         """
         submit = waiter.submit
         candidates = [
@@ -183,7 +193,7 @@
         packed = self._find_packed(submit.key, submit.avoid, now)
         holds_ramps = self._inventory.holds_ramps()
         max_backlog_s = resumed_streams.find_max_backlog_s(
-            submit, self._settings, over_share=over_share
+            submit, self._settings, precedes=precedes
         )
         best: tuple[cell_state.Engine, cell_state.Slot] | None = None
         best_score = float("-inf")
--- a/src/tamaracktide/core/resumed_streams.py
+++ b/src/tamaracktide/core/resumed_streams.py
@@ -24,6 +24,10 @@
 stream is sent: some prompts. New requests of all instances wait until it is
 nearly done, so that the streams that broke off precede them everywhere."""
 
+MAX_PRECEDING = 8
+"""Running resumed streams of a customer from which on its further ones do not
+precede new requests."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tokens:
@@ -91,15 +95,15 @@
     submit: cell_events.Submit,
     settings: cell_settings.CellSettings,
     *,
-    over_share: bool = False,
+    precedes: bool,
 ) -> float:
     """Returns the longest prefill backlog of an engine that gets a request.
 
     Args:
         submit: The request.
         settings: The cell's settings.
-        over_share: Whether its customer exceeds its fair share.
+        precedes: Whether it goes before new requests, if it is resumed.
     """
-    if is_resumed(submit) and not over_share:
+    if is_resumed(submit) and precedes:
         return max(MAX_BACKLOG_S, settings.max_prefill_backlog_s)
     return settings.max_prefill_backlog_s
