--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -38,7 +38,8 @@
         if attempt.is_relayed:
             return
         missing = isinstance(result, results.NotRun) and result.missing
-        if result is not None and not missing:
+        unsent = isinstance(result, results.NotRun) and result.unsent
+        if result is not None and not (missing or unsent):
             cell.record_answer(upstream, is_good=_is_good(run, attempt, result))
         tokens = 0
         match result:
--- a/src/tamaracktide/entry/results.py
+++ b/src/tamaracktide/entry/results.py
@@ -29,11 +29,14 @@
         detail: Cause, for logs.
         missing: Whether the upstream lacks the adapter or its version.
         unreachable: Whether no connection was established.
+        unsent: Whether it was not sent over a connection that there was, or
+            could have been, so that nothing is known of the upstream.
     """
 
     detail: str
     missing: bool = False
     unreachable: bool = False
+    unsent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -83,7 +83,9 @@
         """
         remaining_s = request.expires_at - anyio.current_time()
         if remaining_s < MIN_SEND_TIME_S:
-            return results.NotRun("too little time left to send the request")
+            return results.NotRun(
+                "too little time left to send the request", unsent=True
+            )
         options = entry_adapter.CallOptions(
             upstream=placement.entry.upstream,
             address=placement.entry.address,
@@ -116,7 +118,11 @@
         if isinstance(opened, calls.Failure):
             if not opened.may_have_run:
                 is_unreachable = opened.kind is calls.FailureKind.UNREACHABLE
-                return results.NotRun(opened.detail, unreachable=is_unreachable)
+                return results.NotRun(
+                    opened.detail,
+                    unreachable=is_unreachable,
+                    unsent=not is_unreachable,
+                )
             return results.make_lost_response(opened)
         failure = self._check(request, placement, opened)
         if failure is None:
--- a/tests/fleet/test_attested_processes.py
+++ b/tests/fleet/test_attested_processes.py
@@ -13,6 +13,7 @@
 import versioned_streams
 
 import deployment
+from tamaracktide.entry import service_cell
 from tamaracktide.gateway import asgi
 
 pytestmark = pytest.mark.anyio
@@ -99,6 +100,38 @@
     assert other.runs == ["s0"]
 
 
+async def test_stream_that_was_not_sent_does_not_count_against_its_engine(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an engine that starts and gets ever fewer requests."""
+    answers: list[tuple[str, bool]] = []
+
+    def record_answer(
+        cell: service_cell.ServiceCell, upstream: str, *, is_good: bool
+    ) -> None:
+        del cell
+        answers.append((upstream, is_good))
+
+    monkeypatch.setattr(
+        service_cell.ServiceCell, "record_answer", record_answer
+    )
+    async with fleet_cluster.run_cluster() as cluster:
+        near = await add_engine(cluster, "near")
+        other = await add_engine(cluster, "other", "z2")
+        async with entry_instances.run_instance(cluster) as instance:
+            after = await versioned_streams.begin_stream(instance, "r0")
+            near.is_mute = True
+            near.disconnect()
+            await anyio.sleep(0.1)
+            # The first stream may have broken off before its client had left.
+            answers.clear()
+            await versioned_streams.check_resumed(
+                [near, other], instance, [after]
+            )
+    assert other.runs == ["s0"]
+    assert answers == [("other", True)]
+
+
 async def test_stream_begins_at_an_engine_that_does_not_report() -> None:
     """Only its resumption needs the start of the process."""
     async with fleet_cluster.run_cluster() as cluster:
