--- a/src/tamaracktide/core/stream_history.py
+++ b/src/tamaracktide/core/stream_history.py
@@ -143,18 +143,14 @@
         now: float,
     ) -> None:
         """Records streams of other instances or of earlier processes."""
-        for software, request_ids in streams.items():
-            for request_id in request_ids:
-                self._origins.record(request_id, software, now, source)
+        self._origins.record_all(streams, source, now)
 
     def inherit(
         self, streams: stream_origins.OriginsByVersion, now: float
     ) -> None:
         """Takes over what an earlier process of this instance recorded."""
-        self.record(streams, stream_origins.Source.STORE, now)
-        for software, request_ids in streams.items():
-            for request_id in request_ids:
-                self._inherited.record(request_id, software, now)
+        self._origins.record_all(streams, stream_origins.Source.STORE, now)
+        self._inherited.record_all(streams, stream_origins.Source.STORE, now)
 
     def find(self, request_id: str, now: float) -> Found | None:
         """Returns the version that is recorded for a stream, or None."""
--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -69,6 +69,14 @@
             self._begun.popitem(last=False)
         return True
 
+    def record_all(
+        self, streams: OriginsByVersion, source: Source, now: float
+    ) -> None:
+        """Records the beginnings of several streams."""
+        for software, request_ids in streams.items():
+            for request_id in request_ids:
+                self.record(request_id, software, now, source)
+
     def forget(self, request_id: str) -> None:
         """Drops a stream."""
         self._begun.pop(request_id, None)
--- a/src/tamaracktide/entry/attestation.py
+++ b/src/tamaracktide/entry/attestation.py
@@ -88,7 +88,7 @@
         if not _must_attest(request, entry):
             return None
         if has_begun:
-            return functools.partial(self._admit_resumption, entry)
+            return functools.partial(self._admit_resumption, request, entry)
         return functools.partial(self._admit_begin, entry)
 
     async def find_software(
@@ -129,6 +129,7 @@
 
     async def _admit_resumption(
         self,
+        request: requests.ClientRequest,
         entry: upstream_entries.UpstreamEntry,
         process: connected_processes.Process,
     ) -> bool:
@@ -143,9 +144,11 @@
                 entry.service,
                 connected_processes.name_unlisted(entry, process.started_ms),
             )
-        logs.bind(verdict=verdict.value, **_describe(entry, process)).info(
-            "stream not resumed: its process is not attested"
-        )
+        logs.bind(
+            request_id=request.request_id,
+            verdict=verdict.value,
+            **_describe(entry, process),
+        ).info("stream not resumed: its process is not attested")
         return False
 
     async def _wait_for_report(
