--- a/src/tamaracktide/core/fairness.py
+++ b/src/tamaracktide/core/fairness.py
@@ -166,7 +166,7 @@
     """
     return (
         account.resumes
-        and account.running < resumed_streams.MAX_PRECEDING
+        and account.running < resumed_streams.MAX_PRECEDING_STREAMS
         and not fair_shares.is_exceeded_by(account)
     )
 
--- a/src/tamaracktide/core/resumed_streams.py
+++ b/src/tamaracktide/core/resumed_streams.py
@@ -24,7 +24,7 @@
 stream is sent: some prompts. New requests of all instances wait until it is
 nearly done, so that the streams that broke off precede them everywhere."""
 
-MAX_PRECEDING = 8
+MAX_PRECEDING_STREAMS = 8
 """Running resumed streams of a customer from which on its further ones do not
 precede new requests."""
 
