--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -3,7 +3,8 @@
 Objects arrive from the store or from peers. The higher version of the latest
 era takes precedence, so the state of an instance never goes back to an older
 one. What was known when the store's era changed stays in force until it has
-been listed again.
+been listed again. The routing document and announced adapter versions carry
+versions of their own, which decide across eras.
 """
 
 from collections.abc import Callable
@@ -55,7 +56,7 @@
         versions: Newest version by model and adapter.
         upstreams: Upstreams by instance id, including draining ones.
         instances: Records of the deployment's instances, by instance id.
-        listed: Prefixes of which a complete listing has been applied.
+        listed: Era of the latest complete listing that was applied, by prefix.
         store_recovered_at: When the store last became reachable after an
             outage.
         era: Latest era of the store that this instance knows; 0 if the store
@@ -73,7 +74,7 @@
         self.versions: dict[tuple[str, str], int] = {}
         self.upstreams: dict[str, upstream_entries.UpstreamEntry] = {}
         self.instances: dict[str, InstanceRecord] = {}
-        self.listed: set[str] = set()
+        self.listed: dict[str, int] = {}
         self.store_recovered_at = float("-inf")
         self.era = 0
         self.era_changes = 0
@@ -81,6 +82,7 @@
         self._adapter = adapter
         self._now = now
         self._items: dict[str, object_store.Item] = {}
+        self._in_force: dict[str, object_store.Item] = {}
         self._newest: dict[str, int] = {}
         self._knows_era = False
         self._drop_at: dict[str, float] = {}
@@ -170,6 +172,19 @@
             if item.version > versions.get(self._find_collection(item.key), 0)
         ]
 
+    def list_lost(self) -> list[object_store.Item]:
+        """Returns objects in force that the restored store does not have.
+
+        They are of an earlier era. Whoever learns of the routing document from
+        the store alone would go back to that of its copy.
+        """
+        return [
+            item
+            for item in self._in_force.values()
+            if item.era < self.era
+            and self.listed.get(self._find_collection(item.key)) == self.era
+        ]
+
     def apply(
         self, items: Iterable[object_store.Item]
     ) -> list[object_store.Item]:
@@ -189,7 +204,7 @@
         self.observe_era(era)
         if era < self.era:
             return []
-        self.listed.add(prefix)
+        self.listed[prefix] = era
         present = {item.key for item in listing.items}
         removed = [
             object_store.Item(key, listing.version, None, era)
@@ -259,7 +274,7 @@
             self.observe_era(item.era)
         known = self._items.get(item.key)
         if item.era < self.era:
-            return False
+            return self._apply_lost(item)
         if known is not None and known.era == item.era:
             if item.version <= known.version:
                 return False
@@ -279,6 +294,32 @@
         self._changed = True
         return True
 
+    def _apply_lost(self, item: object_store.Item) -> bool:
+        """Applies an object of an earlier era that has a version of its own.
+
+        Returns:
+            Whether it is newer than what is in force.
+        """
+        collections = self._adapter.collections
+        if item.value is None or self._find_collection(item.key) not in (
+            collections.documents,
+            collections.versions,
+        ):
+            return False
+        try:
+            is_newer = self._apply_versioned(item, item.value)
+        except errors.PlatformError as error:
+            logs.bind(key=item.key, era=item.era).warning(
+                "lost object ignored: {}", error.detail
+            )
+            return False
+        if is_newer:
+            self._changed = True
+            logs.bind(key=item.key, era=item.era, known=self.era).info(
+                "object applied that the restored store does not have"
+            )
+        return is_newer
+
     def _find_collection(self, key: str) -> str:
         collections = self._adapter.collections
         for prefix in (
@@ -293,20 +334,33 @@
     def _decode(self, item: object_store.Item, is_restored: bool) -> None:
         collections = self._adapter.collections
         key, value = item.key, item.value
-        if key == collections.document:
-            if value is not None:
-                self._apply_document(value)
-        elif key.startswith(collections.upstreams):
+        if key.startswith(collections.upstreams):
             self._apply_upstream(key, value, is_restored)
-        elif key.startswith(collections.versions):
-            if value is not None:
-                self._apply_version(value)
         elif key.startswith(collections.instances):
             name = key[len(collections.instances) :]
             if value is None:
                 self.instances.pop(name, None)
             else:
                 self._apply_instance(name, value)
+        elif value is not None:
+            self._apply_versioned(item, value)
+
+    def _apply_versioned(self, item: object_store.Item, value: bytes) -> bool:
+        """Applies the routing document or an announced adapter version.
+
+        Returns:
+            Whether it is newer than what was in force.
+        """
+        collections = self._adapter.collections
+        if item.key == collections.document:
+            ahead = self._apply_document(value)
+        elif item.key.startswith(collections.versions):
+            ahead = self._apply_version(value)
+        else:
+            return False
+        if ahead >= 0:
+            self._in_force[item.key] = item
+        return ahead > 0
 
     def _apply_instance(self, name: str, value: bytes) -> None:
         try:
@@ -318,15 +372,18 @@
             ) from error
         self.instances[name] = record
 
-    def _apply_document(self, value: bytes) -> None:
+    def _apply_document(self, value: bytes) -> int:
+        """Applies a document; returns how far its version is ahead."""
         document = self._adapter.decode_document(value)
         known = self.table.document.version if self.table else 0
-        if document.version <= known:
-            return
+        ahead = document.version - known
+        if ahead <= 0:
+            return ahead
         self.table = routing_document.RouteTable(document)
         logs.bind(version=document.version, routes=len(document.routes)).info(
             "routing document applied"
         )
+        return ahead
 
     def _apply_upstream(
         self, key: str, value: bytes | None, is_restored: bool
@@ -381,17 +438,20 @@
             self._changed_upstreams.add(name)
             logs.bind(upstream=name).info("upstream removed: {}", reason)
 
-    def _apply_version(self, value: bytes) -> None:
+    def _apply_version(self, value: bytes) -> int:
+        """Applies an announcement; returns how far its version is ahead."""
         announced = self._adapter.decode_version(value)
         key = (announced.model, announced.adapter)
-        if announced.version <= self.versions.get(key, 0):
-            return
+        ahead = announced.version - self.versions.get(key, 0)
+        if ahead <= 0:
+            return ahead
         self.versions[key] = announced.version
         logs.bind(
             model=announced.model,
             adapter=announced.adapter,
             version=announced.version,
         ).info("adapter version announced")
+        return ahead
 
     def _notify_listeners(self) -> None:
         if not self._changed:
--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -166,6 +166,7 @@
         self._store_use.update(self._needs_store(anyio.current_time()))
         if self._peers.is_relay:
             self._request_missing()
+        self._send_lost()
 
     async def register(self) -> None:
         """Keeps this instance's address registered until cancelled.
@@ -329,6 +330,24 @@
             )
         )
 
+    def _send_lost(self) -> None:
+        """Sends once on a link, per era, what a restored store has lost.
+
+        An instance that started after the restoration knows only the copy.
+        """
+        era = self._cluster_state.era
+        if era <= FIRST_ERA:
+            return
+        notices = self._make_notices(self._cluster_state.list_lost())
+        if not notices:
+            return
+        for peer in self._peers.list_linked():
+            for link in peer.links:
+                if link.lost_era != era and all(
+                    link.queue.put(notice) for notice in notices
+                ):
+                    link.lost_era = era
+
     def _needs_store(self, now: float) -> bool:
         """Whether this instance must follow the store itself."""
         if not self._peers.is_discovered:
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -114,6 +114,8 @@
         is_current: Whether its peer has received all reports so far, so that
             the next one may contain changes only.
         has_objects: Whether its peer has received all objects of the store.
+        lost_era: Era of the store for which its peer has received the objects
+            that the store had lost.
     """
 
     queue: outbox.Outbox
@@ -125,6 +127,7 @@
     is_dialled: bool = False
     is_current: bool = False
     has_objects: bool = False
+    lost_era: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/tests/fleet/test_cluster_state.py
+++ b/tests/fleet/test_cluster_state.py
@@ -182,6 +182,36 @@
     assert _get_version(state) == 8
 
 
+def test_document_and_weights_that_the_store_lost_apply_from_a_peer(
+    state: cluster_state.ClusterState,
+) -> None:
+    """Guards against a start that goes back to the copy (CONFIG, VERSION)."""
+    version = json.dumps({"Model": "m", "Adapter": "a", "Version": 3}).encode()
+    _restore(state, dataclasses.replace(_make_document_item(5, 20), era=2))
+    lost = [
+        dataclasses.replace(_make_document_item(7, 50), era=1),
+        object_store.Item("versions/m.a", 51, version, era=1),
+    ]
+    assert state.apply(lost) == lost
+    assert _get_version(state) == 7
+    assert state.versions == {("m", "a"): 3}
+    assert state.apply(lost) == []
+    assert state.find_versions().documents == 20
+
+
+def test_lost_objects_are_listed_until_they_are_written_again(
+    state: cluster_state.ClusterState,
+) -> None:
+    """Nothing is lost before the restored store has been listed."""
+    state.apply([dataclasses.replace(_make_document_item(7, 50), era=1)])
+    state.observe_era(2)
+    assert state.list_lost() == []
+    _restore(state, dataclasses.replace(_make_document_item(5, 20), era=2))
+    assert [item.version for item in state.list_lost()] == [50]
+    state.apply([dataclasses.replace(_make_document_item(7, 21), era=2)])
+    assert state.list_lost() == []
+
+
 def test_drain_and_weights_written_after_a_restoration_are_in_force(
     state: cluster_state.ClusterState,
 ) -> None:
--- a/tests/fleet/test_restored_store.py
+++ b/tests/fleet/test_restored_store.py
@@ -172,6 +172,33 @@
             await wait_for_status(isolated, "/once/x", 200)
 
 
+async def test_instance_that_starts_learns_the_lost_document() -> None:
+    """Guards against a start with the document of the copy (CONFIG).
+
+    The operator has not written the document again yet; another instance still
+    has it in force.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        await cluster.add_server(fleet_cluster.Server("p1"))
+        port = deployment.find_port()
+        async with entry_instances.run_instance(
+            cluster, peer_port=port
+        ) as instance:
+            saved = cluster.store.make_copy()
+            lose_changes(cluster.store)
+            put_document(cluster, 2, routes=3)
+            await wait_for_status(instance, "/once/x", 404)
+            cluster.store.restore(saved)
+            await anyio.sleep(0.5)
+            async with entry_instances.run_instance(
+                cluster, "n2", "127.0.0.2", port, waits_for_lease=False
+            ) as started:
+                await wait_for_status(started, "/once/x", 404)
+                put_document(cluster, 2, routes=3)
+                put_document(cluster, 3, routes=4)
+                await wait_for_status(started, "/once/x", 200)
+
+
 async def test_change_of_the_era_is_shown_by_metrics() -> None:
     """The era and what was listed again are shown."""
     async with fleet_cluster.run_cluster() as cluster:
