--- a/src/tamaracktide/core/routing_document.py
+++ b/src/tamaracktide/core/routing_document.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+from typing import TypeVar
 
 import xxhash
 
@@ -10,6 +11,8 @@
 
 DEFAULT_MAX_PAUSE_S = 0.3
 
+_T = TypeVar("_T")
+
 
 class RequestKind(enum.Enum):
     """The kind of a route's requests, which decides if retries are safe."""
@@ -73,6 +76,11 @@
             case RequestKind.NON_IDEMPOTENT:
                 return False
 
+    @property
+    def services(self) -> frozenset[str]:
+        """The services that its requests are split between."""
+        return frozenset(share.service for share in self.shares)
+
     def choose_service(self, request_id: str) -> str:
         """Returns the service for a request, chosen by a hash of its id.
 
@@ -220,12 +228,20 @@
     def find(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching prefix, or None."""
         prefixes = self._by_host.get(host)
-        if prefixes is None:
-            return None
-        end = path.rfind("/") + 1
-        while end > 0:
-            route = prefixes.get(path[:end])
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end - 1) + 1
-        return None
+        return None if prefixes is None else find_longest_prefix(prefixes, path)
+
+
+def find_longest_prefix(prefixes: Mapping[str, _T], path: str) -> _T | None:
+    """Returns the value of the longest prefix of a path, or None.
+
+    Args:
+        prefixes: Values by path prefix, which begins and ends with a slash.
+        path: The path.
+    """
+    end = path.rfind("/") + 1
+    while end > 0:
+        value = prefixes.get(path[:end])
+        if value is not None:
+            return value
+        end = path.rfind("/", 0, end - 1) + 1
+    return None
--- a/src/tamaracktide/core/stream_history.py
+++ b/src/tamaracktide/core/stream_history.py
@@ -3,11 +3,14 @@
 After a start, an instance cannot know which software versions served before. So
 the only version that is listed began a stream for certain only once the history
 of the versions is complete: they were observed for as long as a stream may be
-resumed, or read from a record of them.
+resumed, or read from a record of them. The same holds for the service of a
+route whose shares have changed.
 """
 
 from collections.abc import Iterable
 
+from tamaracktide.core import route_history
+from tamaracktide.core import routing_document
 from tamaracktide.core import stream_origins
 from tamaracktide.core import upstream_entries
 
@@ -20,6 +23,9 @@
 
     Attributes:
         mixed: Services that have, or recently had, several versions.
+        tracked: Services whose streams others must know: the mixed ones, and
+            those of routes whose shares have changed recently.
+        routes: The streaming routes of recent documents.
     """
 
     __slots__ = (
@@ -27,8 +33,11 @@
         "_inherited",
         "_origins",
         "_own",
+        "_shared",
         "_versions",
         "mixed",
+        "routes",
+        "tracked",
     )
 
     def __init__(self, started_at: float) -> None:
@@ -38,11 +47,14 @@
             started_at: Start of the instance, seconds.
         """
         self.mixed: frozenset[str] = frozenset()
+        self.tracked: frozenset[str] = frozenset()
+        self.routes = route_history.RouteHistory(started_at)
         self._complete_at = started_at + stream_origins.RETENTION_S
         self._versions = stream_origins.SoftwareVersions()
         self._origins = stream_origins.StreamOrigins()
         self._own: dict[str, stream_origins.StreamOrigins] = {}
         self._inherited = stream_origins.StreamOrigins()
+        self._shared: frozenset[str] = frozenset()
 
     def apply_upstreams(
         self,
@@ -50,13 +62,20 @@
         removed: Iterable[str],
         now: float,
     ) -> frozenset[str]:
-        """Applies upstreams; returns the services that have become mixed."""
+        """Applies upstreams; returns the services that are tracked now."""
         for entry in changed:
             self._versions.set_upstream(entry, now)
         for name in removed:
             self._versions.remove_upstream(name, now)
         return self.refresh(now)
 
+    def apply_document(
+        self, document: routing_document.RoutingDocument, now: float
+    ) -> frozenset[str]:
+        """Applies a document; returns the services that are tracked now."""
+        self.routes.apply(document, now)
+        return self.refresh(now)
+
     def restore_versions(
         self,
         versions: stream_origins.VersionsByService,
@@ -72,7 +91,7 @@
             is_complete: Whether they are all recent ones.
 
         Returns:
-            The services that have become mixed.
+            The services that are tracked now and were not before.
         """
         ages = {
             service: dict.fromkeys(names, 0.0)
@@ -95,7 +114,7 @@
             is_complete: Whether they are all recent ones.
 
         Returns:
-            The services that have become mixed.
+            The services that are tracked now and were not before.
         """
         self._versions.restore(ages, now)
         if is_complete:
@@ -111,9 +130,11 @@
         self._complete_at = now + stream_origins.RETENTION_S
 
     def refresh(self, now: float) -> frozenset[str]:
-        """Updates `mixed`; returns the services that have become mixed."""
-        before, self.mixed = self.mixed, self._versions.list_mixed(now)
-        return self.mixed - before
+        """Updates `tracked`; returns the services that were not before."""
+        self.mixed = self._versions.list_mixed(now)
+        self._shared = self.routes.list_shared(now)
+        before, self.tracked = self.tracked, self.mixed | self._shared
+        return self.tracked - before
 
     def is_complete(self, now: float) -> bool:
         """Whether every version that may have begun a stream is known."""
@@ -130,6 +151,7 @@
         own = self._own.setdefault(service, stream_origins.StreamOrigins())
         own.record(request_id, software, now)
         self._origins.record(request_id, software, now)
+        self._origins.record_services({service: (request_id,)})
 
     def record_end(self, service: str, request_id: str) -> None:
         """Records that a stream of this instance is complete."""
@@ -145,6 +167,12 @@
         """Records streams of other instances or of earlier processes."""
         self._origins.record_all(streams, source, now)
 
+    def record_services(
+        self, services: stream_origins.StreamsByService
+    ) -> None:
+        """Records the services of known streams."""
+        self._origins.record_services(services)
+
     def inherit(
         self, streams: stream_origins.OriginsByVersion, now: float
     ) -> None:
@@ -156,6 +184,23 @@
         """Returns the version that is recorded for a stream, or None."""
         return self._origins.find(request_id, now)
 
+    def find_service(self, request_id: str) -> str:
+        """Returns the service that began a stream, empty if unknown."""
+        return self._origins.find_service(request_id)
+
+    def group_by_service(
+        self, request_ids: Iterable[str]
+    ) -> dict[str, tuple[str, ...]]:
+        """Returns the ids of the streams whose service others must know."""
+        if not self._shared:
+            return {}
+        found = ((name, self.find_service(name)) for name in request_ids)
+        return stream_origins.group_ids(
+            (name, service)
+            for name, service in found
+            if service in self._shared
+        )
+
     def find_only_version(self, service: str, now: float) -> Found | None:
         """Returns the version that must have begun any stream, or None."""
         versions = self._versions.list_recent(service, now)
@@ -175,12 +220,14 @@
         return {} if own is None else own.list_all(now)
 
     def list_to_record(self, now: float) -> dict[str, tuple[str, ...]]:
-        """Returns what must outlive the process: streams of mixed services."""
-        if not self.mixed:
+        """Returns the streams that must outlive the process."""
+        if not self.tracked:
             return {}
         found = [self._inherited.list_all(now)]
-        found.extend(self.list_begun(name, now) for name in sorted(self.mixed))
-        return stream_origins.group_by_version(
+        found.extend(
+            self.list_begun(name, now) for name in sorted(self.tracked)
+        )
+        return stream_origins.group_ids(
             (request_id, software)
             for streams in found
             for software, request_ids in streams.items()
--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -21,6 +21,9 @@
 OriginsByVersion = Mapping[str, tuple[str, ...]]
 """Ids of the requests that began streams, by software version."""
 
+StreamsByService = Mapping[str, tuple[str, ...]]
+"""Ids of the requests that began streams, by service."""
+
 VersionsByService = Mapping[str, tuple[str, ...]]
 """Software versions by service."""
 
@@ -40,13 +43,14 @@
 class StreamOrigins:
     """Software versions of recent streams, by the request that began them."""
 
-    __slots__ = ("_begun",)
+    __slots__ = ("_begun", "_services")
 
     def __init__(self) -> None:
         """Starts without streams."""
         self._begun: collections.OrderedDict[str, tuple[str, Source, float]] = (
             collections.OrderedDict()
         )
+        self._services: dict[str, str] = {}
 
     def record(
         self,
@@ -66,9 +70,16 @@
             return False
         self._begun[request_id] = (software, source, now)
         if len(self._begun) > MAX_RECORDS:
-            self._begun.popitem(last=False)
+            self.forget(next(iter(self._begun)))
         return True
 
+    def record_services(self, services: StreamsByService) -> None:
+        """Records the services of known streams."""
+        for service, request_ids in services.items():
+            for request_id in request_ids:
+                if request_id in self._begun:
+                    self._services.setdefault(request_id, service)
+
     def record_all(
         self, streams: OriginsByVersion, source: Source, now: float
     ) -> None:
@@ -80,6 +91,11 @@
     def forget(self, request_id: str) -> None:
         """Drops a stream."""
         self._begun.pop(request_id, None)
+        self._services.pop(request_id, None)
+
+    def find_service(self, request_id: str) -> str:
+        """Returns the service that began a stream, empty if unknown."""
+        return self._services.get(request_id, "")
 
     def find(self, request_id: str, now: float) -> tuple[str, Source] | None:
         """Returns the version that began a stream and how it is known."""
@@ -90,7 +106,7 @@
     def list_all(self, now: float) -> dict[str, tuple[str, ...]]:
         """Returns all streams by software version."""
         self._drop_expired(now)
-        return group_by_version(
+        return group_ids(
             (request_id, software)
             for request_id, (software, _, _) in self._begun.items()
         )
@@ -100,7 +116,7 @@
             request_id, (_, _, begun_at) = next(iter(self._begun.items()))
             if now < begun_at + RETENTION_S:
                 return
-            del self._begun[request_id]
+            self.forget(request_id)
 
 
 class SoftwareVersions:
@@ -190,11 +206,11 @@
         return found
 
 
-def group_by_version(
+def group_ids(
     streams: Iterable[tuple[str, str]],
 ) -> dict[str, tuple[str, ...]]:
-    """Returns request ids by software version."""
+    """Returns request ids by software version or service."""
     grouped: dict[str, list[str]] = {}
-    for request_id, software in streams:
-        grouped.setdefault(software, []).append(request_id)
-    return {software: tuple(ids) for software, ids in grouped.items()}
+    for request_id, name in streams:
+        grouped.setdefault(name, []).append(request_id)
+    return {name: tuple(ids) for name, ids in grouped.items()}
--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -16,6 +16,7 @@
 from tamaracktide.entry import requests
 from tamaracktide.entry import responses
 from tamaracktide.entry import results
+from tamaracktide.entry import stream_services
 from tamaracktide.entry import usage as entry_usage
 from tamaracktide.gateway import asgi
 from tamaracktide.observability import logs
@@ -45,6 +46,7 @@
         self,
         adapter: entry_adapter.PlatformAdapter,
         state: cluster_state.ClusterState,
+        service_chooser: stream_services.ServiceChooser,
         forwarder: forwarding.Forwarder,
         usage: entry_usage.UsageMeter,
         metrics: metrics_module.Metrics,
@@ -55,6 +57,7 @@
         Args:
             adapter: Translates the platform's headers.
             state: Provides the routing table.
+            service_chooser: Chooses the services of requests.
             forwarder: Forwards requests to upstreams.
             usage: Charges requests to the usage caps of workspaces.
             metrics: Counts requests and their durations.
@@ -64,6 +67,7 @@
         self.close_connections = False
         self._adapter = adapter
         self._cluster_state = state
+        self._service_chooser = service_chooser
         self._forwarder = forwarder
         self._usage = usage
         self._metrics = metrics
@@ -245,12 +249,15 @@
         table = self._cluster_state.table or table
         route = self._find_route(table, fields.host, target)
         caller = callers.identify(table, route, fields, relayed)
-        # A resumed stream goes on at the service that began it.
-        begun_as = fields.resumed_request or fields.request_id
-        service = route.choose_service(begun_as)
         deadline = started_at + route.timeout_s
         if fields.time_left_s is not None:
             deadline = started_at + fields.time_left_s
+        expires_at = (
+            min(deadline, started_at + route.timeout_s) - RESPONSE_MARGIN_S
+        )
+        service = await self._service_chooser.choose(
+            route, target.partition("?")[0], fields, expires_at
+        )
         return requests.ClientRequest(
             request_id=fields.request_id,
             method=scope["method"],
@@ -260,8 +267,7 @@
             route=route,
             service=table.document.services[service],
             deadline=deadline,
-            expires_at=min(deadline, started_at + route.timeout_s)
-            - RESPONSE_MARGIN_S,
+            expires_at=expires_at,
             generation=fields.generation,
             resume_after=fields.resume_after,
             resumed_request=fields.resumed_request,
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -41,6 +41,7 @@
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
 from tamaracktide.entry import stream_records
+from tamaracktide.entry import stream_services
 from tamaracktide.entry import upstream_snapshots
 from tamaracktide.entry import usage as entry_usage
 from tamaracktide.entry import usage_exchange
@@ -186,6 +187,7 @@
         self._app = entry_app.App(
             adapter,
             self._cluster_state,
+            stream_services.ServiceChooser(self._resumption),
             self._forwarder,
             self._usage,
             self._metrics,
@@ -386,6 +388,7 @@
         if applied != self._applied:
             self._applied = applied
             if state.table is not None:
+                self._resumption.apply_document(state.table.document)
                 self._usage.set_workspaces(state.table.document.workspaces)
             self._cells.update_services(services)
             return
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -1,20 +1,25 @@
-"""Finds the software version at which a stream must go on.
+"""Finds the service and software version at which a stream must go on.
 
 The instance that a client resumes a stream at need not be the one that began
-it. While a service has upstreams of several software versions, each instance
-announces which version began which stream before the first event reaches the
-client. In a small cluster all others learn it; in a larger one the relay of the
-instance and one more, and an instance that does not know a stream asks its
-relay, which asks the others. What all of them have lost is read from the store.
+it. While a service has upstreams of several software versions, or a route's
+shares have changed recently, each instance announces which version and service
+began which stream before the first event reaches the client. In a small cluster
+all others learn it; in a larger one the relay of the instance and one more, and
+an instance that does not know a stream asks its relay, which asks the others.
+What all of them have lost is read from the store.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
+import itertools
+from typing import TypeVar
 
 import anyio
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.core import routing_document
 from tamaracktide.core import stream_history
 from tamaracktide.core import stream_origins
 from tamaracktide.core import upstream_entries
@@ -39,6 +44,9 @@
 """Maximum number of questions of members that wait for the records."""
 
 
+_T = TypeVar("_T")
+
+
 class Resumption:
     """Knows the software versions of streams and exchanges them with peers.
 
@@ -87,13 +95,24 @@
         had several versions.
         """
         now = anyio.current_time()
-        self._announce_mixed(
+        self._announce_tracked(
             self.history.apply_upstreams(changed, removed, now)
         )
 
+    def apply_document(
+        self, document: routing_document.RoutingDocument
+    ) -> None:
+        """Applies a routing document.
+
+        Announces the streams of this instance whose route has changed its
+        shares.
+        """
+        now = anyio.current_time()
+        self._announce_tracked(self.history.apply_document(document, now))
+
     def record_unlisted(self, service: str, software: str) -> None:
         """Records that upstreams run a version that no entry names."""
-        self._announce_mixed(
+        self._announce_tracked(
             self.history.restore_ages(
                 {service: {software: 0.0}},
                 anyio.current_time(),
@@ -111,7 +130,7 @@
         service = request.service.name
         self.history.record_begin(service, request.request_id, software, now)
         self._wake(request.request_id)
-        if service in self.history.mixed:
+        if service in self.history.tracked:
             self._announce({software: (request.request_id,)})
 
     def record_end(self, request: requests.ClientRequest) -> None:
@@ -138,9 +157,9 @@
         arrived_at = anyio.current_time()
         found = self._find(begun_as, service, arrived_at)
         if found is None:
-            self._ask(begun_as)
-            with anyio.move_on_after(QUERY_TIMEOUT_S):
-                found = await self._wait_for(begun_as, service, arrived_at)
+            found = await self.learn(
+                begun_as, lambda: self._find(begun_as, service, arrived_at)
+            )
         self._log_found(request, found)
         if found is not None:
             self.on_return(begun_as)
@@ -150,19 +169,35 @@
         raise errors.RefusalError(
             result_codes.ResultCode.SOFTWARE_UNKNOWN,
             f"software version that began {begun_as!r} is not known",
-            self._find_retry_after_s(request, arrived_at),
+            self.find_retry_after_s(request.expires_at, arrived_at),
         )
 
-    def _find_retry_after_s(
-        self, request: requests.ClientRequest, arrived_at: float
-    ) -> float:
+    async def learn(
+        self, begun_as: str, find: Callable[[], _T | None]
+    ) -> _T | None:
+        """Asks the other instances and the records for a stream.
+
+        Args:
+            begun_as: Id of the request that began it.
+            find: Returns what must be known of it, None as long as it is not.
+        """
+        self._ask(begun_as)
+        with anyio.move_on_after(QUERY_TIMEOUT_S):
+            return await self._wait_for(begun_as, find)
+        return None
+
+    def find_retry_after_s(self, expires_at: float, arrived_at: float) -> float:
         """Returns when a stream that nobody knows may be known.
 
         What neither the instances nor the records know stays unknown.
+
+        Args:
+            expires_at: When the response of the request must be complete.
+            arrived_at: When the request arrived.
         """
         if self._get_records().loaded_at < arrived_at:
             return RETRY_AFTER_S
-        return max(RETRY_AFTER_S, request.expires_at - anyio.current_time())
+        return max(RETRY_AFTER_S, expires_at - anyio.current_time())
 
     def _log_found(
         self,
@@ -188,7 +223,7 @@
         """Sends what is known of streams on a new link."""
         now = anyio.current_time()
         is_complete = self.history.is_complete(now)
-        streams = self.history.list_streams(now) if self.history.mixed else {}
+        streams = self.history.list_streams(now) if self.history.tracked else {}
         if streams or is_complete:
             link.queue.put(self._make_versions_notice(streams))
 
@@ -197,11 +232,12 @@
         now = anyio.current_time()
         source = stream_origins.Source.PEER
         self.history.record(notice.streams, source, now)
+        self.history.record_services(notice.services)
         for request_ids in notice.streams.values():
             for request_id in request_ids:
                 self._wake(request_id)
         if notice.versions:
-            self._announce_mixed(
+            self._announce_tracked(
                 self.history.restore_ages(
                     notice.versions, now, is_complete=notice.is_complete
                 )
@@ -213,6 +249,8 @@
         streams = {reply.software: (reply.request_id,)}
         now = anyio.current_time()
         self.history.record(streams, stream_origins.Source.PEER, now)
+        if reply.service:
+            self.history.record_services({reply.service: (reply.request_id,)})
         self._wake(reply.request_id)
         if reply.asker != self._instance:
             self._get_peers().send(reply.asker, reply)
@@ -251,8 +289,9 @@
         if peers.is_relay:
             linked = peers.list_members() or peers.list_relays()
             receivers = sorted(peer.instance for peer in linked)
-        streams = stream_origins.group_by_version(self._unsent.items())
-        notice = entry_messages.StreamsNotice(streams=streams)
+        notice = self._make_notice(
+            stream_origins.group_ids(self._unsent.items())
+        )
         if receivers and peers.send(receivers[0], notice):
             self._unsent.clear()
 
@@ -275,9 +314,9 @@
         self._get_records().record_soon()
         self._wake_all()
 
-    def apply_restored(self, newly_mixed: frozenset[str]) -> None:
+    def apply_restored(self, newly_tracked: frozenset[str]) -> None:
         """Continues what waited until the records in the store were read."""
-        self._announce_mixed(newly_mixed)
+        self._announce_tracked(newly_tracked)
         self._wake_all()
         if not self._get_peers().plan.is_flat:
             self._tell_versions()
@@ -300,6 +339,7 @@
                 request_id=query.request_id,
                 software=found[0],
                 asker=query.asker,
+                service=self.history.find_service(query.request_id),
             ),
         )
         return True
@@ -325,14 +365,15 @@
         if event is not None:
             event.set()
 
-    def _announce_mixed(self, services: frozenset[str]) -> None:
-        """Announces the streams of services that have become mixed."""
+    def _announce_tracked(self, services: frozenset[str]) -> None:
+        """Announces the streams of services that others must know from now."""
         now = anyio.current_time()
         for service in services:
             logs.bind(
                 service=service,
-                versions=self.history.list_versions(now)[service],
-            ).info("service has several software versions")
+                versions=self.history.list_versions(now).get(service, ()),
+                mixed=service in self.history.mixed,
+            ).info("streams of a service are announced")
             self._announce(self.history.list_begun(service, now))
         if services:
             self._tell_versions()
@@ -341,7 +382,7 @@
     def _announce(self, streams: stream_origins.OriginsByVersion) -> None:
         peers = self._get_peers()
         if peers.plan.is_flat:
-            peers.broadcast(entry_messages.StreamsNotice(streams=dict(streams)))
+            peers.broadcast(self._make_notice(streams))
             return
         for software, request_ids in streams.items():
             self._unsent.update(dict.fromkeys(request_ids, software))
@@ -358,12 +399,23 @@
         self, streams: stream_origins.OriginsByVersion
     ) -> entry_messages.StreamsNotice:
         now = anyio.current_time()
-        return entry_messages.StreamsNotice(
-            streams=dict(streams),
+        return dataclasses.replace(
+            self._make_notice(streams),
             versions=self.history.list_ages(now),
             is_complete=self.history.is_complete(now),
         )
 
+    def _make_notice(
+        self, streams: stream_origins.OriginsByVersion
+    ) -> entry_messages.StreamsNotice:
+        """Returns the announcement of streams, without versions."""
+        return entry_messages.StreamsNotice(
+            streams=dict(streams),
+            services=self.history.group_by_service(
+                itertools.chain.from_iterable(streams.values())
+            ),
+        )
+
     def _ask(self, request_id: str) -> None:
         query = entry_messages.StreamQuery(
             request_id=request_id, asker=self._instance
@@ -380,8 +432,8 @@
             self._get_records().request_load()
 
     async def _wait_for(
-        self, begun_as: str, service: str, arrived_at: float
-    ) -> stream_history.Found:
+        self, begun_as: str, find: Callable[[], _T | None]
+    ) -> _T:
         while True:
             event = self._waiting.setdefault(begun_as, anyio.Event())
             try:
@@ -389,7 +441,7 @@
             finally:
                 if self._waiting.get(begun_as) is event:
                     del self._waiting[begun_as]
-            found = self._find(begun_as, service, arrived_at)
+            found = find()
             if found is not None:
                 return found
 
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -6,7 +6,9 @@
 """
 
 from collections.abc import Callable
+import contextlib
 import dataclasses
+import itertools
 import random
 from typing import TypeVar
 
@@ -43,8 +45,28 @@
 STREAMS_NAME = "begun."
 """Start of the names of the records of instances."""
 
-_Streams = dict[str, tuple[str, ...]]
-"""Ids of the requests that began streams, by software version."""
+_Ids = dict[str, tuple[str, ...]]
+"""Ids of the requests that began streams, by software version or service."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Streams:
+    """The recorded streams of an instance.
+
+    A record without services is written as the streams alone, which builds that
+    know no services read, too.
+
+    Attributes:
+        streams: Ids by software version.
+        services: Ids by service, of the streams whose service must be known.
+    """
+
+    streams: _Ids
+    services: _Ids
+
+    def encode(self) -> bytes:
+        """Returns the record as it is stored."""
+        return msgspec.json.encode(self if self.services else self.streams)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -128,7 +150,7 @@
         self._versions_revision: int | None = None
         self._differs_since: float | None = None
         self._revision: int | None = None
-        self._streams: _Streams = {}
+        self._streams = _Streams({}, {})
         self._is_due = anyio.Event()
 
     async def run(self) -> None:
@@ -215,9 +237,11 @@
                 versions = self._decode_versions(value)
                 revision = item.version
                 continue
-            record = _decode(item.key, value, _Streams) or {}
-            streams += sum(map(len, record.values()))
-            self._history.record(record, stream_origins.Source.STORE, now)
+            record = _decode_streams(item.key, value)
+            streams += sum(map(len, record.streams.values()))
+            source = stream_origins.Source.STORE
+            self._history.record(record.streams, source, now)
+            self._history.record_services(record.services)
         logs.bind(
             versions=versions.services,
             complete=versions.is_complete,
@@ -285,30 +309,39 @@
                 before=stored.services,
             ).info("software versions recorded")
         self._versions = wanted
-        if rank == 0 and stored.services and not self._history.mixed:
+        if rank == 0 and stored.services and not self._history.tracked:
             await self._delete_streams()
 
     async def _record_streams(self) -> None:
         """Records the streams of this instance, if they have changed."""
-        if not (self._history.mixed or self._streams):
+        if not (self._history.tracked or self._streams.streams):
             return
         if self._revision is None:
             value, self._revision = await self._read(self._key)
-            self._streams = _decode(self._key, value, _Streams) or {}
-            self._history.inherit(self._streams, anyio.current_time())
-            self.on_inherit({v: len(ids) for v, ids in self._streams.items()})
-        wanted = self._history.list_to_record(anyio.current_time())
+            self._streams = _decode_streams(self._key, value)
+            streams = self._streams.streams
+            self._history.inherit(streams, anyio.current_time())
+            self._history.record_services(self._streams.services)
+            self.on_inherit({v: len(ids) for v, ids in streams.items()})
+        wanted = self._find_streams()
         if wanted == self._streams:
             return
-        if wanted:
-            value = msgspec.json.encode(wanted)
-            self._revision = await self._write(self._key, value, self._revision)
+        if wanted.streams:
+            self._revision = await self._write(
+                self._key, wanted.encode(), self._revision
+            )
         elif self._revision:
             await self._store.delete(self._key, self._revision)
             self._store_health.record_response()
             self._revision = 0
         self._streams = wanted
 
+    def _find_streams(self) -> _Streams:
+        """Returns what must be recorded now."""
+        streams = self._history.list_to_record(anyio.current_time())
+        request_ids = itertools.chain.from_iterable(streams.values())
+        return _Streams(streams, self._history.group_by_service(request_ids))
+
     async def _read(self, key: str) -> tuple[bytes, int]:
         """Returns a record and its revision, empty and 0 if there is none."""
         try:
@@ -338,6 +371,13 @@
                 continue
 
 
+def _decode_streams(key: str, value: bytes) -> _Streams:
+    """Decodes the streams of an instance; none if they cannot be decoded."""
+    with contextlib.suppress(msgspec.DecodeError):
+        return msgspec.json.decode(value, type=_Streams)
+    return _Streams(_decode(key, value, _Ids) or {}, {})
+
+
 def _decode(key: str, value: bytes, kind: type[_T]) -> _T | None:
     """Decodes a record; None if there is none or it cannot be decoded."""
     if not value:
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -261,6 +261,8 @@
         versions: Seconds since an upstream had a software version, by service
             and version, where they are told.
         is_complete: Whether `versions` are all that may have begun a stream.
+        services: Ids of those streams whose route may choose another service by
+            now, by the service that began them.
     """
 
     streams: dict[str, tuple[str, ...]]
@@ -268,11 +270,14 @@
         default_factory=dict
     )
     is_complete: bool = False
+    services: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StreamQuery:
-    """Asks which software version began a stream.
+    """Asks which software version and service began a stream.
 
     Attributes:
         request_id: Id of the request that began it.
@@ -291,11 +296,13 @@
         request_id: Id of the request that began the stream.
         software: Software version that began it.
         asker: Instance that needs to know.
+        service: Service that began it, empty if unknown.
     """
 
     request_id: str
     software: str
     asker: str
+    service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/tamaracktide/result_codes.py
+++ b/src/tamaracktide/result_codes.py
@@ -44,6 +44,7 @@
     UPSTREAM_REFUSED = 2113
     SOFTWARE_UNKNOWN = 2114
     USAGE_CAP_REACHED = 2115
+    STREAM_SERVICE_UNKNOWN = 2116
 
     OUTCOME_UNKNOWN = 3000
     UPSTREAM_LOST = 3001
@@ -160,6 +161,12 @@
     ResultCode.USAGE_CAP_REACHED: Meaning(
         429, _NOT_RUN, True, "The workspace has reached its usage cap."
     ),
+    ResultCode.STREAM_SERVICE_UNKNOWN: Meaning(
+        503,
+        _NOT_RUN,
+        True,
+        "The service that began the stream is not known or not in the route.",
+    ),
     ResultCode.OUTCOME_UNKNOWN: Meaning(
         504, _UNKNOWN, False, "A request with this key may have run."
     ),
