--- a/tests/fleet/test_split_routes.py
+++ b/tests/fleet/test_split_routes.py
@@ -257,3 +257,21 @@
             assert response.status == (503 if is_moved else 200)
             assert services.get(f"s{number}", "plain") == "plain"
             assert (f"s{number}" in services) is not is_moved
+
+
+async def test_stream_stays_at_its_service_if_the_shares_change_meanwhile() -> (
+    None
+):
+    """Guards against a start that takes its document for all there was (ORDER).
+
+    The shares change while all instances are down.
+    """
+    services: dict[str, str] = {}
+    async with run_services(services) as cluster:
+        async with entry_instances.run_instance(cluster) as instance:
+            await begin_all(instance)
+        await change_shares(cluster, llm=1, plain=9)
+        async with entry_instances.run_instance(
+            cluster, is_first_start=False
+        ) as instance:
+            await check_all_resumed(instance, services)
