Take no lost object for the one in force once it is written again

Found by reading again: a peer's copy of the document from the earlier era, of the same version, replaced the one that the operator had written again as the object in force, so that an instance went on sending it on each new link. Nothing else followed.

Of equal versions the one of the later era now stays. The last assertion of test_lost_objects_are_listed_until_they_are_written_again failed before.

--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -358,7 +358,8 @@
             ahead = self._apply_version(value)
         else:
             return False
-        if ahead >= 0:
+        known = self._in_force.get(item.key, item)
+        if ahead > 0 or (ahead == 0 and item.era >= known.era):
             self._in_force[item.key] = item
         return ahead > 0
 
--- a/src/tamaracktide/entry/stream_services.py
+++ b/src/tamaracktide/entry/stream_services.py
@@ -67,7 +67,11 @@
         fields: entry_adapter.ClientFields,
         expires_at: float,
     ) -> str:
-        """Returns the service that began a stream, if the route names it."""
+        """Returns the service that began a stream, if the route names it.
+
+        Raises:
+            errors.RefusalError: The route does not name it.
+        """
         if service not in route.services:
             raise errors.RefusalError(
                 result_codes.ResultCode.STREAM_SERVICE_UNKNOWN,
--- a/tests/fleet/test_cluster_state.py
+++ b/tests/fleet/test_cluster_state.py
@@ -210,6 +210,9 @@
     assert [item.version for item in state.list_lost()] == [50]
     state.apply([dataclasses.replace(_make_document_item(7, 21), era=2)])
     assert state.list_lost() == []
+    # A peer sends what it has in force before it learns of the new object.
+    state.apply([dataclasses.replace(_make_document_item(7, 50), era=1)])
+    assert state.list_lost() == []
 
 
 def test_drain_and_weights_written_after_a_restoration_are_in_force(
