--- a/tests/fleet/soak_cluster.py
+++ b/tests/fleet/soak_cluster.py
@@ -26,6 +26,8 @@
 FIRST_HOST = 11
 INSTANCE_PORTS = 6
 STOP_LIMIT_S = 9.0
+MAX_MEMORY_MB = 430
+"""Memory of the smallest machines of the users' deployments."""
 """Time after SIGTERM at which an instance is killed: its grace period and a
 second."""
 
@@ -265,10 +267,16 @@
             at = now
 
     async def watch_ends(self) -> None:
-        """Restarts instances that end by themselves, until cancelled."""
+        """Restarts instances that end by themselves, until cancelled.
+
+        Like the platform, it kills those that exceed their memory.
+        """
         while True:
             for instance in self.instances.values():
                 process = instance.process
+                if process is not None and _exceeds_memory(process):
+                    process.kill()
+                    process.wait()
                 if process is not None and process.poll() is not None:
                     now = time.monotonic()
                     instance.ends.append((now, process.returncode))
@@ -380,3 +388,14 @@
         except OSError:
             return False
     return True
+
+
+def _exceeds_memory(process: subprocess.Popen[bytes]) -> bool:
+    try:
+        status = pathlib.Path(f"/proc/{process.pid}/status").read_text()
+    except OSError:
+        return False
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) > MAX_MEMORY_MB * 1024
+    return False
--- a/tests/fleet/soak_faults.py
+++ b/tests/fleet/soak_faults.py
@@ -8,7 +8,7 @@
 EVERY = 99
 RELEASE_AND_KILL_FRACTION = 0.5
 
-Changes = tuple[tuple[str, bool | float], ...]
+Changes = tuple[tuple[str, bool | float | str], ...]
 """Names and values of settings of a stand-in that change."""
 
 BEHAVIOURS: tuple[Changes, ...] = (
@@ -27,6 +27,9 @@
     (("idle_close_fraction", 0.5),),
     (("pause_s", 1.2),),
     (("work_s", 1.5),),
+    (("endless_fraction", 0.3), ("endless_part", "head")),
+    (("endless_fraction", 0.3), ("endless_part", "body")),
+    (("endless_fraction", 0.3), ("endless_part", "event")),
 )
 
 
--- a/tests/fleet/soak_injector.py
+++ b/tests/fleet/soak_injector.py
@@ -287,7 +287,7 @@
         self,
         servers: list[soak_cluster.Server],
         for_s: float,
-        changes: dict[str, bool | float],
+        changes: dict[str, bool | float | str],
     ) -> None:
         if "refuses_until" in changes:
             changes["refuses_until"] = time.monotonic() + for_s
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -13,6 +13,7 @@
 import sys
 import time
 from typing import Any
+from typing import NoReturn
 
 import anyio
 import anyio.abc
@@ -23,6 +24,9 @@
 
 HEARTBEAT_S = 1.2
 HANG_POLL_S = 0.1
+ENDLESS_PIECE_BYTES = 1 << 18
+ENDLESS_PERIOD_S = 0.02
+"""Time between two pieces of a response without end."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -332,6 +336,8 @@
         }
         if self._config.names_leaving:
             headers["Server-Leaving"] = "1"
+        if self._rng.random() < self._config.endless_fraction:
+            await self._send_endlessly(request, headers)
         is_cut = self._rng.random() < self._config.cut_fraction
         if self._config.adapter_slots:
             await self._stream(request, headers, is_cut)
@@ -348,6 +354,27 @@
         await request.connection.send(response)
         return "complete"
 
+    async def _send_endlessly(
+        self, request: Request, headers: soak_http.Headers
+    ) -> NoReturn:
+        """Sends bytes until the caller closes."""
+        connection = request.connection
+        match self._config.endless_part:
+            case "head":
+                piece = b"x-padding: " + b"x" * 1000 + b"\r\n"
+                head = soak_http.make_response_head(200, headers)
+                await connection.send(head.removesuffix(b"\r\n"))
+            case "body":
+                piece = b": x\n\n" if self._config.adapter_slots else b"."
+                await self._begin_stream(request, headers, is_framed=False)
+            case "event":
+                piece = b"data: x\n"
+                await self._begin_stream(request, headers, is_framed=False)
+        pieces = piece * (ENDLESS_PIECE_BYTES // len(piece))
+        while True:
+            await connection.send(pieces)
+            await self._wait(request, ENDLESS_PERIOD_S)
+
     async def _stream(
         self, request: Request, headers: soak_http.Headers, is_cut: bool
     ) -> None:
--- a/tests/fleet/soak_upstream.py
+++ b/tests/fleet/soak_upstream.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import hashlib
+from typing import Literal
 
 MODEL = "m0"
 EVENT_TOKENS = 3
@@ -44,6 +45,8 @@
         cut_resets: Whether connections of these processes are reset; else they
             hang.
         pause_s: Silence in the middle of each stream.
+        endless_fraction: Fraction of responses that never end.
+        endless_part: Part of such a response that goes on.
     """
 
     name: str
@@ -74,6 +77,8 @@
     cut_pids: list[int] = dataclasses.field(default_factory=list)
     cut_resets: bool = False
     pause_s: float = 0.0
+    endless_fraction: float = 0.0
+    endless_part: Literal["head", "body", "event"] = "body"
 
 
 def make_body(service: str, request_id: str, sent: bytes) -> bytes:
--- a/tests/fleet/test_entry_soak.py
+++ b/tests/fleet/test_entry_soak.py
@@ -37,6 +37,21 @@
         soak_faults.Planned(3.0, soak_faults.FreezeServer("llm", 1.0)),
     ),
 )
+ENDLESS_ROUNDS = tuple(
+    tuple(
+        soak_faults.Planned(
+            1.0,
+            soak_faults.Misbehave(
+                service,
+                1,
+                6.0,
+                (("endless_fraction", 0.5), ("endless_part", part)),
+            ),
+        )
+        for service in ("llm", "ledger")
+    )
+    for part in ("head", "event")
+)
 
 
 def test_rules_hold_around_kills_and_refusals(tmp_path: pathlib.Path) -> None:
@@ -54,6 +69,22 @@
     assert soak.sums["served"] > soak.sums["sent"] / 2
 
 
+def test_rules_hold_around_responses_without_end(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Instances keep within their memory, and serve at the other servers.
+
+    Guards against a reader that collects all bytes before a boundary.
+    """
+    soak = soak_rounds.EntrySoak(
+        tmp_path / "soak", SEED, lambda report: None, RATE, LOAD_S
+    )
+    rounds = iter(ENDLESS_ROUNDS)
+    anyio.run(soak.run, lambda: next(rounds), len(ENDLESS_ROUNDS), float("inf"))
+    assert soak.failures == []
+    assert soak.sums["served"] > soak.sums["sent"] / 2
+
+
 def make_release_and_kill(fraction: float) -> tuple[soak_faults.Planned, ...]:
     """Returns a release and a kill of all instances while old servers serve."""
     release = soak_faults.Release("llm", fraction, 0.4, 9.0, False)
