--- a/tests/fleet/raw_servers.py
+++ b/tests/fleet/raw_servers.py
@@ -32,6 +32,7 @@
         listener: Its listening socket; closed, it refuses connections.
         writers: Its open connections.
         max_accepted: Connections after which it resets all further ones.
+        handlers: Tasks that handle its connections.
     """
 
     respond: Respond
@@ -39,6 +40,7 @@
     listener: asyncio.Server | None = None
     writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     max_accepted: int = 1000
+    handlers: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
 
     async def handle(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -48,6 +50,10 @@
         if self.max_accepted < 0:
             _reset(writer)
             return
+        task = asyncio.current_task()
+        assert task is not None
+        self.handlers.add(task)
+        task.add_done_callback(self.handlers.discard)
         self.writers.add(writer)
         try:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -62,6 +68,18 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def close(self) -> None:
+        """Closes its listening socket and all connections."""
+        self.stop_listening()
+        for writer in self.writers:
+            writer.transport.abort()
+        handlers = list(self.handlers)
+        for task in handlers:
+            task.cancel()
+        await asyncio.gather(*handlers, return_exceptions=True)
+        # A transport closes its socket in the next iteration of the loop.
+        await asyncio.sleep(0)
+
     def kill_after(self, seconds: float) -> None:
         """Ends the process: its listening socket and its connections.
 
@@ -160,7 +178,7 @@
     try:
         yield server
     finally:
-        server.listener.close()
+        await server.close()
 
 
 def make_head(request_id: str, *lines: str, status: str = "200 OK") -> bytes:
