Name services whose shares have changed reassigned, and index resumable routes

Read as a newcomer: 'shared' meant the services of a route whose shares have changed, not those that share a route.

--- a/src/tamaracktide/core/route_history.py
+++ b/src/tamaracktide/core/route_history.py
@@ -1,4 +1,4 @@
-"""Which services the streaming routes of recent documents chose.
+"""Which services the resumable routes of recent documents chose.
 
 A stream goes on at the service that began it. The routing document gives that
 service only if every document in force since then chooses it.
@@ -16,9 +16,9 @@
 
 
 class RouteHistory:
-    """The streaming routes in force within the retention of streams."""
+    """The resumable routes in force within the retention of streams."""
 
-    __slots__ = ("_current", "_replaced", "_shared", "_started_at")
+    __slots__ = ("_current", "_reassigned", "_replaced", "_started_at")
 
     def __init__(self, started_at: float) -> None:
         """Starts without routes.
@@ -29,18 +29,18 @@
         self._started_at = started_at
         self._current: _RoutesByHost = {}
         self._replaced: list[tuple[float, _RoutesByHost]] = []
-        self._shared: frozenset[str] = frozenset()
+        self._reassigned: frozenset[str] = frozenset()
 
     def apply(
         self, document: routing_document.RoutingDocument, now: float
     ) -> None:
         """Applies the document that comes into force."""
-        routes = _index_streaming(document)
+        routes = _index_resumable(document)
         previous, self._current = self._current, routes
         if previous and _list_shares(routes) != _list_shares(previous):
             self._replaced.append((now, previous))
             del self._replaced[:-MAX_TABLES]
-            self._shared = self._find_shared()
+            self._reassigned = self._find_reassigned()
 
     def is_complete(self, now: float) -> bool:
         """Whether every document that may have begun a stream is known."""
@@ -56,26 +56,26 @@
             for route in self._find_routes(host, path)
         )
 
-    def list_shared(self, now: float) -> frozenset[str]:
+    def list_reassigned(self, now: float) -> frozenset[str]:
         """Returns the services whose streams may be resumed at another one.
 
         They are those of routes whose shares have changed.
         """
         self._drop_expired(now)
-        return self._shared
+        return self._reassigned
 
     def has_several_services(self) -> bool:
-        """Whether streaming routes name several services."""
+        """Whether resumable routes name several services."""
         return len(_list_services(self._current)) > 1
 
-    def _find_shared(self) -> frozenset[str]:
-        shared: set[str] = set()
+    def _find_reassigned(self) -> frozenset[str]:
+        reassigned: set[str] = set()
         for host, prefixes in self._current.items():
             for prefix in prefixes:
                 routes = self._find_routes(host, prefix)
                 if len({route.shares for route in routes}) > 1:
-                    shared.update(*(route.services for route in routes))
-        return frozenset(shared)
+                    reassigned.update(*(route.services for route in routes))
+        return frozenset(reassigned)
 
     def _find_routes(
         self, host: str, path: str
@@ -93,10 +93,10 @@
         kept = [pair for pair in self._replaced if pair[0] > expires_at]
         if len(kept) < len(self._replaced):
             self._replaced = kept
-            self._shared = self._find_shared()
+            self._reassigned = self._find_reassigned()
 
 
-def _index_streaming(
+def _index_resumable(
     document: routing_document.RoutingDocument,
 ) -> _RoutesByHost:
     indexed: dict[str, dict[str, routing_document.Route]] = {}
--- a/src/tamaracktide/core/stream_history.py
+++ b/src/tamaracktide/core/stream_history.py
@@ -25,7 +25,7 @@
         mixed: Services that have, or recently had, several versions.
         tracked: Services whose streams others must know: the mixed ones, and
             those of routes whose shares have changed recently.
-        routes: The streaming routes of recent documents.
+        routes: The resumable routes of recent documents.
     """
 
     __slots__ = (
@@ -33,7 +33,7 @@
         "_inherited",
         "_origins",
         "_own",
-        "_shared",
+        "_reassigned",
         "_versions",
         "mixed",
         "routes",
@@ -54,7 +54,7 @@
         self._origins = stream_origins.StreamOrigins()
         self._own: dict[str, stream_origins.StreamOrigins] = {}
         self._inherited = stream_origins.StreamOrigins()
-        self._shared: frozenset[str] = frozenset()
+        self._reassigned: frozenset[str] = frozenset()
 
     def apply_upstreams(
         self,
@@ -132,8 +132,8 @@
     def refresh(self, now: float) -> frozenset[str]:
         """Updates `tracked`; returns the services that were not before."""
         self.mixed = self._versions.list_mixed(now)
-        self._shared = self.routes.list_shared(now)
-        before, self.tracked = self.tracked, self.mixed | self._shared
+        self._reassigned = self.routes.list_reassigned(now)
+        before, self.tracked = self.tracked, self.mixed | self._reassigned
         return self.tracked - before
 
     def is_complete(self, now: float) -> bool:
@@ -192,13 +192,13 @@
         self, request_ids: Iterable[str]
     ) -> dict[str, tuple[str, ...]]:
         """Returns the ids of the streams whose service others must know."""
-        if not self._shared:
+        if not self._reassigned:
             return {}
         found = ((name, self.find_service(name)) for name in request_ids)
         return stream_origins.group_ids(
             (name, service)
             for name, service in found
-            if service in self._shared
+            if service in self._reassigned
         )
 
     def find_only_version(self, service: str, now: float) -> Found | None:
--- a/tests/core/test_route_history.py
+++ b/tests/core/test_route_history.py
@@ -50,24 +50,24 @@
     """Nothing needs to be known of its streams."""
     history = make_history(make_document(("a", 1)))
     assert history.find_choices(HOST, "/s/x", "r", 0.0) == {"a"}
-    assert history.list_shared(0.0) == frozenset()
+    assert history.list_reassigned(0.0) == frozenset()
     assert not history.has_several_services()
 
 
 def test_moved_route_has_two_choices_while_its_streams_may_be_resumed() -> None:
-    """Both services are shared until the retention has passed."""
+    """Both services are reassigned until the retention has passed."""
     history = make_history(make_document(("a", 1)), make_document(("b", 1)))
     assert history.find_choices(HOST, "/s/x", "r", 2.0) == {"a", "b"}
-    assert history.list_shared(2.0) == {"a", "b"}
+    assert history.list_reassigned(2.0) == {"a", "b"}
     assert history.find_choices(HOST, "/s/x", "r", 1 + RETENTION_S) == {"b"}
-    assert history.list_shared(1 + RETENTION_S) == frozenset()
+    assert history.list_reassigned(1 + RETENTION_S) == frozenset()
 
 
 def test_same_shares_in_another_document_are_no_change() -> None:
     """Most documents change no streaming route."""
     shares = (("a", 1.0), ("b", 1.0))
     history = make_history(make_document(*shares), make_document(*shares))
-    assert history.list_shared(2.0) == frozenset()
+    assert history.list_reassigned(2.0) == frozenset()
     assert history.has_several_services()
 
 
@@ -89,7 +89,7 @@
         make_document(("a", 1)), make_document(("b", 1), prefix="/s/x/")
     )
     assert history.find_choices(HOST, "/s/x/1", "r", 2.0) == {"a", "b"}
-    assert history.list_shared(2.0) == {"a", "b"}
+    assert history.list_reassigned(2.0) == {"a", "b"}
 
 
 def test_documents_before_a_start_are_not_known() -> None:
@@ -105,4 +105,4 @@
         make_document(("a", 1), resumable=False),
         make_document(("b", 1), resumable=False),
     )
-    assert history.list_shared(2.0) == frozenset()
+    assert history.list_reassigned(2.0) == frozenset()
