--- a/tests/fleet/test_entry_soak.py
+++ b/tests/fleet/test_entry_soak.py
@@ -54,19 +54,26 @@
 )
 
 
+def check_rounds(
+    folder: pathlib.Path, rounds: tuple[tuple[soak_faults.Planned, ...], ...]
+) -> None:
+    """Plays rounds, in which no rule may break and most jobs are served."""
+    soak = soak_rounds.EntrySoak(
+        folder / "soak", SEED, lambda report: None, RATE, LOAD_S
+    )
+    planned = iter(rounds)
+    anyio.run(soak.run, lambda: next(planned), len(rounds), float("inf"))
+    assert soak.failures == []
+    assert soak.sums["served"] > soak.sums["sent"] / 2
+
+
 def test_rules_hold_around_kills_and_refusals(tmp_path: pathlib.Path) -> None:
     """Requests run once, refusals are true, streams are whole.
 
     Guards against answers that hold only while all instances share a process:
     a kill closes connections, and an accept queue outlives its process.
     """
-    soak = soak_rounds.EntrySoak(
-        tmp_path / "soak", SEED, lambda report: None, RATE, LOAD_S
-    )
-    rounds = iter(ROUNDS)
-    anyio.run(soak.run, lambda: next(rounds), len(ROUNDS), float("inf"))
-    assert soak.failures == []
-    assert soak.sums["served"] > soak.sums["sent"] / 2
+    check_rounds(tmp_path, ROUNDS)
 
 
 def test_rules_hold_around_responses_without_end(
@@ -76,13 +83,7 @@
 
     Guards against a reader that collects all bytes before a boundary.
     """
-    soak = soak_rounds.EntrySoak(
-        tmp_path / "soak", SEED, lambda report: None, RATE, LOAD_S
-    )
-    rounds = iter(ENDLESS_ROUNDS)
-    anyio.run(soak.run, lambda: next(rounds), len(ENDLESS_ROUNDS), float("inf"))
-    assert soak.failures == []
-    assert soak.sums["served"] > soak.sums["sent"] / 2
+    check_rounds(tmp_path, ENDLESS_ROUNDS)
 
 
 def make_release_and_kill(fraction: float) -> tuple[soak_faults.Planned, ...]:
