--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -152,6 +152,8 @@
         )
         result: results.Result | None = None
         attempt.is_hedged = True
+        sent_at = anyio.current_time()
+        _log(run, attempt, "hedged request sent to {}", hedge.upstream)
         try:
             if hedge.is_relayed:
                 opened = await self._peer_forwarder.open(run, hedge)
@@ -167,11 +169,23 @@
                 self._take_over(run, attempt, hedge, opened)
         finally:
             attempt.is_hedged = False
+            self._record_shared(run, attempt, anyio.current_time() - sent_at)
             if attempt.successor is None:
                 ran = not isinstance(result, results.NotRun)
                 run.tries.handle(attempts.HedgeEnded(ran))
         return result
 
+    def _record_shared(
+        self, run: runs.Run, attempt: runs.Attempt, shared_s: float
+    ) -> None:
+        """Records for how long two upstreams had a request."""
+        self._metrics.shared_seconds.observe(
+            {"pool": run.request.service.name}, shared_s
+        )
+        _log(
+            run, attempt, "two upstreams had the request for {:.3f} s", shared_s
+        )
+
     async def _check(
         self, run: runs.Run, opened: streams.StreamedResponse
     ) -> results.LostResponse | None:
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -121,9 +121,19 @@
         adapter=attempt.placement.key.text,
         waited_s=round(attempt.placement.waited_s, 4),
         is_relayed=attempt.is_relayed,
+        is_not_run=isinstance(result, results.NotRun),
+        attempt=len(run.progress.upstreams),
+        sent_s=_measure_sent_s(attempt),
     ).info("attempt failed: {}", result.detail)
 
 
+def _measure_sent_s(attempt: runs.Attempt) -> float | None:
+    """Returns for how long an attempt has been sent; None if it was not."""
+    if attempt.timing is None:
+        return None
+    return round(anyio.current_time() - attempt.timing.sent_at, 4)
+
+
 def _is_good(
     run: runs.Run, attempt: runs.Attempt, result: results.Result
 ) -> bool:
