--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -170,9 +170,13 @@
                 return results.NotRun(opened.detail, unreachable=True)
             return results.make_lost_response(opened)
         failure = self._check(run, opened)
-        if failure is None:
-            return opened
-        await opened.close()
+        match failure:
+            case None:
+                return opened
+            case results.LostResponse():
+                await opened.abort()
+            case results.NotRun():
+                await opened.close()
         return failure
 
     def _check(
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -127,11 +127,14 @@
         failure = self._check(request, placement, opened)
         if failure is None:
             return opened
+        if isinstance(failure, results.LostResponse):
+            # The upstream may still be at work on the request.
+            await opened.abort()
+            return failure
         try:
-            if isinstance(failure, results.NotRun):
-                # The connection can be used again once the refusal is read.
-                opened.set_timeout(REFUSAL_TIMEOUT_S, None)
-                await opened.read(opened.max_pending_bytes)
+            # The connection can be used again once the refusal is read.
+            opened.set_timeout(REFUSAL_TIMEOUT_S, None)
+            await opened.read(opened.max_pending_bytes)
         finally:
             await opened.close()
         return failure
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -165,6 +165,10 @@
             self.stream.end_on_close()
         await self.stream.aclose()
 
+    async def abort(self) -> None:
+        """Resets the connection, whose peer may be at work on a request."""
+        await self.stream.aclose()
+
     @property
     def is_usable(self) -> bool:
         """Whether an idle connection may take the next request.
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -120,6 +120,10 @@
         finally:
             await self._client.return_connection(connection)
 
+    async def abort(self) -> None:
+        """Resets the connection: the request has had no response on it."""
+        await self._client.abort_connection(self._connection)
+
 
 class StreamClient:
     """Opens streamed responses and reuses idle connections.
@@ -242,6 +246,13 @@
         while connection.idle_since - idle[0].idle_since >= KEEPALIVE_EXPIRY_S:
             await self._close(idle.pop(0))
 
+    async def abort_connection(
+        self, connection: connections.Connection
+    ) -> None:
+        """Resets a connection on which a request is still unanswered."""
+        self._forget(connection)
+        await connection.abort()
+
     def _keep(
         self, connection: connections.Connection, idle_since: float
     ) -> None:
--- a/tests/fleet/test_shared_requests.py
+++ b/tests/fleet/test_shared_requests.py
@@ -195,19 +195,18 @@
 
     The response to that one passes for the response to the next one.
     """
-    connections: list[asyncio.StreamWriter] = []
+    arrived: list[str] = []
 
     async def respond(
         request_id: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        response = raw_servers.make_head(request_id, "Content-Length: 0")
-        if not connections:
+        arrived.append(request_id)
+        if len(arrived) == 1:
             writer.write(raw_servers.make_head("r0", "Content-Length: 0"))
             await asyncio.sleep(READ_S)
-        connections.append(writer)
-        writer.write(response)
+        writer.write(raw_servers.make_head(request_id, "Content-Length: 0"))
 
     async with (
         fleet_cluster.run_cluster() as cluster,
