--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -1,8 +1,9 @@
 """Hedges requests whose upstream is silent.
 
 A sound upstream may pause and go on, and another one may be unable to take
-over. So the response of a silent upstream is given up only once another one
-has begun to answer.
+over. So a silent stream is given up only once it was sent to another upstream,
+which has not refused it at once. A call that may run twice is awaited from
+both.
 """
 
 import functools
@@ -11,6 +12,7 @@
 
 from tamaracktide import errors
 from tamaracktide.core import attempts
+from tamaracktide.core import routing_document
 from tamaracktide.entry import crashes as entry_crashes
 from tamaracktide.entry import outcomes as entry_outcomes
 from tamaracktide.entry import peer_forwarding
@@ -20,11 +22,16 @@
 from tamaracktide.entry import sending
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
+from tamaracktide.upstreams import connections
 from tamaracktide.upstreams import streams
 
 HEDGE_RETRY_S = 0.5
 """Pause after a hedged request was refused."""
 
+MAX_SHARED_S = 0.2
+"""Time in which another upstream can refuse a stream before the silent one is
+reset: half of that for which the platform lets two work on it."""
+
 
 class Hedger:
     """Finds other upstreams for requests whose upstream is silent."""
@@ -76,12 +83,13 @@
         self,
         run: runs.Run,
         attempt: runs.Attempt,
-        wait_readable: streams.WaitReadable,
+        connection: connections.Connection,
     ) -> bool:
         """Hedges a request until its upstream goes on.
 
         If the connection to that upstream ends, a hedged request that was sent
-        may still be answered.
+        may still be answered. A stream that was sent to another upstream goes
+        on at the silent one only if the other one refuses it or fails at once.
 
         Returns:
             Whether to go on waiting for that upstream.
@@ -93,19 +101,27 @@
             return True
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(
-                self._hedge_until_answered, run, attempt, tasks.cancel_scope
+                self._hedge_until_answered,
+                run,
+                attempt,
+                connection,
+                tasks.cancel_scope,
             )
-            attempt.is_lost = not await wait_readable()
-            if not (attempt.is_lost and attempt.is_hedged):
+            is_lost = not await connection.wait_readable()
+            if not (attempt.is_hedged if is_lost else attempt.is_shared):
                 tasks.cancel_scope.cancel()
-        return attempt.successor is None
+        return attempt.successor is None and not attempt.is_given_up
 
     async def _hedge_until_answered(
-        self, run: runs.Run, attempt: runs.Attempt, scope: anyio.CancelScope
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        connection: connections.Connection,
+        scope: anyio.CancelScope,
     ) -> None:
-        while run.tries.allows_hedge and not attempt.is_lost:
+        while run.tries.allows_hedge:
             try:
-                await self._hedge(run, attempt)
+                await self._hedge(run, attempt, connection)
             except Exception as error:
                 # The response of the silent upstream must not end with it.
                 logs.bind(request_id=run.request.request_id).opt(
@@ -115,10 +131,16 @@
             if attempt.successor is not None:
                 scope.cancel()
                 return
-            if not attempt.is_lost:
-                await anyio.sleep(HEDGE_RETRY_S)
+            if connection.is_readable():
+                return
+            await anyio.sleep(HEDGE_RETRY_S)
 
-    async def _hedge(self, run: runs.Run, attempt: runs.Attempt) -> None:
+    async def _hedge(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        connection: connections.Connection,
+    ) -> None:
         """Sends a hedged request, if a batch slot is granted to it."""
         hedge = self._peer_forwarder.find_attempt(run)
         if hedge is None:
@@ -133,13 +155,17 @@
             hedge = runs.Attempt(placement)
         result: results.Result | None = None
         try:
-            result = await self._send(run, attempt, hedge)
+            result = await self._send(run, attempt, hedge, connection)
         finally:
             if attempt.successor is None:
                 self._outcomes.finish(run, hedge, result)
 
     async def _send(
-        self, run: runs.Run, attempt: runs.Attempt, hedge: runs.Attempt
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        hedge: runs.Attempt,
+        connection: connections.Connection,
     ) -> results.Result | None:
         """Sends a hedged request; it takes over when it is answered."""
         action = run.tries.handle(attempts.HedgeGranted(hedge.upstream))
@@ -152,15 +178,15 @@
         )
         result: results.Result | None = None
         attempt.is_hedged = True
-        sent_at = anyio.current_time()
         _log(run, attempt, "hedged request sent to {}", hedge.upstream)
+        sent = anyio.Event()
         try:
-            if hedge.is_relayed:
-                opened = await self._peer_forwarder.open(run, hedge)
-            else:
-                opened = await self._sender.open(
-                    run.request, run.progress, hedge.placement, None
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(
+                    self._end_sharing, run, attempt, connection, sent
                 )
+                opened = await self._open(run, attempt, hedge, sent.set)
+                tasks.cancel_scope.cancel()
             if isinstance(opened, streams.StreamedResponse):
                 result = await self._check(run, opened)
             else:
@@ -168,24 +194,79 @@
             if result is None and isinstance(opened, streams.StreamedResponse):
                 self._take_over(run, attempt, hedge, opened)
         finally:
-            attempt.is_hedged = False
-            self._record_shared(run, attempt, anyio.current_time() - sent_at)
+            attempt.is_hedged = attempt.is_shared = False
             if attempt.successor is None:
                 ran = not isinstance(result, results.NotRun)
                 run.tries.handle(attempts.HedgeEnded(ran))
         return result
 
-    def _record_shared(
-        self, run: runs.Run, attempt: runs.Attempt, shared_s: float
-    ) -> None:
-        """Records for how long two upstreams had a request."""
-        self._metrics.shared_seconds.observe(
-            {"pool": run.request.service.name}, shared_s
-        )
-        _log(
-            run, attempt, "two upstreams had the request for {:.3f} s", shared_s
+    async def _open(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        hedge: runs.Attempt,
+        on_send: streams.OnSend,
+    ) -> sending.OpenResult:
+        """Sends a hedged request and returns its response."""
+        if hedge.is_relayed:
+            return await self._peer_forwarder.open(run, hedge, on_send)
+        on_silence = None
+        if _is_stream(run):
+            on_silence = functools.partial(
+                self._handle_silent_hedge, run, attempt, hedge
+            )
+        return await self._sender.open(
+            run.request,
+            run.progress,
+            hedge.placement,
+            on_silence,
+            on_send=on_send,
         )
 
+    async def _handle_silent_hedge(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        hedge: runs.Attempt,
+        connection: connections.Connection,
+    ) -> bool:
+        """Returns whether to go on waiting for the answer to a hedged request.
+
+        Not if the request has no other upstream left, and may go on elsewhere.
+        """
+        self._outcomes.record_silence(run, hedge)
+        return not (attempt.is_given_up and run.tries.allows_hedge)
+
+    async def _end_sharing(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        connection: connections.Connection,
+        sent: anyio.Event,
+    ) -> None:
+        """Ends a silent stream before two upstreams can work on it for long."""
+        await sent.wait()
+        if not _is_stream(run):
+            return
+        attempt.is_shared = True
+        sent_at = anyio.current_time()
+        try:
+            await anyio.sleep(MAX_SHARED_S)
+            attempt.is_given_up = True
+            await connection.abort()
+        finally:
+            shared_s = anyio.current_time() - sent_at
+            self._metrics.shared_seconds.observe(
+                {"pool": run.request.service.name}, shared_s
+            )
+            _log(
+                run,
+                attempt,
+                "two upstreams had the stream for {:.3f} s, given up: {}",
+                shared_s,
+                attempt.is_given_up,
+            )
+
     async def _check(
         self, run: runs.Run, opened: streams.StreamedResponse
     ) -> results.LostResponse | None:
@@ -213,6 +294,10 @@
         _log(run, attempt, "{} takes over", hedge.upstream)
 
 
+def _is_stream(run: runs.Run) -> bool:
+    return run.request.route.kind is routing_document.RequestKind.STREAMING
+
+
 def _log(
     run: runs.Run, attempt: runs.Attempt, message: str, *values: object
 ) -> None:
--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -127,9 +127,18 @@
         return f"{self.peers.find_ip(instance)}:{port}"
 
     async def open(
-        self, run: runs.Run, attempt: runs.Attempt
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        on_send: streams.OnSend | None = None,
     ) -> sending.OpenResult:
-        """Sends a request to an instance and returns its response."""
+        """Sends a request to an instance and returns its response.
+
+        Args:
+            run: The request.
+            attempt: Names the instance.
+            on_send: Called as the request is sent.
+        """
         request, progress = run.request, run.progress
         time_left_s = request.expires_at - anyio.current_time()
         if time_left_s < sending.MIN_SEND_TIME_S:
@@ -163,7 +172,8 @@
                 ),
                 body=request.body,
                 timeout_s=time_left_s,
-            )
+            ),
+            on_send=on_send,
         )
         if isinstance(opened, calls.Failure):
             if not opened.may_have_run:
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -51,7 +51,8 @@
         events: Number of its events that were forwarded.
         is_silent: Whether the upstream was found silent.
         is_hedged: Whether another upstream may answer instead.
-        is_lost: Whether its connection has ended while it was silent.
+        is_shared: Whether another upstream may be at work on its stream.
+        is_given_up: Whether it was ended for that one, which may answer.
         successor: The attempt that takes over; None while there is none.
         is_relayed: Whether it was sent to another instance.
         timing: When its events arrived; None until it is sent.
@@ -63,7 +64,8 @@
     events: int = 0
     is_silent: bool = False
     is_hedged: bool = False
-    is_lost: bool = False
+    is_shared: bool = False
+    is_given_up: bool = False
     successor: "Attempt | None" = None
     is_relayed: bool = False
     timing: stream_timing.StreamTiming | None = None
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -70,6 +70,7 @@
         on_silence: streams.OnSilence | None,
         *,
         fresh: bool = False,
+        on_send: streams.OnSend | None = None,
     ) -> OpenResult:
         """Sends a request and returns its response, whose headers fit it.
 
@@ -80,6 +81,7 @@
             on_silence: Called when the upstream is silent; None waits until
                 the request expires.
             fresh: Whether to use a new connection.
+            on_send: Called as the request is sent.
         """
         remaining_s = request.expires_at - anyio.current_time()
         if remaining_s < MIN_SEND_TIME_S:
@@ -109,6 +111,7 @@
             ),
             fresh=fresh,
             on_silence=on_silence,
+            on_send=on_send,
             admit=self._attestor.make_admit(
                 request,
                 placement.entry,
--- a/src/tamaracktide/observability/metrics.py
+++ b/src/tamaracktide/observability/metrics.py
@@ -57,7 +57,7 @@
         batch_efficiency: Ratio of running requests to batch slots, by `pool`.
         batch_busy_seconds: Time integral of used batch slots, by `pool`.
         batch_place_seconds: Time integral of all batch slots, by `pool`.
-        shared_seconds: Time for which two upstreams had one request.
+        shared_seconds: Time for which two upstreams had one stream.
         refusals: Requests refused before they ran, by `code`.
         usage: Usage of workspaces, in the unit of their caps, by `workspace`.
         usage_returned: Usage given back as its requests did not run, by
@@ -90,7 +90,7 @@
             "relayed_total", "Requests sent through another instance"
         )
         self.shared_seconds = self._histogram(
-            "shared_seconds", "Time for which two upstreams had one request"
+            "shared_seconds", "Time for which two upstreams had one stream"
         )
         self.stream_resumes = self._counter(
             "stream_resumes_total", "Streams resumed at an offset"
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -176,12 +176,20 @@
         Not if it was closed or has unexpected data, or if its peer has not yet
         read the previous request, to which it has responded.
         """
-        return not (self.stream.has_unsent or self.stream.is_readable())
+        return not (self.stream.has_unsent or self.is_readable())
 
     def has_ended(self) -> bool:
         """Whether its end has arrived, read or not."""
         return self.stream.has_ended()
 
+    def is_readable(self) -> bool:
+        """Whether bytes or the end have arrived, read or not."""
+        return self.stream.is_readable()
+
+    async def wait_readable(self) -> bool:
+        """Waits for bytes or the end; returns whether bytes have arrived."""
+        return await self.stream.wait_readable()
+
     async def send(
         self, request: bytes, timeout_s: float
     ) -> calls.Failure | None:
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -21,14 +21,12 @@
 
 KEEPALIVE_EXPIRY_S = 30.0
 
-WaitReadable = Callable[[], Awaitable[bool]]
-"""Waits until bytes have arrived or the connection has ended; returns whether
-bytes have arrived."""
+OnSilence = Callable[[connections.Connection], Awaitable[bool]]
+"""Called when nothing has arrived on a connection for the timeout of a call.
+Returns whether to go on waiting."""
 
-OnSilence = Callable[[WaitReadable], Awaitable[bool]]
-"""Called when nothing has arrived for the timeout of a call, with a function
-that waits until something arrives or the connection ends. Returns whether to go
-on waiting."""
+OnSend = Callable[[], None]
+"""Called when a connection is there and the request is about to be sent."""
 
 Admit = Callable[[connected_processes.Process], Awaitable[bool]]
 """Decides whether a request may be sent to the process of its connection."""
@@ -46,7 +44,7 @@
             failure is None
             or failure.kind is not calls.FailureKind.TIMEOUT
             or on_silence is None
-            or not await on_silence(connection.stream.wait_readable)
+            or not await on_silence(connection)
         ):
             return failure
 
@@ -168,6 +166,7 @@
         fresh: bool = False,
         on_silence: OnSilence | None = None,
         admit: Admit | None = None,
+        on_send: OnSend | None = None,
     ) -> StreamedResponse | calls.Failure:
         """Sends a call and returns when the response headers have arrived.
 
@@ -179,6 +178,7 @@
                 timeout of the call ends it; None for yes.
             admit: Decides whether the call is sent to the process of its
                 connection; None for yes.
+            on_send: Called as the call is sent, and not before.
         """
         connection = None if fresh else await self._find_idle(call.address)
         if connection is None:
@@ -191,6 +191,8 @@
                 calls.FailureKind.NOT_ADMITTED,
                 f"not sent to the process at {call.address}",
             )
+        if on_send is not None:
+            on_send()
         response: StreamedResponse | calls.Failure | None = None
         try:
             response = await self._exchange(connection, call, on_silence)
