--- a/src/tamaracktide/upstreams/network.py
+++ b/src/tamaracktide/upstreams/network.py
@@ -19,6 +19,16 @@
 MAX_READ_AHEAD_BYTES = 64 << 10
 """Received bytes above which reading pauses until they are consumed."""
 
+UNREAD_TIMEOUT_S = 0.01
+"""Time in which the loop reads what has arrived before a timeout."""
+
+
+def _has_event(opened: socket.socket, event: int) -> bool:
+    """Whether an event, an error or a reset of a socket is pending."""
+    poll = select.poll()
+    poll.register(opened, event)
+    return bool(poll.poll(0))
+
 
 class _Receiver(asyncio.Protocol):
     """Collects what a connection receives and tracks its state.
@@ -135,9 +145,19 @@
             return
         if self._loop.time() < self._deadline:
             self._set_deadline(self._deadline)
+        elif self._has_unread():
+            # Timers expire first after a pause of the process.
+            self._set_deadline(self._loop.time() + UNREAD_TIMEOUT_S)
         elif not self._waiter.done():
             self._waiter.set_exception(TimeoutError("no data in time"))
 
+    def _has_unread(self) -> bool:
+        """Whether the kernel has bytes or an end that the loop has not read."""
+        if self.transport is None:
+            return False
+        opened: socket.socket = self.transport.get_extra_info("socket")
+        return opened.fileno() >= 0 and _has_event(opened, select.POLLIN)
+
     @property
     def is_writable(self) -> bool:
         """Whether more may be written without waiting."""
@@ -191,10 +211,7 @@
         """Whether bytes or the end have arrived, read by the loop or not."""
         if self.get_extra_info("is_readable"):
             return True
-        opened: socket.socket = self.get_extra_info("socket")
-        poll = select.poll()
-        poll.register(opened, select.POLLIN)
-        return bool(poll.poll(0))
+        return _has_event(self.get_extra_info("socket"), select.POLLIN)
 
     @property
     def is_ended(self) -> bool:
@@ -206,10 +223,7 @@
         opened: socket.socket = self.get_extra_info("socket")
         if self._receiver.is_ended or opened.fileno() < 0:
             return True
-        poll = select.poll()
-        # Errors and resets are reported in any case.
-        poll.register(opened, select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return _has_event(opened, select.POLLRDHUP)
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:
         """Sends bytes, in the background once the peer responds.
--- a/tests/upstreams/test_network.py
+++ b/tests/upstreams/test_network.py
@@ -4,14 +4,17 @@
 silent in the middle.
 """
 
+import asyncio
 import collections
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import errno
+import os
 import socket
 import struct
+import time
 
 import anyio
 import anyio.abc
@@ -22,6 +25,8 @@
 
 pytestmark = pytest.mark.anyio
 
+READ_TIMEOUT_S = 0.1
+
 Peer = Callable[[anyio.abc.SocketStream], Awaitable[None]]
 
 
@@ -239,3 +244,32 @@
         await stream.aclose()
         await anyio.sleep(0)
         assert stream.has_ended()
+
+
+async def test_bytes_that_arrive_during_a_pause_are_no_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a sound upstream that is given up as silent (TWICE).
+
+    A process that goes on after a pause runs its timers before it reads what
+    has arrived: its selector returns without events once.
+    """
+    selector = asyncio.get_running_loop()._selector  # type: ignore[attr-defined]
+
+    async def send_in_a_pause(stream: anyio.abc.SocketStream) -> None:
+        await anyio.sleep(READ_TIMEOUT_S / 2)
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        with socket.socket(fileno=os.dup(raw.fileno())) as copy:
+            copy.send(b"late")
+        time.sleep(READ_TIMEOUT_S)
+        real_select = selector.select
+
+        def select_nothing(timeout: float | None) -> list[object]:
+            monkeypatch.setattr(selector, "select", real_select)
+            return []
+
+        monkeypatch.setattr(selector, "select", select_nothing)
+        await stream.receive()
+
+    async with connect(send_in_a_pause) as stream:
+        assert await stream.read(10, READ_TIMEOUT_S) == b"late"
