--- a/tests/fleet/soak_checks.py
+++ b/tests/fleet/soak_checks.py
@@ -41,6 +41,7 @@
         request_id: Id of the client's attempt.
         server: Id of the server.
         path: Path of the request.
+        arrived_at: Time at which the server had read it.
         begins_at: Time at which the server began to work on it.
         ends_at: Time at which it ended; infinite if the record has no end.
         how: How it ended.
@@ -49,6 +50,7 @@
     request_id: str
     server: str
     path: str
+    arrived_at: float
     begins_at: float
     ends_at: float = float("inf")
     how: str = "unknown"
@@ -91,6 +93,7 @@
 
 def _read_server(seen: Seen, server: str, path: pathlib.Path) -> None:
     running: dict[str, list[Run]] = collections.defaultdict(list)
+    arrived: dict[str, float] = {}
     for line in path.read_text().splitlines():
         record = json.loads(line) | {"server": server}
         match record["kind"]:
@@ -102,12 +105,15 @@
                 running.clear()
             case "arrive":
                 seen.arrivals.append(record)
+                arrived[record["id"]] = record["t"]
             case "reject":
                 seen.rejections.append(record)
             case "order":
                 seen.orders[server].append(record)
             case "begin":
-                run = Run(record["id"], server, record["path"], record["t"])
+                at = record["t"]
+                arrived_at = arrived.get(record["id"], at)
+                run = Run(record["id"], server, record["path"], arrived_at, at)
                 running[run.request_id].append(run)
                 seen.runs[run.request_id].append(run)
             case "end" if running.get(record["id"]):
@@ -238,7 +244,9 @@
 def show(runs: list[Run]) -> str:
     """Returns runs as a text."""
     return ", ".join(
-        f"{r.server} {r.begins_at:.3f}..{r.ends_at:.3f} {r.how}" for r in runs
+        f"{r.server} {r.arrived_at:.3f}/{r.begins_at:.3f}..{r.ends_at:.3f} "
+        f"{r.how}"
+        for r in runs
     )
 
 
@@ -267,7 +275,10 @@
 ) -> Iterator[Violation]:
     """TWICE: two servers work on one stream for longer than `OVERLAP_S`.
 
-    The run of the earlier attempt is the one that had to end, in time from the
+    Within an attempt, the run at the server that had it first had to end, in
+    time from the arrival at the other one, whether that one had begun or not.
+
+    Between attempts, the run of the earlier one had to end, in time from the
     start of the last of both, and by the instance that sent it. That is so also
     if the run of the client's next attempt began first, as beside an instance
     that was frozen before it read the first one.
@@ -279,14 +290,14 @@
             (attempt, run)
             for attempt in job.attempts
             for run in sorted(
-                seen.runs.get(attempt.request_id, []), key=_get_start
+                seen.runs.get(attempt.request_id, []), key=_get_arrival
             )
         ]
         for (sender, before), (_, after) in itertools.combinations(runs, 2):
-            both_from = max(before.begins_at, after.begins_at)
-            if before.server == after.server or after.ends_at < both_from:
+            goes_on_at = _find_start(before, after)
+            if before.server == after.server or after.ends_at < goes_on_at:
                 continue
-            until = both_from + OVERLAP_S
+            until = goes_on_at + OVERLAP_S
             if before.ends_at < until or _was_frozen(cluster, before):
                 continue
             instance = cluster.instances[sender.instance]
@@ -296,8 +307,15 @@
                 yield Violation("TWICE", detail)
 
 
-def _get_start(run: Run) -> float:
-    return run.begins_at
+def _find_start(before: Run, after: Run) -> float:
+    """Returns from when on the run before another one has to end."""
+    if before.request_id == after.request_id:
+        return after.arrived_at
+    return max(before.begins_at, after.begins_at)
+
+
+def _get_arrival(run: Run) -> float:
+    return run.arrived_at
 
 
 def _was_frozen(cluster: soak_cluster.Cluster, run: Run) -> bool:
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -212,6 +212,13 @@
         response = soak_http.make_response(status, headers, body)
         await request.connection.send(response)
 
+    async def _write(self, request: Request, data: bytes) -> None:
+        """Writes a part of a response to a request of a client."""
+        await self._wait(request, self._config.delay_s)
+        while self._config.holds_responses:
+            await self._wait(request, HANG_POLL_S)
+        await request.connection.send(data)
+
     async def _change(self, request: Request) -> None:
         changes = json.loads(request.body)
         self._note("change", changes=changes)
@@ -323,11 +330,17 @@
 
     async def _wait(self, request: Request, time_s: float) -> None:
         """Waits; raises one of `CLOSED` once the caller has closed."""
+        if not time_s:
+            return
         with anyio.move_on_after(time_s):
             while True:
                 await request.connection.fill()
 
     async def _work(self, request: Request) -> str:
+        if self._rng.random() < self._config.stray_fraction:
+            self._note("stray", id=request.request_id)
+            stray = soak_upstream.make_stray(self._config.stray)
+            await request.connection.send(stray)
         await self._wait(request, self._config.work_s)
         self._note("begin", id=request.request_id, path=request.path)
         headers = {
@@ -349,9 +362,9 @@
         if is_cut:
             size = self._rng.randrange(len(response))
             if size:
-                await request.connection.send(response[:size])
+                await self._write(request, response[:size])
             raise CutError
-        await request.connection.send(response)
+        await self._write(request, response)
         return "complete"
 
     async def _send_endlessly(
@@ -389,9 +402,9 @@
             if number == cut_at:
                 half = event[: len(event) // 2]
                 if self._config.cuts_inside:
-                    await request.connection.send(_frame(half, is_framed))
+                    await self._write(request, _frame(half, is_framed))
                 raise CutError
-            await request.connection.send(_frame(event, is_framed))
+            await self._write(request, _frame(event, is_framed))
             pauses = number == (first + last) // 2
             pause_s = self._config.pause_s if pauses else 0.0
             await self._wait(request, self._config.event_s + pause_s)
@@ -399,7 +412,7 @@
             request.connection.set_reset(False)
             await request.connection.close()
             return
-        await request.connection.send(b"0\r\n\r\n")
+        await self._write(request, b"0\r\n\r\n")
 
     async def _begin_stream(
         self, request: Request, headers: soak_http.Headers, is_framed: bool
@@ -412,7 +425,7 @@
         # Nothing but a reset tells the end of a broken stream without framing.
         request.connection.set_reset(not is_framed)
         head = soak_http.make_response_head(200, headers)
-        await request.connection.send(head)
+        await self._write(request, head)
 
     def _make_event(self, request: Request, number: int) -> bytes:
         stream = request.body.decode("latin-1")
--- a/tests/fleet/soak_upstream.py
+++ b/tests/fleet/soak_upstream.py
@@ -4,6 +4,8 @@
 import hashlib
 from typing import Literal
 
+import soak_http
+
 MODEL = "m0"
 EVENT_TOKENS = 3
 BODY_BYTES = 800
@@ -45,6 +47,13 @@
         cut_resets: Whether connections of these processes are reset; else they
             hang.
         pause_s: Silence in the middle of each stream.
+        delay_s: Time by which each of its writes is late.
+        holds_responses: Whether its responses are held back, as on a link that
+            carries requests only.
+        stray_fraction: Fraction of requests before whose response it writes
+            bytes that belong to none.
+        stray: What these are: a response to an earlier request, a refusal
+            without an id, or bytes that are no response.
         endless_fraction: Fraction of responses that never end.
         endless_part: Part of such a response that goes on.
     """
@@ -77,10 +86,30 @@
     cut_pids: list[int] = dataclasses.field(default_factory=list)
     cut_resets: bool = False
     pause_s: float = 0.0
+    delay_s: float = 0.0
+    holds_responses: bool = False
+    stray_fraction: float = 0.0
+    stray: Literal["refusal", "success", "unnamed", "noise"] = "refusal"
     endless_fraction: float = 0.0
     endless_part: Literal["head", "body", "event"] = "body"
 
 
+def make_stray(kind: str) -> bytes:
+    """Returns bytes that belong to no request that waits."""
+    not_run = {"X-Not-Executed": "1"}
+    match kind:
+        case "refusal":
+            headers = {"X-Request-Id": "earlier", **not_run}
+            return soak_http.make_response(503, headers)
+        case "success":
+            headers = {"X-Request-Id": "earlier"}
+            headers["X-Response-Signature"] = "any.earlier"
+            return soak_http.make_response(200, headers, b"earlier")
+        case "unnamed":
+            return soak_http.make_response(503, not_run)
+    return b"\x00 no response \r\n\r\n"
+
+
 def make_body(service: str, request_id: str, sent: bytes) -> bytes:
     """Returns the body of a plain response, which a client can check."""
     digest = hashlib.sha256(sent).hexdigest()
--- a/tests/fleet/test_entry_soak.py
+++ b/tests/fleet/test_entry_soak.py
@@ -54,6 +54,29 @@
 )
 
 
+def misbehave(
+    at_s: float, service: str, for_s: float, **changes: bool | float | str
+) -> soak_faults.Planned:
+    """Returns a fault in which all servers of a service misbehave."""
+    return soak_faults.Planned(
+        at_s,
+        soak_faults.Misbehave(
+            service, soak_faults.EVERY, for_s, tuple(changes.items())
+        ),
+    )
+
+
+SHARED_ROUNDS = (
+    (misbehave(1.0, "llm", 7.0, pause_s=2.5, work_s=0.9),),
+    (
+        misbehave(1.0, "llm", 3.0, stray_fraction=0.4, stray="refusal"),
+        misbehave(1.0, "ledger", 3.0, stray_fraction=0.4, stray="refusal"),
+        misbehave(4.5, "llm", 3.0, stray_fraction=0.4, stray="unnamed"),
+        misbehave(4.5, "ledger", 3.0, stray_fraction=0.4, stray="success"),
+    ),
+)
+
+
 def check_rounds(
     folder: pathlib.Path, rounds: tuple[tuple[soak_faults.Planned, ...], ...]
 ) -> None:
@@ -86,6 +109,15 @@
     check_rounds(tmp_path, ENDLESS_ROUNDS)
 
 
+def test_no_two_servers_work_on_one_stream(tmp_path: pathlib.Path) -> None:
+    """Guards against streams that go on elsewhere too early (TWICE).
+
+    Servers are silent for longer than the instances wait, and begin late; or
+    write responses to earlier requests before their own.
+    """
+    check_rounds(tmp_path, SHARED_ROUNDS)
+
+
 def make_release_and_kill(fraction: float) -> tuple[soak_faults.Planned, ...]:
     """Returns a release and a kill of all instances while old servers serve."""
     release = soak_faults.Release("llm", fraction, 0.4, 9.0, False)
--- a/tests/fleet/test_soak_checks.py
+++ b/tests/fleet/test_soak_checks.py
@@ -163,6 +163,48 @@
     assert list_rules(cluster, job) == []
 
 
+def write_hedged(
+    cluster: soak_cluster.Cluster, first: list[float], second: list[float]
+) -> None:
+    """Writes when two servers got, began and ended one request."""
+    for server, times in (("llm-1", first), ("llm-2", second)):
+        run = {"id": "j-1", "path": "/plan/1", "how": "closed"}
+        kinds = ("arrive", "begin", "end")
+        write(
+            cluster,
+            server,
+            *(
+                {"t": at, "kind": kind, **run}
+                for at, kind in zip(times, kinds, strict=True)
+            ),
+        )
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "rules"),
+    [
+        ([10.0, 10.1, 12.0], [11.5, 12.4, 13.0], ["TWICE"]),
+        ([10.0, 12.4, 12.5], [11.5, 11.6, 13.0], ["TWICE"]),
+        ([10.0, 10.1, 11.8], [11.5, 12.4, 13.0], []),
+        ([10.0, 11.6, 11.7], [11.5, 11.55, 13.0], []),
+        ([11.5, 11.55, 13.0], [10.0, 11.6, 11.7], []),
+    ],
+)
+def test_server_before_ends_in_time_from_the_arrival_at_the_next(
+    cluster: soak_cluster.Cluster,
+    first: list[float],
+    second: list[float],
+    rules: list[str],
+) -> None:
+    """Guards against a check that takes the wrong server for the one before.
+
+    The one that had the request first has to end, also if it begins late.
+    """
+    write_hedged(cluster, first, second)
+    job = make_job("plan", make_attempt(1, status=200))
+    assert list_rules(cluster, job) == rules
+
+
 def test_late_run_of_an_earlier_attempt_breaks_twice(
     cluster: soak_cluster.Cluster,
 ) -> None:
