--- a/tests/fleet/soak_clients.py
+++ b/tests/fleet/soak_clients.py
@@ -297,6 +297,8 @@
         *events, attempt.partial = (attempt.partial + part).split(EVENT_END)
         now = time.monotonic()
         for event in events:
+            if event == soak_upstream.COMMENT:
+                continue
             try:
                 attempt.events.append(_parse_event(event, now))
             except (ValueError, IndexError):
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -378,7 +378,9 @@
                 head = soak_http.make_response_head(200, headers)
                 await connection.send(head.removesuffix(b"\r\n"))
             case "body":
-                piece = b": x\n\n" if self._config.adapter_slots else b"."
+                piece = b"."
+                if self._config.adapter_slots:
+                    piece = soak_upstream.COMMENT + b"\n\n"
                 await self._begin_stream(request, headers, is_framed=False)
             case "event":
                 piece = b"data: x\n"
--- a/tests/fleet/soak_upstream.py
+++ b/tests/fleet/soak_upstream.py
@@ -9,6 +9,8 @@
 MODEL = "m0"
 EVENT_TOKENS = 3
 BODY_BYTES = 800
+COMMENT = b": x"
+"""A block of a stream that is no event."""
 
 
 @dataclasses.dataclass(slots=True)
