--- a/src/tamaracktide/core/route_history.py
+++ b/src/tamaracktide/core/route_history.py
@@ -5,6 +5,8 @@
 """
 
 from collections.abc import Mapping
+from collections.abc import Sequence
+from typing import TypeAlias
 
 from tamaracktide.core import routing_document
 from tamaracktide.core import stream_origins
@@ -12,13 +14,25 @@
 MAX_TABLES = 100
 """Maximum number of tables that are kept; the oldest ones are dropped."""
 
-_RoutesByHost = Mapping[str, Mapping[str, routing_document.Route]]
+MAX_RECORDED_TABLES = 4
+"""Maximum number of tables that outlast all instances, the newest ones."""
+
+_Shares: TypeAlias = tuple[routing_document.Share, ...]
+
+SharesByHost: TypeAlias = Mapping[str, Mapping[str, _Shares]]
+"""Shares of the resumable routes, by host and path prefix."""
 
 
 class RouteHistory:
     """The resumable routes in force within the retention of streams."""
 
-    __slots__ = ("_current", "_reassigned", "_replaced", "_started_at")
+    __slots__ = (
+        "_current",
+        "_reassigned",
+        "_replaced",
+        "_restored",
+        "_started_at",
+    )
 
     def __init__(self, started_at: float) -> None:
         """Starts without routes.
@@ -27,21 +41,67 @@
             started_at: Start of the instance, seconds.
         """
         self._started_at = started_at
-        self._current: _RoutesByHost = {}
-        self._replaced: list[tuple[float, _RoutesByHost]] = []
+        self._current: SharesByHost = {}
+        self._replaced: list[tuple[float, SharesByHost]] = []
+        self._restored: SharesByHost | None = None
         self._reassigned: frozenset[str] = frozenset()
 
     def apply(
         self, document: routing_document.RoutingDocument, now: float
     ) -> None:
         """Applies the document that comes into force."""
-        routes = _index_resumable(document)
-        previous, self._current = self._current, routes
-        if previous and _list_shares(routes) != _list_shares(previous):
+        table = _index_resumable(document)
+        previous, self._current = self._current, table
+        if previous and table != previous:
             self._replaced.append((now, previous))
             del self._replaced[:-MAX_TABLES]
             self._reassigned = self._find_reassigned()
 
+    def restore(self, tables: Sequence[SharesByHost], now: float) -> None:
+        """Applies tables that were in force before the start, oldest first."""
+        known = [*(table for _, table in self._replaced), self._current]
+        unknown = [table for table in tables if table not in known]
+        if self.is_complete(now) or not unknown:
+            return
+        self._restored = unknown[0]
+        self._replaced[:0] = [(now, table) for table in unknown]
+        self._reassigned = self._find_reassigned()
+
+    def list_recent(self, now: float) -> tuple[SharesByHost, ...]:
+        """Returns the recent tables, oldest first, that others must know.
+
+        None if all streams are of one service.
+        """
+        self._drop_expired(now)
+        tables = (*(table for _, table in self._replaced), self._current)
+        if (
+            len({name for table in tables for name in _list_services(table)})
+            < 2
+        ):
+            return ()
+        return tables[-MAX_RECORDED_TABLES:]
+
+    def find_restored_choice(
+        self, host: str, path: str, request_id: str, now: float
+    ) -> str | None:
+        """Returns the service that began a stream which nobody knows.
+
+        Streams that began after the shares of their route had changed are
+        announced and recorded. So this one began before, by the oldest table.
+
+        Returns:
+            None if no table was restored, or it has no such route.
+        """
+        self._drop_expired(now)
+        if self._restored is None:
+            return None
+        shares = routing_document.find_longest_prefix(
+            self._restored.get(host, {}), path
+        )
+        if shares is None:
+            return None
+        return routing_document.choose_service(shares, request_id)
+
     def is_complete(self, now: float) -> bool:
         """Whether every document that may have begun a stream is known."""
         return now >= self._started_at + stream_origins.RETENTION_S
@@ -52,8 +112,8 @@
         """Returns the services that recent documents choose for a request."""
         self._drop_expired(now)
         return frozenset(
-            route.choose_service(request_id)
-            for route in self._find_routes(host, path)
+            routing_document.choose_service(shares, request_id)
+            for shares in self._find_shares(host, path)
         )
 
     def list_reassigned(self, now: float) -> frozenset[str]:
@@ -72,54 +132,48 @@
         reassigned: set[str] = set()
         for host, prefixes in self._current.items():
             for prefix in prefixes:
-                routes = self._find_routes(host, prefix)
-                if len({route.shares for route in routes}) > 1:
-                    reassigned.update(*(route.services for route in routes))
+                found = set(self._find_shares(host, prefix))
+                if len(found) > 1:
+                    reassigned.update(
+                        share.service for shares in found for share in shares
+                    )
         return frozenset(reassigned)
 
-    def _find_routes(
-        self, host: str, path: str
-    ) -> list[routing_document.Route]:
-        """Returns the routes of a path in all recent tables."""
+    def _find_shares(self, host: str, path: str) -> list[_Shares]:
+        """Returns the shares of a path's route in all recent tables."""
         tables = (*(table for _, table in self._replaced), self._current)
         found = (
             routing_document.find_longest_prefix(table.get(host, {}), path)
             for table in tables
         )
-        return [route for route in found if route is not None]
+        return [shares for shares in found if shares is not None]
 
     def _drop_expired(self, now: float) -> None:
         expires_at = now - stream_origins.RETENTION_S
         kept = [pair for pair in self._replaced if pair[0] > expires_at]
-        if len(kept) < len(self._replaced):
-            self._replaced = kept
-            self._reassigned = self._find_reassigned()
+        if len(kept) == len(self._replaced):
+            return
+        self._replaced = kept
+        self._reassigned = self._find_reassigned()
+        if all(table is not self._restored for _, table in kept):
+            self._restored = None
 
 
 def _index_resumable(
     document: routing_document.RoutingDocument,
-) -> _RoutesByHost:
-    indexed: dict[str, dict[str, routing_document.Route]] = {}
+) -> SharesByHost:
+    indexed: dict[str, dict[str, _Shares]] = {}
     for route in document.routes:
         if route.resumable:
-            indexed.setdefault(route.host, {})[route.path_prefix] = route
+            prefixes = indexed.setdefault(route.host, {})
+            prefixes[route.path_prefix] = route.shares
     return indexed
 
 
-def _list_shares(
-    table: _RoutesByHost,
-) -> dict[tuple[str, str], tuple[routing_document.Share, ...]]:
-    return {
-        (host, prefix): route.shares
-        for host, routes in table.items()
-        for prefix, route in routes.items()
-    }
-
-
-def _list_services(table: _RoutesByHost) -> frozenset[str]:
+def _list_services(table: SharesByHost) -> frozenset[str]:
     return frozenset(
-        service
-        for routes in table.values()
-        for route in routes.values()
-        for service in route.services
+        share.service
+        for prefixes in table.values()
+        for shares in prefixes.values()
+        for share in shares
     )
--- a/src/tamaracktide/core/routing_document.py
+++ b/src/tamaracktide/core/routing_document.py
@@ -88,15 +88,7 @@
             request_id: Its id; that of the request which began the stream if it
                 resumes one.
         """
-        if len(self.shares) == 1:
-            return self.shares[0].service
-        total = sum(share.weight for share in self.shares)
-        point = xxhash.xxh32_intdigest(request_id.encode()) / 2**32 * total
-        for share in self.shares:
-            point -= share.weight
-            if point < 0:
-                return share.service
-        return self.shares[-1].service
+        return choose_service(self.shares, request_id)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -231,6 +223,25 @@
         return None if prefixes is None else find_longest_prefix(prefixes, path)
 
 
+def choose_service(shares: tuple[Share, ...], request_id: str) -> str:
+    """Returns the service for a request, chosen by a hash of its id.
+
+    Args:
+        shares: The services that requests are split between.
+        request_id: Its id; that of the request which began the stream if it
+            resumes one.
+    """
+    if len(shares) == 1:
+        return shares[0].service
+    total = sum(share.weight for share in shares)
+    point = xxhash.xxh32_intdigest(request_id.encode()) / 2**32 * total
+    for share in shares:
+        point -= share.weight
+        if point < 0:
+            return share.service
+    return shares[-1].service
+
+
 def find_longest_prefix(prefixes: Mapping[str, _T], path: str) -> _T | None:
     """Returns the value of the longest prefix of a path, or None.
 
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -186,6 +186,10 @@
             return await self._wait_for(begun_as, find)
         return None
 
+    def has_read_records(self, since: float) -> bool:
+        """Whether all records were read from the store since a time."""
+        return self._get_records().loaded_at >= since
+
     def find_retry_after_s(self, expires_at: float, arrived_at: float) -> float:
         """Returns when a stream that nobody knows may be known.
 
@@ -195,7 +199,7 @@
             expires_at: When the response of the request must be complete.
             arrived_at: When the request arrived.
         """
-        if self._get_records().loaded_at < arrived_at:
+        if not self.has_read_records(arrived_at):
             return RETRY_AFTER_S
         return max(RETRY_AFTER_S, expires_at - anyio.current_time())
 
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from tamaracktide import errors
+from tamaracktide.core import route_history
 from tamaracktide.core import stream_history
 from tamaracktide.core import stream_origins
 from tamaracktide.entry import settings as entry_settings
@@ -77,11 +78,14 @@
         services: Versions by service.
         is_complete: Whether they are all that may have begun a stream.
         era: Era of the store in which they were recorded.
+        tables: Shares of the resumable routes in recent tables, oldest first;
+            none if all streams are of one service.
     """
 
     services: dict[str, tuple[str, ...]]
     is_complete: bool
     era: int = 0
+    tables: tuple[route_history.SharesByHost, ...] = ()
 
 
 _UNREADABLE = _Versions({}, is_complete=False)
@@ -256,10 +260,13 @@
         """
         is_known = revision == self._versions_revision
         self._versions_revision = revision
+        now = anyio.current_time()
+        if not is_known:
+            self._history.routes.restore(versions.tables, now)
         self._on_restore(
             self._history.restore_versions(
                 {} if is_known else versions.services,
-                anyio.current_time(),
+                now,
                 is_complete=versions.is_complete,
             )
         )
@@ -281,6 +288,7 @@
             self._history.list_versions(now),
             self._history.is_complete(now),
             self._find_era(),
+            self._history.routes.list_recent(now),
         )
 
     async def _record_versions(self) -> None:
--- a/src/tamaracktide/entry/stream_services.py
+++ b/src/tamaracktide/entry/stream_services.py
@@ -53,6 +53,11 @@
             return self._check(service, chosen, route, fields, expires_at)
         if self._is_unchanged(fields.host, path, begun_as):
             return chosen
+        restored = self._history.routes.find_restored_choice(
+            fields.host, path, begun_as, anyio.current_time()
+        )
+        if restored and self._resumption.has_read_records(arrived_at):
+            return self._check(restored, chosen, route, fields, expires_at)
         raise errors.RefusalError(
             result_codes.ResultCode.STREAM_SERVICE_UNKNOWN,
             f"service that began {begun_as!r} is not known",
--- a/tests/core/test_route_history.py
+++ b/tests/core/test_route_history.py
@@ -106,3 +106,51 @@
         make_document(("b", 1), resumable=False),
     )
     assert history.list_reassigned(2.0) == frozenset()
+
+
+def test_stream_that_nobody_knows_began_by_the_restored_table() -> None:
+    """Guards against a start that takes its document for all there was (ORDER).
+
+    Another instance that starts later reads the tables of both documents.
+    """
+    before = make_history(make_document(("a", 1), ("b", 1)))
+    tables = before.list_recent(1.0)
+    for recorded in (tables, (*tables, *make_split(1, 9).list_recent(0.0))):
+        after = make_split(1, 9)
+        after.restore(recorded, 5.0)
+        for number in range(20):
+            chosen = before.find_choices(HOST, "/s/x", f"r{number}", 1.0)
+            restored = after.find_restored_choice(
+                HOST, "/s/x", f"r{number}", 6.0
+            )
+            assert chosen == {restored}
+        assert after.list_reassigned(6.0) == {"a", "b"}
+        assert len(after.list_recent(6.0)) == 2
+        later = 5.0 + RETENTION_S
+        assert after.find_restored_choice(HOST, "/s/x", "r", later) is None
+        assert after.list_reassigned(later) == frozenset()
+
+
+def make_split(first: float, second: float) -> route_history.RouteHistory:
+    """Returns the history of one document that splits its route."""
+    return make_history(make_document(("a", first), ("b", second)))
+
+
+def test_table_that_is_known_is_not_restored() -> None:
+    """A record that tells nothing new does not prolong what is known."""
+    history = make_split(1, 9)
+    history.restore(history.list_recent(1.0), 2.0)
+    assert history.find_restored_choice(HOST, "/s/x", "r", 3.0) is None
+
+
+def test_history_that_is_complete_restores_nothing() -> None:
+    """An instance that has seen all documents knows who began a stream."""
+    history = make_split(1, 9)
+    history.restore(make_split(1, 1).list_recent(0.0), RETENTION_S)
+    assert history.list_reassigned(RETENTION_S) == frozenset()
+
+
+def test_single_service_is_not_recorded() -> None:
+    """Deployments without split routes write nothing of them."""
+    history = make_history(make_document(("a", 1)))
+    assert history.list_recent(1.0) == ()
--- a/tests/fleet/test_split_routes.py
+++ b/tests/fleet/test_split_routes.py
@@ -20,6 +20,9 @@
 
 STREAMS = 12
 RESUMED_AFTER = "2"
+RECORD_S = 1.0
+"""Time in which an instance that has started records its document."""
+
 APPLY_S = 1.0
 """Time in which an instance applies a routing document."""
 
@@ -275,3 +278,24 @@
             cluster, is_first_start=False
         ) as instance:
             await check_all_resumed(instance, services)
+
+
+async def test_stream_stays_at_its_service_at_a_later_start() -> None:
+    """Guards against a record that the first one to start replaces (ORDER).
+
+    The shares change while all instances are down.
+    """
+    services: dict[str, str] = {}
+    port = deployment.find_port()
+    async with run_services(services) as cluster:
+        async with entry_instances.run_instance(cluster) as instance:
+            await begin_all(instance)
+        await change_shares(cluster, llm=1, plain=9)
+        async with entry_instances.run_instance(
+            cluster, peer_port=port, is_first_start=False
+        ):
+            await anyio.sleep(RECORD_S)
+            async with entry_instances.run_instance(
+                cluster, "n2", "127.0.0.2", port, is_first_start=False
+            ) as second:
+                await check_all_resumed(second, services)
