--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -178,12 +178,11 @@
         )
         result: results.Result | None = None
         attempt.is_hedged = True
-        _log(run, attempt, "hedged request sent to {}", hedge.upstream)
         sent = anyio.Event()
         try:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(
-                    self._end_sharing, run, attempt, connection, sent
+                    self._end_sharing, run, attempt, hedge, connection, sent
                 )
                 opened = await self._open(run, attempt, hedge, sent.set)
                 tasks.cancel_scope.cancel()
@@ -241,11 +240,13 @@
         self,
         run: runs.Run,
         attempt: runs.Attempt,
+        hedge: runs.Attempt,
         connection: connections.Connection,
         sent: anyio.Event,
     ) -> None:
         """Ends a silent stream before two upstreams can work on it for long."""
         await sent.wait()
+        _log(run, attempt, "hedged request sent to {}", hedge.upstream)
         if not _is_stream(run):
             return
         attempt.is_shared = True
