--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -172,6 +172,7 @@
                 ),
                 body=request.body,
                 timeout_s=time_left_s,
+                request_id=request.request_id,
             ),
             on_send=on_send,
         )
@@ -196,9 +197,6 @@
         fields = self._adapter.parse_response_headers(
             opened.status, opened.headers
         )
-        foreign = sending.check_request_id(run.request, fields)
-        if foreign is not None:
-            return foreign
         if not fields.signed and opened.status in NOT_RUN_STATUSES:
             return results.NotRun(f"peer refused with {opened.status}")
         return sending.check_signature(opened.status, fields)
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -108,6 +108,7 @@
                 headers=self._adapter.make_headers(request, options),
                 body=request.body,
                 timeout_s=timeout_s,
+                request_id=request.request_id,
             ),
             fresh=fresh,
             on_silence=on_silence,
@@ -158,9 +159,6 @@
         fields = self._adapter.parse_response_headers(
             opened.status, opened.headers
         )
-        foreign = check_request_id(request, fields)
-        if foreign is not None:
-            return foreign
         if fields.request_id:
             cell = self._find_cell(request.service)
             cell.reachability.record_contact(placement.entry.upstream)
@@ -180,21 +178,6 @@
         return check_signature(opened.status, fields)
 
 
-def check_request_id(
-    request: requests.ClientRequest, fields: entry_adapter.ResponseFields
-) -> results.LostResponse | None:
-    """Returns why a response does not belong to a request, or None.
-
-    Upstreams and instances name the request in every response. What names none
-    is an answer to bytes that belong to no request.
-    """
-    if fields.request_id == request.request_id:
-        return None
-    return results.LostResponse(
-        f"response belongs to another request: {fields.request_id!r}"
-    )
-
-
 def check_signature(
     status: int, fields: entry_adapter.ResponseFields
 ) -> results.LostResponse | None:
--- a/src/tamaracktide/upstreams/calls.py
+++ b/src/tamaracktide/upstreams/calls.py
@@ -5,6 +5,7 @@
 
 import abc
 from collections.abc import AsyncGenerator
+from collections.abc import Iterable
 import dataclasses
 import enum
 from typing import cast
@@ -24,6 +25,7 @@
 KEEPALIVE_EXPIRY_S = 30.0
 BODILESS_METHODS = frozenset(("GET", "HEAD", "DELETE", "OPTIONS"))
 BODY_END_TIMEOUT_S = 0.05
+REQUEST_ID_HEADER = b"x-request-id"
 
 
 class FailureKind(enum.Enum):
@@ -34,6 +36,7 @@
     BROKEN = "broken"
     TOO_LARGE = "too large"
     NOT_ADMITTED = "not admitted"
+    FOREIGN = "response to another request"
 
 
 NOT_SENT_KINDS = frozenset((FailureKind.UNREACHABLE, FailureKind.NOT_ADMITTED))
@@ -92,6 +95,8 @@
             credentials.
         body: Request body.
         timeout_s: Maximum time without data before and within the response.
+        request_id: Id that the response must name, empty if it must name none;
+            None accepts any response.
     """
 
     method: str
@@ -100,6 +105,21 @@
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b""
     timeout_s: float
+    request_id: str | None = None
+
+    def explain_foreign(self, headers: Iterable[tuple[bytes, bytes]]) -> str:
+        """Returns why a response belongs to another call, empty if it does not.
+
+        Args:
+            headers: Its headers, names in lower case.
+        """
+        if self.request_id is None:
+            return ""
+        named = {value for name, value in headers if name == REQUEST_ID_HEADER}
+        if (named or {b""}) == {self.request_id.encode("latin-1")}:
+            return ""
+        texts = sorted(value.decode("latin-1") for value in named)
+        return f"response belongs to another request: {', '.join(texts)!r}"
 
 
 def classify_failure(error: Exception) -> Failure:
--- a/src/tamaracktide/upstreams/streams.py
+++ b/src/tamaracktide/upstreams/streams.py
@@ -198,7 +198,7 @@
             response = await self._exchange(connection, call, on_silence)
         finally:
             if not isinstance(response, StreamedResponse):
-                await self._close(connection)
+                await self.abort_connection(connection)
         return response
 
     async def _is_admitted(
@@ -364,6 +364,9 @@
             failure = None
         while failure is None and not connection.headers_complete:
             failure = await _receive(connection, call.timeout_s, on_silence)
+        foreign = call.explain_foreign(connection.headers)
+        if failure is None and foreign:
+            return calls.Failure(calls.FailureKind.FOREIGN, foreign)
         return failure or StreamedResponse(
             self, connection, call.timeout_s, on_silence
         )
--- a/tests/upstreams/test_streams.py
+++ b/tests/upstreams/test_streams.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import contextlib
+import dataclasses
 import socket
 
 import anyio
@@ -40,6 +41,7 @@
             in a line of `!`, close the connection.
         connections: Number of accepted connections.
         accepted: The accepted connections.
+        resets: Number of those that were reset.
         address: Its address.
     """
 
@@ -48,6 +50,7 @@
         self.script = list(script)
         self.connections = 0
         self.accepted: list[anyio.abc.SocketStream] = []
+        self.resets = 0
         self.address = ""
 
     async def handle(self, stream: anyio.abc.SocketStream) -> None:
@@ -55,11 +58,7 @@
         self.connections += 1
         self.accepted.append(stream)
         async with stream:
-            with contextlib.suppress(
-                anyio.EndOfStream,
-                anyio.BrokenResourceError,
-                anyio.ClosedResourceError,
-            ):
+            try:
                 while await stream.receive():
                     response = self.script.pop(0)
                     if not response:
@@ -67,6 +66,10 @@
                     await stream.send(response)
                     if response.endswith(b"\n!"):
                         return
+            except anyio.BrokenResourceError:
+                self.resets += 1
+            except (anyio.EndOfStream, anyio.ClosedResourceError):
+                pass
 
 
 @contextlib.asynccontextmanager
@@ -398,3 +401,26 @@
         await opened.read_and_close(100)
         assert client.count_idle(gone.address) == 0
         assert client.count_idle(upstream.address) == 2
+
+
+@pytest.mark.parametrize("request_id", ["", "r2"])
+async def test_connection_with_a_foreign_response_is_reset(
+    request_id: str,
+) -> None:
+    """Guards against an upstream that works on unnoticed (TWICE).
+
+    The response to an earlier request is none to a request, nor to a call that
+    names none, such as an order.
+    """
+    foreign = OK.replace(b"\r\n\r\n", b"\r\nX-Request-Id: r1\r\n\r\n")
+    async with run_upstream(foreign, OK) as (upstream, client):
+        call = make_call(upstream)
+        failure = await client.send(
+            dataclasses.replace(call, request_id=request_id)
+        )
+        assert isinstance(failure, calls.Failure)
+        assert failure.kind is calls.FailureKind.FOREIGN
+        assert failure.may_have_run
+        assert await send(upstream, client) == (200, b"ok")
+        assert upstream.connections == 2
+        assert upstream.resets == 1
