--- a/tests/fleet/soak_cluster.py
+++ b/tests/fleet/soak_cluster.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -25,6 +26,8 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 FIRST_HOST = 11
 INSTANCE_PORTS = 6
+PEER_PORT = 2
+FORWARD_PORT = 3
 STOP_LIMIT_S = 9.0
 MAX_MEMORY_MB = 430
 """Memory of the smallest machines of the users' deployments."""
@@ -152,6 +155,8 @@
         servers: Servers that were ever started, by name.
         store_address: Address of the store.
         store_links: The way of each instance to the store, by its name.
+        peer_links: The ways of the other instances to an instance, by its name.
+        shown_hosts: Hosts that the other instances know, by host.
     """
 
     def __init__(self, folder: pathlib.Path, zones: tuple[str, ...]) -> None:
@@ -160,7 +165,10 @@
         self.store_address = f"{deployment.HOST}:{deployment.find_port()}"
         self.store_links: dict[str, links.Link] = {}
         hosts = [f"127.0.0.{FIRST_HOST + n}" for n in range(len(zones))]
-        ports = _find_ports(hosts, INSTANCE_PORTS)
+        shown = [f"127.0.1.{FIRST_HOST + n}" for n in range(len(zones))]
+        ports = _find_ports([*hosts, *shown], INSTANCE_PORTS)
+        self.shown_hosts = dict(zip(hosts, shown, strict=True))
+        self.peer_links: dict[str, list[links.Link]] = {}
         self.instances: dict[str, Instance] = {}
         for number, zone in enumerate(zones):
             name = f"front-{number + 1}"
@@ -168,9 +176,18 @@
             self.instances[name] = _make_instance(
                 name, zone, hosts[number], ports, link.address
             )
+            self.peer_links[name] = [
+                links.Link(f"{hosts[number]}:{port}", f"{shown[number]}:{port}")
+                for port in ports[PEER_PORT : FORWARD_PORT + 1]
+            ]
         self.servers: dict[str, Server] = {}
         self._processes: list[subprocess.Popen[bytes]] = []
 
+    def list_links(self) -> list[links.Link]:
+        """Returns all links."""
+        between = itertools.chain.from_iterable(self.peer_links.values())
+        return [*self.store_links.values(), *between]
+
     # Entry instances.
 
     def start(self, instance: Instance) -> None:
@@ -361,8 +378,8 @@
             "ip": host,
             "caller_address": f"{host}:{ports[0]}",
             "readiness_address": f"{host}:{ports[1]}",
-            "peer_port": ports[2],
-            "forward_port": ports[3],
+            "peer_port": ports[PEER_PORT],
+            "forward_port": ports[FORWARD_PORT],
             "metrics_port": ports[4],
             "seeds": [],
             "platform_address": store,
--- a/tests/fleet/soak_faults.py
+++ b/tests/fleet/soak_faults.py
@@ -156,6 +156,19 @@
     resets: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DisturbLinks:
+    """The links of the other instances to some instances are disturbed.
+
+    They forward bytes late; or what is sent to these instances at once, and
+    what they respond only afterwards.
+    """
+
+    names: tuple[str, ...]
+    for_s: float
+    is_slow: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DiscardHistory:
     """The store forgets its history."""
@@ -179,6 +192,7 @@
     | StoreSlow
     | CutStore
     | Partition
+    | DisturbLinks
     | DiscardHistory
     | ChangeManifest
 )
@@ -245,6 +259,8 @@
             Freeze(one, LONG_FREEZE_S),
             Partition((one,), rng.uniform(2.0, 6.0), rng.random() < 0.5),
             Partition(every[:2], rng.uniform(2.0, 6.0), rng.random() < 0.5),
+            DisturbLinks((one,), rng.uniform(2.0, 6.0), rng.random() < 0.5),
+            DisturbLinks(every, rng.uniform(2.0, 6.0), rng.random() < 0.5),
             Reload(one),
         )
     )
--- a/tests/fleet/soak_injector.py
+++ b/tests/fleet/soak_injector.py
@@ -87,6 +87,7 @@
                 | soak_faults.Reload()
                 | soak_faults.CutStore()
                 | soak_faults.Partition()
+                | soak_faults.DisturbLinks()
             ):
                 await self._disturb_instances(fault)
             case (
@@ -159,6 +160,8 @@
                 await self._partition(fault)
             case soak_faults.CutStore():
                 await self._cut_store(fault)
+            case soak_faults.DisturbLinks():
+                await self._disturb_links(fault)
             case soak_faults.Reload(name):
                 instance = instances[name]
                 bounds = {**instance.settings["bounds"]}
@@ -176,6 +179,24 @@
             await anyio.sleep(fault.for_s)
             await link.set_state(states.OPEN)
 
+    async def _disturb_links(self, fault: soak_faults.DisturbLinks) -> None:
+        states = links.LinkState
+        state = states.SLOW if fault.is_slow else states.ONE_WAY
+        with contextlib.ExitStack() as stack:
+            for name in fault.names:
+                instance = self._cluster.instances[name]
+                stack.enter_context(instance.disturb("links"))
+            await self._set_links(fault.names, state)
+            await anyio.sleep(fault.for_s)
+            await self._set_links(fault.names, states.OPEN)
+
+    async def _set_links(
+        self, names: tuple[str, ...], state: links.LinkState
+    ) -> None:
+        for name in names:
+            for link in self._cluster.peer_links[name]:
+                await link.set_state(state)
+
     async def _partition(self, fault: soak_faults.Partition) -> None:
         instances = [self._cluster.instances[name] for name in fault.names]
         with contextlib.ExitStack() as stack:
--- a/tests/fleet/soak_rounds.py
+++ b/tests/fleet/soak_rounds.py
@@ -74,7 +74,9 @@
         self._load_s = load_s
         self._rng = random.Random(seed)
         self._cluster = soak_cluster.Cluster(folder, ZONES)
-        self._store = soak_store.Store(self._cluster.store_address)
+        self._store = soak_store.Store(
+            self._cluster.store_address, self._cluster.shown_hosts
+        )
         self._injector = soak_injector.Injector(
             self._cluster, self._store, self._rng
         )
@@ -100,7 +102,7 @@
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._store.run)
-            for link in self._cluster.store_links.values():
+            for link in self._cluster.list_links():
                 tasks.start_soon(link.run)
             try:
                 await self._start(tasks)
--- a/tests/fleet/soak_store.py
+++ b/tests/fleet/soak_store.py
@@ -50,9 +50,16 @@
         acks: Times at which servers became draining or gone, by name.
     """
 
-    def __init__(self, address: str) -> None:
-        """Starts without objects."""
+    def __init__(self, address: str, shown_hosts: dict[str, str]) -> None:
+        """Starts without objects.
+
+        Args:
+            address: `IP:PORT` to listen on.
+            shown_hosts: Hosts that stand in its responses, by those that
+                instances register.
+        """
         self.address = address
+        self._shown_hosts = shown_hosts
         self.era = 1
         self.is_down = False
         self.slow_s = 0.0
@@ -231,7 +238,10 @@
             "Content-Type": "application/json",
             "Store-Era": str(self.era),
         }
-        data = json.dumps(content).encode()
+        text = json.dumps(content)
+        for host, shown in self._shown_hosts.items():
+            text = text.replace(f'"ip": "{host}"', f'"ip": "{shown}"')
+        data = text.encode()
         await connection.send(soak_http.make_response(status, headers, data))
 
     def _take_beat(self, name: str, entry: Object) -> tuple[int, object]:
