--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -253,8 +253,9 @@
         sent_at = anyio.current_time()
         try:
             await anyio.sleep(MAX_SHARED_S)
-            attempt.is_given_up = True
-            await connection.abort()
+            if not connection.has_ended():
+                attempt.is_given_up = True
+                await connection.abort()
         finally:
             shared_s = anyio.current_time() - sent_at
             self._metrics.shared_seconds.observe(
