--- a/tests/fleet/test_shared_requests.py
+++ b/tests/fleet/test_shared_requests.py
@@ -87,6 +87,7 @@
         resumes_after: Last event of the first one.
         breaks: Engines after the first one that break off in place of an
             answer.
+        is_silent: Whether these are silent until they are reset, instead.
         arrivals: Number of times that the request arrived.
         was_reset: Whether the first one was reset before another one answered.
         reset: Set once the first one is reset.
@@ -95,6 +96,7 @@
     first: bytes
     resumes_after: int = 0
     breaks: int = 0
+    is_silent: bool = False
     arrivals: int = 0
     was_reset: bool = False
     reset: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
@@ -118,6 +120,8 @@
             await self.reset.wait()
         self.was_reset = self.reset.is_set()
         if self.arrivals <= 1 + self.breaks:
+            if self.is_silent:
+                await reader.read()
             raise ConnectionError("broken off")
         writer.write(make_stream(request_id, self.resumes_after + 1))
 
@@ -182,11 +186,15 @@
     assert handover.was_reset
 
 
-async def test_stream_goes_on_at_a_third_upstream_if_the_second_breaks() -> (
-    None
-):
-    """Guards against a stream that ends with its second upstream (LOST)."""
-    handover = Handover(make_begun("r1"), 2, breaks=1)
+@pytest.mark.parametrize("is_silent", [False, True])
+async def test_stream_goes_on_at_a_third_upstream_if_the_second_breaks(
+    is_silent: bool,
+) -> None:
+    """Guards against a stream that ends with its second upstream (LOST).
+
+    The second one breaks off, or is silent itself, once the first is reset.
+    """
+    handover = Handover(make_begun("r1"), 2, breaks=1, is_silent=is_silent)
     check_complete(await generate(handover, engines=3, attempts=3))
 
 
