--- a/src/tamaracktide/entry/hedging.py
+++ b/src/tamaracktide/entry/hedging.py
@@ -178,14 +178,8 @@
         )
         result: results.Result | None = None
         attempt.is_hedged = True
-        sent = anyio.Event()
         try:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(
-                    self._end_sharing, run, attempt, hedge, connection, sent
-                )
-                opened = await self._open(run, attempt, hedge, sent.set)
-                tasks.cancel_scope.cancel()
+            opened = await self._open_beside(run, attempt, hedge, connection)
             if isinstance(opened, streams.StreamedResponse):
                 result = await self._check(run, opened)
             else:
@@ -199,6 +193,23 @@
                 run.tries.handle(attempts.HedgeEnded(ran))
         return result
 
+    async def _open_beside(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        hedge: runs.Attempt,
+        connection: connections.Connection,
+    ) -> sending.OpenResult:
+        """Sends a hedged request; ends a silent stream if that takes long."""
+        sent = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(
+                self._end_sharing, run, attempt, hedge, connection, sent
+            )
+            opened = await self._open(run, attempt, hedge, sent.set)
+            tasks.cancel_scope.cancel()
+        return opened
+
     async def _open(
         self,
         run: runs.Run,
