--- a/tests/fleet/test_soak_checks.py
+++ b/tests/fleet/test_soak_checks.py
@@ -233,6 +233,18 @@
     assert list_rules(cluster, job) == []
 
 
+def test_server_that_was_suspended_before_it_began_is_excused(
+    cluster: soak_cluster.Cluster,
+) -> None:
+    """It reads the end of its connection only after it has begun."""
+    write_hedged(cluster, [10.0, 14.0, 14.01], [11.5, 11.6, 12.0])
+    job = make_job("plan", make_attempt(1, status=200))
+    assert list_rules(cluster, job) == ["TWICE"]
+    span = soak_cluster.Span(10.1, 13.99, "frozen")
+    cluster.servers["llm-1"].frozen.append(span)
+    assert list_rules(cluster, job) == []
+
+
 def test_run_of_closed_as_unread_breaks_twice(
     cluster: soak_cluster.Cluster,
 ) -> None:
