Reassign services also if the records are read before the first document

Found by reading: an instance that read the recorded shares before its first document did not count the services of changed routes as reassigned, so that streams which began there afterwards were not announced (ORDER at the next change of hands). The test fails before: no service is reassigned. Tables are recorded once each.

--- a/src/tamaracktide/core/route_history.py
+++ b/src/tamaracktide/core/route_history.py
@@ -52,10 +52,12 @@
         """Applies the document that comes into force."""
         table = _index_resumable(document)
         previous, self._current = self._current, table
-        if previous and table != previous:
+        if table == previous:
+            return
+        if previous:
             self._replaced.append((now, previous))
             del self._replaced[:-MAX_TABLES]
-            self._reassigned = self._find_reassigned()
+        self._reassigned = self._find_reassigned()
 
     def restore(self, tables: Sequence[SharesByHost], now: float) -> None:
         """Applies tables that were in force before the start, oldest first."""
@@ -68,18 +70,17 @@
         self._reassigned = self._find_reassigned()
 
     def list_recent(self, now: float) -> tuple[SharesByHost, ...]:
-        """Returns the recent tables, oldest first, that others must know.
+        """Returns the recent tables, each once, oldest first.
 
-        None if all streams are of one service.
+        None of them if all streams are of one service.
         """
         self._drop_expired(now)
-        tables = (*(table for _, table in self._replaced), self._current)
-        if (
-            len({name for table in tables for name in _list_services(table)})
-            < 2
-        ):
-            return ()
-        return tables[-MAX_RECORDED_TABLES:]
+        tables: list[SharesByHost] = []
+        for table in (*(table for _, table in self._replaced), self._current):
+            if table and table not in tables:
+                tables.append(table)
+        services = frozenset().union(*map(_list_services, tables))
+        return tuple(tables[-MAX_RECORDED_TABLES:]) if len(services) > 1 else ()
 
     def find_restored_choice(
         self, host: str, path: str, request_id: str, now: float
--- a/tests/core/test_route_history.py
+++ b/tests/core/test_route_history.py
@@ -136,6 +136,20 @@
     return make_history(make_document(("a", first), ("b", second)))
 
 
+def test_tables_may_be_restored_before_the_first_document() -> None:
+    """A service is reassigned, too, if the records are read first."""
+    recorded = make_split(1, 1).list_recent(0.0)
+    history = route_history.RouteHistory(0.0)
+    history.restore(recorded, 0.0)
+    history.apply(make_document(("a", 1), ("b", 9)), 1.0)
+    assert history.list_reassigned(2.0) == {"a", "b"}
+    unchanged = route_history.RouteHistory(0.0)
+    unchanged.restore(recorded, 0.0)
+    unchanged.apply(make_document(("a", 1), ("b", 1)), 1.0)
+    assert unchanged.list_reassigned(2.0) == frozenset()
+    assert unchanged.list_recent(2.0) == recorded
+
+
 def test_table_that_is_known_is_not_restored() -> None:
     """A record that tells nothing new does not prolong what is known."""
     history = make_split(1, 9)
