--- a/tests/fleet/soak_cluster.py
+++ b/tests/fleet/soak_cluster.py
@@ -20,10 +20,10 @@
 import soak_server
 import soak_upstream
 
+import builds
 import deployment
 import links
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
 FIRST_HOST = 11
 INSTANCE_PORTS = 6
 PEER_PORT = 2
@@ -67,6 +67,7 @@
         name: Its name.
         zone: Its availability zone.
         settings: Its settings.
+        tree: Sources of the build that it runs from its next start on.
         process: Its process, None while it is down.
         spans: Times in which the soak run disturbed it.
         ends: Times at which it ended by itself, with the status.
@@ -78,6 +79,7 @@
     name: str
     zone: str
     settings: dict[str, Any]
+    tree: pathlib.Path
     process: subprocess.Popen[bytes] | None = None
     spans: list[Span] = dataclasses.field(default_factory=list)
     ends: list[tuple[float, int]] = dataclasses.field(default_factory=list)
@@ -159,8 +161,19 @@
         shown_hosts: Hosts that the other instances know, by host.
     """
 
-    def __init__(self, folder: pathlib.Path, zones: tuple[str, ...]) -> None:
-        """Writes no file and starts no process."""
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        zones: tuple[str, ...],
+        tree: pathlib.Path = builds.ROOT,
+    ) -> None:
+        """Writes no file and starts no process.
+
+        Args:
+            folder: Folder of settings, logs and records.
+            zones: Availability zone of each instance.
+            tree: Sources of the build that the instances start with.
+        """
         self.folder = folder
         self.store_address = f"{deployment.HOST}:{deployment.find_port()}"
         self.store_links: dict[str, links.Link] = {}
@@ -174,7 +187,7 @@
             name = f"front-{number + 1}"
             link = self.store_links[name] = links.Link(self.store_address)
             self.instances[name] = _make_instance(
-                name, zone, hosts[number], ports, link.address
+                name, zone, hosts[number], ports, link.address, tree
             )
             self.peer_links[name] = [
                 links.Link(f"{hosts[number]}:{port}", f"{shown[number]}:{port}")
@@ -195,7 +208,7 @@
         self.write_settings(instance)
         path = self.folder / f"{instance.name}.json"
         instance.process = self._start(
-            [str(ROOT / "platform" / "run.py")],
+            [str(instance.tree / builds.PROGRAM)],
             instance.name,
             TAMARACKTIDE_SETTINGS=str(path),
         )
@@ -212,7 +225,7 @@
         with (self.folder / f"{name}.log").open("ab") as log:
             process = subprocess.Popen(
                 [sys.executable, *arguments],
-                cwd=ROOT,
+                cwd=builds.ROOT,
                 env={**kept, "PYTHONDONTWRITEBYTECODE": "1", **variables},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
@@ -367,7 +380,12 @@
 
 
 def _make_instance(
-    name: str, zone: str, host: str, ports: list[int], store: str
+    name: str,
+    zone: str,
+    host: str,
+    ports: list[int],
+    store: str,
+    tree: pathlib.Path,
 ) -> Instance:
     return Instance(
         name,
@@ -385,6 +403,7 @@
             "platform_address": store,
             "bounds": dict(BOUNDS),
         },
+        tree,
     )
 
 
--- a/tests/fleet/soak_faults.py
+++ b/tests/fleet/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults of a soak run of entry instances, and how they are chosen."""
 
 import dataclasses
+import pathlib
 import random
 
 SHORT_FREEZE_S = 1.0
@@ -50,10 +51,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Terminate:
-    """Instances get SIGTERM one after the other and are started again."""
+    """Instances get SIGTERM one after the other and are started again.
+
+    Attributes:
+        names: The instances, in this order.
+        gap_s: Time between the start of one and the end of the next.
+        tree: Sources of the build that they start as; None for no change.
+    """
 
     names: tuple[str, ...]
     gap_s: float
+    tree: pathlib.Path | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/fleet/soak_injector.py
+++ b/tests/fleet/soak_injector.py
@@ -150,8 +150,9 @@
         match fault:
             case soak_faults.Kill(names, down_s):
                 await self._kill([instances[name] for name in names], down_s)
-            case soak_faults.Terminate(names, gap_s):
+            case soak_faults.Terminate(names, gap_s, tree):
                 for name in names:
+                    instances[name].tree = tree or instances[name].tree
                     await self._terminate(instances[name])
                     await anyio.sleep(gap_s)
             case soak_faults.Freeze(name, for_s):
--- a/tests/fleet/soak_rounds.py
+++ b/tests/fleet/soak_rounds.py
@@ -18,6 +18,8 @@
 import soak_jobs
 import soak_store
 
+import builds
+
 ZONES = ("za", "zb", "zc", "za")
 ENGINE_ZONES = ("za", "za", "zb", "zb", "zc", "zc")
 LEDGER_ZONES = ("za", "zb", "zc")
@@ -52,6 +54,7 @@
         show: Callable[[Report], None],
         rate: float = RATE,
         load_s: float = LOAD_S,
+        tree: pathlib.Path = builds.ROOT,
     ) -> None:
         """Empties the folder; starts no process.
 
@@ -61,6 +64,7 @@
             show: Prints the report of a round.
             rate: Jobs of the clients per second.
             load_s: Time in a round in which clients begin jobs.
+            tree: Sources of the build that the instances start with.
         """
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
@@ -73,7 +77,7 @@
         self._rate = rate
         self._load_s = load_s
         self._rng = random.Random(seed)
-        self._cluster = soak_cluster.Cluster(folder, ZONES)
+        self._cluster = soak_cluster.Cluster(folder, ZONES, tree)
         self._store = soak_store.Store(
             self._cluster.store_address, self._cluster.shown_hosts
         )
