--- a/src/tamaracktide/entry/app.py
+++ b/src/tamaracktide/entry/app.py
@@ -105,7 +105,9 @@
     ) -> None:
         if scope["type"] != "http":
             return
-        responder = responses.Responder(send, close=self.close_connections)
+        responder = responses.Responder(
+            send, close=self.close_connections, to_peer=relayed is not None
+        )
         request_scope = anyio.CancelScope()
         self._request_scopes.add(request_scope)
         try:
--- a/src/tamaracktide/entry/peer_forwarding.py
+++ b/src/tamaracktide/entry/peer_forwarding.py
@@ -14,6 +14,7 @@
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import platform_adapter as entry_adapter
+from tamaracktide.entry import responses
 from tamaracktide.entry import results
 from tamaracktide.entry import runs
 from tamaracktide.entry import sending
@@ -31,7 +32,7 @@
 """Headers between instances, which no upstream receives."""
 
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-"""Statuses of an instance that state that a request has not run."""
+"""Statuses by which an instance refuses a request."""
 
 
 class PeerForwarder:
@@ -198,5 +199,22 @@
             opened.status, opened.headers
         )
         if not fields.signed and opened.status in NOT_RUN_STATUSES:
-            return results.NotRun(f"peer refused with {opened.status}")
+            return _interpret_refusal(run, opened)
         return sending.check_signature(opened.status, fields)
+
+
+def _interpret_refusal(
+    run: runs.Run, opened: streams.StreamedResponse
+) -> results.NotRun | results.LostResponse:
+    """Returns what the refusal of a peer says about a request.
+
+    What may run again goes to another peer in either case.
+    """
+    request = run.request
+    named = (responses.NOT_RUN_HEADER, request.request_id.encode("latin-1"))
+    detail = f"peer refused with {opened.status}"
+    if named in opened.headers:
+        return results.NotRun(f"{detail}, and states that it has not run")
+    if request.route.safe_to_retry:
+        return results.NotRun(f"{detail}, which may be retried")
+    return results.LostResponse(f"{detail}, without a statement")
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -311,6 +311,7 @@
             callers=settings.caller_address,
             zone=settings.availability_zone,
             ip=settings.ip,
+            revision=messages.REVISION,
         ).info("instance started")
         for follower in self._objects.make_followers():
             self._tasks.start_soon(restarts.run_with_restarts, follower.run)
--- a/src/tamaracktide/entry/responses.py
+++ b/src/tamaracktide/entry/responses.py
@@ -12,6 +12,10 @@
 """Statuses that differ from `result_codes.MEANINGS`: clients of an entry
 instance treat a 4xx as final, and a 503 as proof that nothing ran."""
 
+NOT_RUN_HEADER = b"x-tamaracktide-not-run"
+"""Names the request that a refusal between instances states has not run. Its
+status proves nothing: older builds infer it from what upstreams write."""
+
 
 class Responder:
     """Writes one response.
@@ -21,17 +25,21 @@
         finished: Whether the last chunk of the body has been sent.
     """
 
-    __slots__ = ("_close", "_send", "finished", "started")
+    __slots__ = ("_close", "_send", "_to_peer", "finished", "started")
 
-    def __init__(self, send: asgi.Send, *, close: bool) -> None:
+    def __init__(
+        self, send: asgi.Send, *, close: bool, to_peer: bool = False
+    ) -> None:
         """Builds the responder of one request.
 
         Args:
             send: The ASGI send callable.
             close: Whether the connection is closed after the response.
+            to_peer: Whether another instance has sent the request on.
         """
         self._send = send
         self._close = close
+        self._to_peer = to_peer
         self.started = False
         self.finished = False
 
@@ -84,7 +92,10 @@
             (b"x-result-code", str(error.code.value).encode()),
         ]
         if request_id:
-            headers.append((b"x-request-id", request_id.encode("latin-1")))
+            name = request_id.encode("latin-1")
+            headers.append((b"x-request-id", name))
+            if self._to_peer and isinstance(error, errors.RefusalError):
+                headers.append((NOT_RUN_HEADER, name))
         if meaning.retryable and error.retry_after_s is not None:
             text = f"{error.retry_after_s:.2f}"
             headers.append((b"retry-after", text.encode()))
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -12,7 +12,7 @@
 from tamaracktide.protocol import peer_messages
 
 PROTOCOL_VERSION = 1
-REVISION = 3
+REVISION = 4
 """Grows with each landing that adds messages or fields. Peers of all revisions
 of a protocol version work together; logs and metrics show which are met."""
 
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -123,6 +123,7 @@
     backend: network.Backend | None = None,
     is_first_start: bool = True,
     waits_for_lease: bool = True,
+    forward_port: int | None = None,
 ) -> AsyncIterator[Instance]:
     """Runs an instance and waits until the cell's lease is held."""
     ports = [deployment.find_port() for _ in range(4)]
@@ -134,7 +135,7 @@
         readiness_address=f"{host}:{ports[1]}",
         peer_port=peer_port or ports[2],
         metrics_port=ports[3],
-        forward_port=cluster.forward_port,
+        forward_port=forward_port or cluster.forward_port,
         platform_address=store_address or cluster.address,
         is_first_start=is_first_start,
         bounds=bounds or entry_settings.Bounds(),
--- a/tests/fleet/raw_upstreams.py
+++ b/tests/fleet/raw_upstreams.py
@@ -68,6 +68,23 @@
     return headers["x-request-id"]
 
 
+async def serve(
+    cluster: fleet_cluster.Cluster,
+    upstream: RawUpstream,
+    host: str = fleet_cluster.HOST,
+    port: int = 0,
+) -> int:
+    """Listens until the cluster ends; returns the port, a free one for 0."""
+    listener = await anyio.create_tcp_listener(local_host=host, local_port=port)
+
+    async def run() -> None:
+        async with listener:
+            await listener.serve(upstream.handle)
+
+    cluster.tasks.start_soon(run)
+    return int(listener.extra(anyio.abc.SocketAttribute.local_port))
+
+
 async def add_raw_upstream(
     cluster: fleet_cluster.Cluster,
     name: str,
@@ -75,14 +92,7 @@
 ) -> RawUpstream:
     """Starts an upstream of the plain service and registers it."""
     upstream = RawUpstream(respond)
-    listener = await anyio.create_tcp_listener(local_host=fleet_cluster.HOST)
-
-    async def serve() -> None:
-        async with listener:
-            await listener.serve(upstream.handle)
-
-    cluster.tasks.start_soon(serve)
-    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    port = await serve(cluster, upstream)
     server = fleet_cluster.Server(name, port=port)
     cluster.servers[name] = server
     cluster.register(server)
--- a/tests/fleet/test_untrue_refusals.py
+++ b/tests/fleet/test_untrue_refusals.py
@@ -96,6 +96,51 @@
     assert not {r.status for r in responses} & NOT_RUN_STATUSES
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+async def test_refusal_by_a_peer_of_an_older_build_proves_nothing(
+    status: int,
+) -> None:
+    """Guards against the belief in what an older build infers (REFUSED).
+
+    Such a peer has sent a request on, and calls it one that has not run after a
+    refusal that belonged to another one.
+    """
+    async with fleet_cluster.run_cluster() as cluster:
+        await raw_upstreams.add_raw_upstream(
+            cluster, "p1", raw_upstreams.make_success
+        )
+        peer = raw_upstreams.RawUpstream(
+            lambda request_id: raw_upstreams.make_response(
+                status, f"X-Request-Id: {request_id}", "Retry-After: 0.5"
+            )
+        )
+        await raw_upstreams.serve(
+            cluster, peer, "127.0.0.2", cluster.forward_port
+        )
+        backend = partitions.Backend(cluster)
+        port = deployment.find_port()
+        async with (
+            entry_instances.run_instance(
+                cluster, "n1", "127.0.0.1", port, backend=backend
+            ) as instance,
+            entry_instances.run_instance(
+                cluster,
+                "n2",
+                "127.0.0.2",
+                port,
+                forward_port=deployment.find_port(),
+            ),
+        ):
+            await anyio.sleep(LINKED_S)
+            backend.set_cut(partitions.Cut.RESET)
+            responses = [
+                await instance.send("/once/x", f"r{number}")
+                for number in range(3)
+            ]
+    assert peer.runs == ["r0", "r1", "r2"]
+    assert not {r.status for r in responses} & NOT_RUN_STATUSES
+
+
 async def answer_before(
     cluster: fleet_cluster.Cluster, stray: bytes
 ) -> tuple[httpcore.Response, list[raw_upstreams.RawUpstream]]:
