--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -26,6 +26,7 @@
 import anyio
 import anyio.abc
 
+import builds
 import deployment
 import faults
 import links
@@ -301,6 +302,18 @@
         default="both",
         help="what is run; default: both",
     )
+    parser.add_argument(
+        "--instances",
+        type=int,
+        default=4,
+        help="entry instances of the deployment `entry`; default: 4",
+    )
+    parser.add_argument(
+        "--upgrade-from",
+        default="",
+        metavar="COMMIT",
+        help="build that entry instances run until they are replaced",
+    )
     parser.add_argument("--directory", type=pathlib.Path, default="run/soak")
     return parser.parse_args()
 
@@ -318,7 +331,14 @@
     import soak_rounds
 
     directory = flags.directory.resolve() / "entry"
-    soak = soak_rounds.run(directory, flags.seed, minutes, flags.rounds)
+    tree = builds.ROOT
+    if flags.upgrade_from:
+        folder = flags.directory.resolve() / "builds" / flags.upgrade_from
+        tree = builds.extract(flags.upgrade_from, folder)
+    settings = soak_rounds.Settings(instances=flags.instances, tree=tree)
+    soak = soak_rounds.run(
+        directory, flags.seed, minutes, flags.rounds, settings
+    )
     return {**soak.sums, "failures": soak.failures}
 
 
--- a/tests/fleet/soak_rounds.py
+++ b/tests/fleet/soak_rounds.py
@@ -2,6 +2,8 @@
 
 import collections
 from collections.abc import Callable
+import dataclasses
+import itertools
 import json
 import pathlib
 import random
@@ -20,11 +22,9 @@
 
 import builds
 
-ZONES = ("za", "zb", "zc", "za")
+ZONES = ("za", "zb", "zc")
 ENGINE_ZONES = ("za", "za", "zb", "zb", "zc", "zc")
 LEDGER_ZONES = ("za", "zb", "zc")
-LOAD_S = 14.0
-RATE = 30.0
 START_TIMEOUT_S = 30.0
 WARM_UP_S = 5.0
 PROBE_PERIOD_S = 1.0
@@ -35,6 +35,26 @@
 Report = dict[str, object]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Settings:
+    """Size and load of a soak run.
+
+    Attributes:
+        instances: Number of entry instances.
+        rate: Jobs of the clients per second.
+        load_s: Time in a round in which clients begin jobs.
+        tree: Sources of the build that the instances start with.
+    """
+
+    instances: int = 4
+    rate: float = 30.0
+    load_s: float = 14.0
+    tree: pathlib.Path = builds.ROOT
+
+
+DEFAULTS = Settings()
+
+
 class NotReadyError(RuntimeError):
     """The deployment did not become ready."""
 
@@ -52,9 +72,7 @@
         folder: pathlib.Path,
         seed: int,
         show: Callable[[Report], None],
-        rate: float = RATE,
-        load_s: float = LOAD_S,
-        tree: pathlib.Path = builds.ROOT,
+        settings: Settings = DEFAULTS,
     ) -> None:
         """Empties the folder; starts no process.
 
@@ -62,9 +80,7 @@
             folder: Folder of settings, logs and records.
             seed: Seed of all choices.
             show: Prints the report of a round.
-            rate: Jobs of the clients per second.
-            load_s: Time in a round in which clients begin jobs.
-            tree: Sources of the build that the instances start with.
+            settings: Its size and load.
         """
         shutil.rmtree(folder, ignore_errors=True)
         folder.mkdir(parents=True)
@@ -74,10 +90,12 @@
         self._folder = folder
         self._seed = seed
         self._show = show
-        self._rate = rate
-        self._load_s = load_s
+        self._settings = settings
         self._rng = random.Random(seed)
-        self._cluster = soak_cluster.Cluster(folder, ZONES, tree)
+        zones = itertools.islice(itertools.cycle(ZONES), settings.instances)
+        self._cluster = soak_cluster.Cluster(
+            folder, tuple(zones), settings.tree
+        )
         self._store = soak_store.Store(
             self._cluster.store_address, self._cluster.shown_hosts
         )
@@ -86,10 +104,20 @@
         )
 
     def choose_faults(self) -> tuple[soak_faults.Planned, ...]:
-        """Returns the faults of the next round."""
-        return soak_faults.choose_faults(
-            self._rng, sorted(self._cluster.instances)
-        )
+        """Returns the faults of the next round.
+
+        If the instances started as another build, they are replaced by this one
+        in a round, and by that one in the next.
+        """
+        names = sorted(self._cluster.instances)
+        planned = soak_faults.choose_faults(self._rng, names)
+        if self._settings.tree == builds.ROOT:
+            return planned
+        first = self._cluster.instances[names[0]]
+        is_upgrade = first.tree != builds.ROOT
+        tree = builds.ROOT if is_upgrade else self._settings.tree
+        replace = soak_faults.Terminate(tuple(names), 0.5, tree)
+        return (*planned, soak_faults.Planned(0.5, replace))
 
     async def run(
         self,
@@ -169,7 +197,9 @@
             self._folder / "attempts.jsonl",
         )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(clients.run, self._rate, self._load_s)
+            tasks.start_soon(
+                clients.run, self._settings.rate, self._settings.load_s
+            )
             tasks.start_soon(self._injector.play, planned)
         seen = soak_checks.read_servers(self._cluster)
         found = self._judge(started_at, clients, seen)
@@ -288,10 +318,16 @@
 
 
 def run(
-    folder: pathlib.Path, seed: int, minutes: float, rounds: int
+    folder: pathlib.Path,
+    seed: int,
+    minutes: float,
+    rounds: int,
+    settings: Settings = DEFAULTS,
 ) -> EntrySoak:
     """Runs a soak run and prints a line for each round."""
-    soak = EntrySoak(folder, seed, lambda r: print(json.dumps(r), flush=True))
+    soak = EntrySoak(
+        folder, seed, lambda r: print(json.dumps(r), flush=True), settings
+    )
     ends_at = time.monotonic() + 60.0 * minutes
     anyio.run(soak.run, soak.choose_faults, rounds, ends_at)
     return soak
--- a/tests/fleet/test_entry_soak.py
+++ b/tests/fleet/test_entry_soak.py
@@ -9,8 +9,7 @@
 
 INSTANCES = tuple(f"front-{number}" for number in range(1, 5))
 SEED = 7
-RATE = 10.0
-LOAD_S = 9.0
+LOAD = soak_rounds.Settings(rate=10.0, load_s=9.0)
 ROUNDS = (
     (
         soak_faults.Planned(1.0, soak_faults.Kill(("front-1",), 0.5)),
@@ -82,7 +81,7 @@
 ) -> None:
     """Plays rounds, in which no rule may break and most jobs are served."""
     soak = soak_rounds.EntrySoak(
-        folder / "soak", SEED, lambda report: None, RATE, LOAD_S
+        folder / "soak", SEED, lambda report: None, LOAD
     )
     planned = iter(rounds)
     anyio.run(soak.run, lambda: next(planned), len(rounds), float("inf"))
@@ -134,7 +133,10 @@
     Guards against instances that know only what serves after their start.
     """
     soak = soak_rounds.EntrySoak(
-        tmp_path / "soak", SEED, lambda report: None, 45.0, 12.0
+        tmp_path / "soak",
+        SEED,
+        lambda report: None,
+        soak_rounds.Settings(rate=45.0, load_s=12.0),
     )
     faults = make_release_and_kill(fraction)
     anyio.run(soak.run, lambda: faults, 1, float("inf"))
--- a/tests/fleet/test_upgrades.py
+++ b/tests/fleet/test_upgrades.py
@@ -12,7 +12,6 @@
 import builds
 
 SEED = 53
-RATE = 40.0
 LOAD_S = 20.0
 UPGRADE = soak_faults.Planned(
     2.0, soak_faults.Terminate(INSTANCES, 1.0, builds.ROOT)
@@ -37,7 +36,10 @@
     Servers precede responses by a refusal that names no request.
     """
     soak = soak_rounds.EntrySoak(
-        tmp_path / "soak", SEED, lambda report: None, RATE, LOAD_S, production
+        tmp_path / "soak",
+        SEED,
+        lambda report: None,
+        soak_rounds.Settings(rate=40.0, load_s=LOAD_S, tree=production),
     )
     anyio.run(soak.run, lambda: (*STRAY_RESPONSES, UPGRADE), 1, float("inf"))
     assert soak.failures == []
