--- a/src/tamaracktide/entry/main.py
+++ b/src/tamaracktide/entry/main.py
@@ -1,7 +1,6 @@
 """Starts an entry instance with a platform adapter."""
 
 import gc
-import signal
 import sys
 
 import anyio
@@ -35,8 +34,6 @@
     loaded_settings = flags.run_settings_flags(
         entry_settings.EntrySettings, settings, check_settings, print_schema
     )
-    # A reload signal before its handler is installed must not end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logs.configure_logs(
         loaded_settings.observability,
         ROLE,
--- a/src/tamaracktide/entry/settings_watch.py
+++ b/src/tamaracktide/entry/settings_watch.py
@@ -37,15 +37,21 @@
         self._path = path
         self._settings = settings
         self._apply_seeds = apply_seeds
-        self._last_stamp = _read_stamp(path)
+        self._last_stamp: _FileStamp | None = None
 
     async def run(self) -> None:
         """Watches the file until cancelled."""
-        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._poll)
-                async for _ in signals:
-                    self._read("signal")
+        try:
+            with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+                # The file may have changed since the settings were read.
+                self._read("start")
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self._poll)
+                    async for _ in signals:
+                        self._read("signal")
+        finally:
+            # The default action ends a process that still completes its stop.
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
     async def _poll(self) -> None:
         while True:
--- a/tests/entry/test_settings_watch.py
+++ b/tests/entry/test_settings_watch.py
@@ -47,10 +47,16 @@
                 await anyio.sleep(0.02)
 
 
+def _read(path: pathlib.Path) -> entry_settings.EntrySettings:
+    return files.read_settings(str(path), entry_settings.EntrySettings)
+
+
 @contextlib.asynccontextmanager
-async def _run_watcher(path: pathlib.Path) -> AsyncIterator[_SeedRecorder]:
+async def _run_watcher(
+    path: pathlib.Path, settings: entry_settings.EntrySettings | None = None
+) -> AsyncIterator[_SeedRecorder]:
     seeds = _SeedRecorder()
-    settings = files.read_settings(str(path), entry_settings.EntrySettings)
+    settings = settings or _read(path)
     watcher = settings_watch.SettingsWatcher(
         str(path), settings, seeds.applied.append
     )
@@ -117,3 +123,26 @@
         _write_settings(path, seeds=["10.0.0.1:7"])
         os.kill(os.getpid(), signal.SIGHUP)
         await seeds.wait_for(1)
+
+
+async def test_change_during_the_start_is_applied(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a change between the reading and the watching (CONFIG)."""
+    path = tmp_path / "settings.json"
+    _write_settings(path)
+    settings = _read(path)
+    _write_settings(path, seeds=["10.0.0.1:7"])
+    async with _run_watcher(path, settings) as seeds:
+        await seeds.wait_for(1)
+
+
+async def test_signal_after_the_watcher_has_ended_is_ignored(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against the end of a process that completes its stop (Fault)."""
+    path = tmp_path / "settings.json"
+    _write_settings(path)
+    async with _run_watcher(path):
+        pass
+    assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
