--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -289,9 +289,7 @@
         """Sends a request, with retries while its adapter is loading."""
         budget = self._find_budget(run.request.service.name)
         for retry in range(MAX_ADAPTER_RETRIES + 1):
-            # A late second copy of the refusal would pass for the response to
-            # the retry, which has the same id.
-            result = await self._send(run, attempt, fresh=retry > 0)
+            result = await self._send(run, attempt)
             missing = isinstance(result, results.NotRun) and result.missing
             if retry == 0 and not attempt.is_relayed:
                 run.cell.record_adapter(attempt.placement, missing=missing)
@@ -309,7 +307,7 @@
         return result
 
     async def _send(
-        self, run: runs.Run, attempt: runs.Attempt, *, fresh: bool
+        self, run: runs.Run, attempt: runs.Attempt
     ) -> results.Result:
         attempt.timing = stream_timing.StreamTiming(anyio.current_time())
         if attempt.is_relayed:
@@ -320,7 +318,6 @@
                 run.progress,
                 attempt.placement,
                 self._hedger.watch(run, attempt),
-                fresh=fresh,
             )
         if isinstance(opened, streams.StreamedResponse):
             return await self._handle_response(run, attempt, opened)
--- a/src/tamaracktide/entry/outcomes.py
+++ b/src/tamaracktide/entry/outcomes.py
@@ -118,6 +118,7 @@
     logs.bind(
         request_id=run.request.request_id,
         upstream=attempt.upstream,
+        address=attempt.placement.entry.address,
         adapter=attempt.placement.key.text,
         waited_s=round(attempt.placement.waited_s, 4),
         is_relayed=attempt.is_relayed,
--- a/src/tamaracktide/entry/results.py
+++ b/src/tamaracktide/entry/results.py
@@ -73,6 +73,8 @@
         last_id: Id of the last event that was forwarded.
         events: Number of events that this instance forwarded.
         upstreams: Upstreams that the request was sent to.
+        addresses: Their addresses. A connection that was used for the request
+            may still bring a second response to it.
         software: Software version that wrote the stream's first event; None
             before it.
         first_s: Time that its first attempt waited and took to the first event.
@@ -84,6 +86,7 @@
     last_id: int | None
     events: int = 0
     upstreams: list[str] = dataclasses.field(default_factory=list)
+    addresses: set[str] = dataclasses.field(default_factory=set)
     software: str | None = None
     first_s: float | None = None
     longest_gap_s: float = 0.0
--- a/src/tamaracktide/entry/sending.py
+++ b/src/tamaracktide/entry/sending.py
@@ -69,7 +69,6 @@
         placement: service_cell.Placement,
         on_silence: streams.OnSilence | None,
         *,
-        fresh: bool = False,
         on_send: streams.OnSend | None = None,
     ) -> OpenResult:
         """Sends a request and returns its response, whose headers fit it.
@@ -80,7 +79,6 @@
             placement: The granted batch slot.
             on_silence: Called when the upstream is silent; None waits until
                 the request expires.
-            fresh: Whether to use a new connection.
             on_send: Called as the request is sent.
         """
         remaining_s = request.expires_at - anyio.current_time()
@@ -99,11 +97,14 @@
         timeout_s = remaining_s
         if on_silence is not None:
             timeout_s = find_idle_timeout_s(request, remaining_s)
+        address = placement.entry.address
+        fresh = address in progress.addresses
         progress.upstreams.append(placement.entry.upstream)
+        progress.addresses.add(address)
         opened = await self._upstream_client.open(
             calls.Call(
                 method=request.method,
-                address=placement.entry.address,
+                address=address,
                 target=request.target,
                 headers=self._adapter.make_headers(request, options),
                 body=request.body,
--- a/tests/fleet/raw_upstreams.py
+++ b/tests/fleet/raw_upstreams.py
@@ -46,13 +46,14 @@
                 anyio.EndOfStream, anyio.BrokenResourceError
             ):
                 while True:
-                    request_id = await _receive_request(stream)
+                    headers = await receive_request(stream)
+                    request_id = headers["x-request-id"]
                     self.runs.append(request_id)
                     await stream.send(self.respond(request_id))
 
 
-async def _receive_request(stream: anyio.abc.SocketStream) -> str:
-    """Receives a whole request and returns its id."""
+async def receive_request(stream: anyio.abc.SocketStream) -> dict[str, str]:
+    """Receives a whole request; returns its headers, in lower case."""
     received = b""
     while b"\r\n\r\n" not in received:
         received += await stream.receive(MAX_READ_BYTES)
@@ -65,7 +66,7 @@
     }
     while len(body) < int(headers.get("content-length", "0")):
         body += await stream.receive(MAX_READ_BYTES)
-    return headers["x-request-id"]
+    return headers
 
 
 async def serve(
--- a/tests/fleet/test_untrue_refusals.py
+++ b/tests/fleet/test_untrue_refusals.py
@@ -4,7 +4,11 @@
 them and answer with a status that clients take for the proof that none ran.
 """
 
+import contextlib
+import dataclasses
+
 import anyio
+import anyio.abc
 import entry_instances
 import fleet_cluster
 import httpcore
@@ -96,6 +100,61 @@
     assert not {r.status for r in responses} & NOT_RUN_STATUSES
 
 
+@dataclasses.dataclass(slots=True)
+class RenamedUpstream(raw_upstreams.RawUpstream):
+    """Refuses each request once, as one for the server before at its address.
+
+    A second copy of that refusal precedes the next response on its connection.
+
+    Attributes:
+        expected: The instance that the first attempt was for, by request.
+    """
+
+    expected: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves the requests of one connection."""
+        late = b""
+        async with stream:
+            with contextlib.suppress(
+                anyio.EndOfStream, anyio.BrokenResourceError
+            ):
+                while True:
+                    headers = await raw_upstreams.receive_request(stream)
+                    request_id = headers["x-request-id"]
+                    name = headers["x-expect-instance"]
+                    if self.expected.setdefault(request_id, name) != name:
+                        self.runs.append(request_id)
+                        await stream.send(late + self.respond(request_id))
+                        continue
+                    late = raw_upstreams.make_response(
+                        421, f"X-Request-Id: {request_id}"
+                    )
+                    await stream.send(late)
+
+
+async def test_second_copy_of_a_refusal_answers_no_other_attempt() -> None:
+    """Guards against a late refusal that passes for the next one's (TWICE).
+
+    Both attempts of a request name the same id, and if another server has its
+    address they use the same connection.
+    """
+    upstream = RenamedUpstream(raw_upstreams.make_success)
+    async with fleet_cluster.run_cluster() as cluster:
+        port = await raw_upstreams.serve(cluster, upstream)
+        for name in ("p1", "p2"):
+            server = fleet_cluster.Server(name, port=port)
+            cluster.servers[name] = server
+            cluster.register(server)
+        async with entry_instances.run_instance(cluster) as instance:
+            responses = [
+                await instance.send("/once/x", f"r{number}")
+                for number in range(8)
+            ]
+    assert sorted(upstream.runs) == [f"r{number}" for number in range(8)]
+    assert not {r.status for r in responses} & NOT_RUN_STATUSES
+
+
 @pytest.mark.parametrize("status", [408, 421, 429, 503])
 async def test_refusal_by_a_peer_of_an_older_build_proves_nothing(
     status: int,
