Soak: servers that repeat refusals at another's address, limits and brittle servers

And what broke REFUSED on every landing: a server that comes back under another id at its address repeats what it refuses 20 ms later.

--- a/tests/fleet/soak_faults.py
+++ b/tests/fleet/soak_faults.py
@@ -35,6 +35,8 @@
     (("stray_fraction", 0.3), ("stray", "success")),
     (("stray_fraction", 0.3), ("stray", "unnamed")),
     (("stray_fraction", 0.3), ("stray", "noise")),
+    (("names_limit", 6.0),),
+    (("names_brittle", 3),),
     (("endless_fraction", 0.3), ("endless_part", "head")),
     (("endless_fraction", 0.3), ("endless_part", "body")),
     (("endless_fraction", 0.3), ("endless_part", "event")),
@@ -83,7 +85,8 @@
 class KillServers:
     """Servers of a service are killed; they come back after a time.
 
-    Without their ids, they come back as others at their addresses.
+    Without their ids, they come back as others at their addresses, and repeat
+    late what they refuse.
     """
 
     service: str
--- a/tests/fleet/soak_injector.py
+++ b/tests/fleet/soak_injector.py
@@ -20,6 +20,8 @@
 
 NAMED_DRAIN_S = 2.0
 EXIT_S = 0.3
+LATE_COPY_S = 0.02
+"""Time after which a server at the address of another repeats a refusal."""
 FIRST_VERSION = 3
 CONFIG_APPLY_S = 2.0
 CONTACT_S = 3.0
@@ -292,6 +294,7 @@
                     server.config.zone,
                     server.config.software,
                     server.config.address,
+                    LATE_COPY_S,
                 )
 
     async def _freeze_server(
@@ -327,7 +330,12 @@
             await server.change(**normal)
 
     def add_server(
-        self, service: str, zone: str, software: str, address: str = ""
+        self,
+        service: str,
+        zone: str,
+        software: str,
+        address: str = "",
+        late_copy_s: float = 0.0,
     ) -> soak_cluster.Server:
         """Starts a new server of a service, at a free address if none."""
         number = 1 + len(self._cluster.servers)
@@ -344,6 +352,7 @@
                 record=str(self._cluster.folder / f"{name}.events"),
                 adapter_slots=20 if is_engine else 0,
                 slots=64 if is_engine else 6,
+                late_copy_s=late_copy_s,
                 seed=self._rng.randrange(1 << 30),
             )
         )
--- a/tests/fleet/soak_server.py
+++ b/tests/fleet/soak_server.py
@@ -5,6 +5,7 @@
 process is killed. `POST /soak` changes its behaviour.
 """
 
+import collections
 import dataclasses
 import json
 import os
@@ -62,6 +63,7 @@
         self._record_fd = os.open(config.record, flags, 0o644)
         self._beats = 0
         self._running = 0
+        self._arrived: collections.deque[float] = collections.deque()
         self._adapters = soak_adapters.Adapters(config.adapter_slots)
         self._connections: set[soak_http.Connection] = set()
         self._changed = anyio.Event()
@@ -207,8 +209,7 @@
         headers: soak_http.Headers,
         body: bytes = b"",
     ) -> None:
-        if self._config.names_leaving:
-            headers = {**headers, "Server-Leaving": "1"}
+        headers = headers | soak_upstream.make_state_headers(self._config)
         response = soak_http.make_response(status, headers, body)
         await request.connection.send(response)
 
@@ -303,6 +304,8 @@
         is_refusing = now < self._config.refuses_until
         if is_refusing and self._rng.random() < self._config.refuse_fraction:
             return 503, "wave"
+        if self._is_over_limit(now):
+            return 503, "limit"
         if self._config.adapter_slots and self._lacks(adapter):
             return 421, "adapter"
         if self._running >= self._config.slots or self._adapters.is_unloading(
@@ -311,6 +314,14 @@
             return 503, "full"
         return None
 
+    def _is_over_limit(self, now: float) -> bool:
+        """Counts an arrival; returns whether a second had too many."""
+        self._arrived.append(now)
+        while self._arrived[0] < now - 1.0:
+            self._arrived.popleft()
+        limit = self._config.names_limit
+        return limit > 0.0 and len(self._arrived) > limit
+
     def _lacks(self, adapter: str) -> bool:
         if self._rng.random() < self._config.missing_fraction:
             return True
@@ -347,8 +358,7 @@
             "X-Request-Id": request.request_id,
             "X-Response-Signature": f"{self._config.name}.{request.request_id}",
         }
-        if self._config.names_leaving:
-            headers["Server-Leaving"] = "1"
+        headers |= soak_upstream.make_state_headers(self._config)
         if self._rng.random() < self._config.endless_fraction:
             await self._send_endlessly(request, headers)
         is_cut = self._rng.random() < self._config.cut_fraction
--- a/tests/fleet/soak_upstream.py
+++ b/tests/fleet/soak_upstream.py
@@ -33,6 +33,10 @@
         state: `ready` or `draining`.
         is_beating: Whether it writes its entry.
         names_leaving: Whether its responses say that it leaves.
+        names_limit: Requests a second that its responses say it takes, beyond
+            which it turns requests away; 0 for any number.
+        names_brittle: Rejections a second that its responses say it survives;
+            0 for any number.
         refuses_until: Time until which it turns requests away.
         names_retry: Whether those refusals say when to come back.
         refuse_fraction: Fraction of requests that it turns away meanwhile.
@@ -75,6 +79,8 @@
     state: str = "ready"
     is_beating: bool = True
     names_leaving: bool = False
+    names_limit: float = 0.0
+    names_brittle: int = 0
     refuses_until: float = 0.0
     names_retry: bool = False
     refuse_fraction: float = 1.0
@@ -96,6 +102,18 @@
     endless_part: Literal["head", "body", "event"] = "body"
 
 
+def make_state_headers(config: Config) -> soak_http.Headers:
+    """Returns what all responses of a stand-in say about its state."""
+    headers = {}
+    if config.names_leaving:
+        headers["Server-Leaving"] = "1"
+    if config.names_limit:
+        headers["Server-Limit"] = f"{config.names_limit:g}"
+    if config.names_brittle:
+        headers["Server-Brittle"] = str(config.names_brittle)
+    return headers
+
+
 def make_stray(kind: str) -> bytes:
     """Returns bytes that belong to no request that waits."""
     not_run = {"X-Not-Executed": "1"}
--- a/tests/fleet/test_entry_soak.py
+++ b/tests/fleet/test_entry_soak.py
@@ -117,17 +117,10 @@
     check_rounds(tmp_path, SHARED_ROUNDS)
 
 
-def rename_servers(at_s: float) -> tuple[soak_faults.Planned, ...]:
-    """Returns a kill of all servers, whose addresses others have afterwards.
-
-    These refuse what is meant for the ones before, and repeat it late.
-    """
-    service = "ledger"
-    kill = soak_faults.KillServers(service, soak_faults.EVERY, 0.05, False)
-    return (
-        soak_faults.Planned(at_s, kill),
-        misbehave(at_s + 0.3, service, 3.5, late_copy_s=0.02),
-    )
+def rename_servers(at_s: float) -> soak_faults.Planned:
+    """Returns a kill of all servers, whose addresses others have afterwards."""
+    kill = soak_faults.KillServers("ledger", soak_faults.EVERY, 0.05, False)
+    return soak_faults.Planned(at_s, kill)
 
 
 def test_late_refusals_of_the_server_before_at_an_address_prove_nothing(
@@ -144,7 +137,7 @@
         lambda report: None,
         soak_rounds.Settings(rate=60.0, load_s=10.0),
     )
-    faults = (*rename_servers(1.0), *rename_servers(5.5))
+    faults = (rename_servers(1.0), rename_servers(5.5))
     anyio.run(soak.run, lambda: faults, 1, float("inf"))
     assert soak.failures == []
     assert soak.sums["served"] > soak.sums["sent"] / 2
