--- a/tests/protocol/test_recorded_messages.py
+++ b/tests/protocol/test_recorded_messages.py
@@ -4,7 +4,10 @@
 """
 
 import json
+import os
 import pathlib
+import subprocess
+import sys
 from typing import Any
 
 import cbor2
@@ -13,9 +16,13 @@
 from hypothesis import strategies
 import pytest
 
+import builds
 import recorded_messages
 from tamaracktide.protocol import codec
 
+SHORT_NAME = 7
+"""Letters of a commit's name that name its recording."""
+
 RECORDED = sorted((pathlib.Path(__file__).parent / "recorded").glob("*.json"))
 
 
@@ -48,6 +55,31 @@
         )
 
 
+def test_messages_of_the_build_in_production_are_recorded() -> None:
+    """Guards against recordings that grow old while production moves on."""
+    stems = {path.stem for path in RECORDED}
+    assert builds.read_production()[:SHORT_NAME] in stems
+
+
+def test_build_in_production_decodes_all_messages(
+    tmp_path: pathlib.Path,
+) -> None:
+    """It runs beside this one during an upgrade."""
+    tree = builds.extract(builds.read_production(), tmp_path / "production")
+    path = tmp_path / "messages.json"
+    recorded_messages.Commands().record(str(path))
+    checked = subprocess.run(
+        [sys.executable, recorded_messages.__file__, "check", str(path)],
+        env={**os.environ, "PYTHONPATH": str(tree / "src")},
+        capture_output=True,
+        check=True,
+    )
+    results = [line.split() for line in checked.stdout.decode().splitlines()]
+    kinds = {kind.__name__ for kind in recorded_messages.list_kinds()}
+    assert {name for name, _ in results} == kinds
+    assert {result for _, result in results} <= {"decoded", "skipped"}
+
+
 def test_recording_of_a_build_is_that_of_all_its_messages() -> None:
     """The sample of each type is decoded to itself."""
     for kind in recorded_messages.list_kinds():
