--- a/tests/fleet/raw_upstreams.py
+++ b/tests/fleet/raw_upstreams.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import contextlib
 import dataclasses
+from typing import Protocol
 
 import anyio
 import anyio.abc
@@ -69,9 +70,16 @@
     return headers
 
 
+class Upstream(Protocol):
+    """Serves connections."""
+
+    async def handle(self, stream: anyio.abc.SocketStream) -> None:
+        """Serves the requests of one connection."""
+
+
 async def serve(
     cluster: fleet_cluster.Cluster,
-    upstream: RawUpstream,
+    upstream: Upstream,
     host: str = fleet_cluster.HOST,
     port: int = 0,
 ) -> int:
