--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -20,6 +20,9 @@
 from tamaracktide.upstreams import streams
 
 WAIT_TIMEOUT_S = 15.0
+LINKED_S = 1.0
+"""Time after which started instances know each other."""
+
 BODY = b"body"
 """Body of every request of the tests."""
 
@@ -171,3 +174,32 @@
         yield instance
         tasks.cancel_scope.cancel()
     await store.close()
+
+
+@contextlib.asynccontextmanager
+async def run_linked(
+    cluster: fleet_cluster.Cluster, count: int, backend: network.Backend
+) -> AsyncIterator[list[Instance]]:
+    """Runs instances that know each other.
+
+    Args:
+        cluster: The platform and its servers.
+        count: Number of instances.
+        backend: Opens the connections of the first one.
+    """
+    port = deployment.find_port()
+    async with contextlib.AsyncExitStack() as stack:
+        instances = [
+            await stack.enter_async_context(
+                run_instance(
+                    cluster,
+                    f"n{number}",
+                    f"127.0.0.{number}",
+                    port,
+                    backend=backend if number == 1 else None,
+                )
+            )
+            for number in range(1, count + 1)
+        ]
+        await anyio.sleep(LINKED_S)
+        yield instances
--- a/tests/fleet/test_partitioned_instances.py
+++ b/tests/fleet/test_partitioned_instances.py
@@ -14,8 +14,6 @@
 import partitions
 import pytest
 
-import deployment
-
 pytestmark = pytest.mark.anyio
 
 CONTACT_S = 3.0
@@ -56,21 +54,7 @@
                 )
             )
         backend = partitions.Backend(cluster)
-        port = deployment.find_port()
-        async with contextlib.AsyncExitStack() as stack:
-            instances = [
-                await stack.enter_async_context(
-                    entry_instances.run_instance(
-                        cluster,
-                        f"n{number}",
-                        f"127.0.0.{number}",
-                        port,
-                        backend=backend if number == 1 else None,
-                    )
-                )
-                for number in (1, 2, 3)
-            ]
-            await anyio.sleep(1.0)
+        async with entry_instances.run_linked(cluster, 3, backend) as instances:
             yield cluster, instances, backend
 
 
--- a/tests/fleet/test_random_upstreams.py
+++ b/tests/fleet/test_random_upstreams.py
@@ -17,8 +17,6 @@
 import pytest
 import random_upstreams
 
-import deployment
-
 pytestmark = pytest.mark.anyio
 
 PROMISES = frozenset((408, 421, 429, 503))
@@ -26,9 +24,6 @@
 
 PLAY_S = 12.0
 PERIOD_S = 0.012
-LINKED_S = 1.0
-"""Time after which started instances know each other."""
-
 CUTS = (partitions.Cut.RESET, partitions.Cut.SILENT, partitions.Cut.REFUSED)
 
 
@@ -90,26 +85,14 @@
         for upstream in upstreams:
             await upstream.start()
         backend = partitions.Backend(cluster)
-        port = deployment.find_port()
-        async with contextlib.AsyncExitStack() as stack:
-            instances = [
-                await stack.enter_async_context(
-                    entry_instances.run_instance(
-                        cluster,
-                        f"n{number}",
-                        f"127.0.0.{number}",
-                        port,
-                        backend=backend if number == 1 else None,
-                    )
-                )
-                for number in (1, 2, 3)
-            ]
-            await anyio.sleep(LINKED_S)
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(restart_often, upstreams, rng)
-                tasks.start_soon(cut_often, backend, rng)
-                statuses = await send_many(instances, rng)
-                tasks.cancel_scope.cancel()
+        async with (
+            entry_instances.run_linked(cluster, 3, backend) as instances,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(restart_often, upstreams, rng)
+            tasks.start_soon(cut_often, backend, rng)
+            statuses = await send_many(instances, rng)
+            tasks.cancel_scope.cancel()
     refused = [name for name, status in statuses.items() if status in PROMISES]
     assert [name for name, count in runs.items() if count > 1] == []
     assert [name for name in refused if name in runs] == []
--- a/tests/fleet/test_untrue_refusals.py
+++ b/tests/fleet/test_untrue_refusals.py
@@ -23,9 +23,6 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise clients that a request has not run and never will."""
 
-LINKED_S = 1.0
-"""Time after which started instances know each other."""
-
 
 @pytest.fixture
 def anyio_backend() -> str:
@@ -81,18 +78,10 @@
     async with fleet_cluster.run_cluster() as cluster:
         upstreams = await add_upstreams(cluster, 503)
         backend = partitions.Backend(cluster)
-        port = deployment.find_port()
-        async with (
-            entry_instances.run_instance(
-                cluster, "n1", "127.0.0.1", port, backend=backend
-            ) as instance,
-            entry_instances.run_instance(cluster, "n2", "127.0.0.2", port),
-            entry_instances.run_instance(cluster, "n3", "127.0.0.3", port),
-        ):
-            await anyio.sleep(LINKED_S)
+        async with entry_instances.run_linked(cluster, 3, backend) as instances:
             backend.set_cut(partitions.Cut.RESET)
             responses = [
-                await instance.send("/once/x", f"r{number}")
+                await instances[0].send("/once/x", f"r{number}")
                 for number in range(3)
             ]
     runs = [run for upstream in upstreams for run in upstream.runs]
@@ -190,7 +179,7 @@
                 forward_port=deployment.find_port(),
             ),
         ):
-            await anyio.sleep(LINKED_S)
+            await anyio.sleep(entry_instances.LINKED_S)
             backend.set_cut(partitions.Cut.RESET)
             responses = [
                 await instance.send("/once/x", f"r{number}")
