--- a/tests/deploy/test_production.py
+++ b/tests/deploy/test_production.py
@@ -1,5 +1,6 @@
 """Tests of the commit that deploy/system.toml names as in production."""
 
+import os
 import pathlib
 import subprocess
 
@@ -30,11 +31,11 @@
             ["git", *arguments],
             cwd=self.root,
             env={
+                **os.environ,
                 **IDENTITY,
                 "GIT_AUTHOR_DATE": date,
                 "GIT_COMMITTER_DATE": date,
-                "GIT_CONFIG_GLOBAL": "/dev/null",
-                "PATH": "/usr/local/bin:/usr/bin:/bin",
+                "GIT_CONFIG_GLOBAL": os.devnull,
             },
             capture_output=True,
             check=True,
