--- a/tests/fleet/soak_faults.py
+++ b/tests/fleet/soak_faults.py
@@ -217,6 +217,16 @@
     fault: Fault
 
 
+def misbehave(
+    at_s: float, service: str, for_s: float, **changes: bool | float | str
+) -> Planned:
+    """Returns a fault in which all servers of a service misbehave."""
+    return Planned(
+        at_s,
+        Misbehave(service, EVERY, for_s, tuple(changes.items())),
+    )
+
+
 def choose_faults(
     rng: random.Random, instances: list[str]
 ) -> tuple[Planned, ...]:
--- a/tests/fleet/soak_rounds.py
+++ b/tests/fleet/soak_rounds.py
@@ -53,6 +53,10 @@
 
 
 DEFAULTS = Settings()
+INSTANCES = tuple(
+    f"front-{number}" for number in range(1, DEFAULTS.instances + 1)
+)
+"""Names of the instances of a run with default settings."""
 
 
 class NotReadyError(RuntimeError):
--- a/tests/fleet/test_entry_soak.py
+++ b/tests/fleet/test_entry_soak.py
@@ -7,7 +7,6 @@
 import soak_faults
 import soak_rounds
 
-INSTANCES = tuple(f"front-{number}" for number in range(1, 5))
 SEED = 7
 LOAD = soak_rounds.Settings(rate=10.0, load_s=9.0)
 ROUNDS = (
@@ -53,25 +52,21 @@
 )
 
 
-def misbehave(
-    at_s: float, service: str, for_s: float, **changes: bool | float | str
-) -> soak_faults.Planned:
-    """Returns a fault in which all servers of a service misbehave."""
-    return soak_faults.Planned(
-        at_s,
-        soak_faults.Misbehave(
-            service, soak_faults.EVERY, for_s, tuple(changes.items())
-        ),
-    )
-
-
 SHARED_ROUNDS = (
-    (misbehave(1.0, "llm", 7.0, pause_s=2.5, work_s=0.9),),
+    (soak_faults.misbehave(1.0, "llm", 7.0, pause_s=2.5, work_s=0.9),),
     (
-        misbehave(1.0, "llm", 3.0, stray_fraction=0.4, stray="refusal"),
-        misbehave(1.0, "ledger", 3.0, stray_fraction=0.4, stray="refusal"),
-        misbehave(4.5, "llm", 3.0, stray_fraction=0.4, stray="unnamed"),
-        misbehave(4.5, "ledger", 3.0, stray_fraction=0.4, stray="success"),
+        soak_faults.misbehave(
+            1.0, "llm", 3.0, stray_fraction=0.4, stray="refusal"
+        ),
+        soak_faults.misbehave(
+            1.0, "ledger", 3.0, stray_fraction=0.4, stray="refusal"
+        ),
+        soak_faults.misbehave(
+            4.5, "llm", 3.0, stray_fraction=0.4, stray="unnamed"
+        ),
+        soak_faults.misbehave(
+            4.5, "ledger", 3.0, stray_fraction=0.4, stray="success"
+        ),
     ),
 )
 
@@ -146,7 +141,7 @@
 def make_release_and_kill(fraction: float) -> tuple[soak_faults.Planned, ...]:
     """Returns a release and a kill of all instances while old servers serve."""
     release = soak_faults.Release("llm", fraction, 0.4, 9.0, False)
-    kill = soak_faults.Kill(INSTANCES, 1.0)
+    kill = soak_faults.Kill(soak_rounds.INSTANCES, 1.0)
     return soak_faults.Planned(1.0, release), soak_faults.Planned(5.2, kill)
 
 
--- a/tests/fleet/test_upgrades.py
+++ b/tests/fleet/test_upgrades.py
@@ -6,18 +6,18 @@
 import pytest
 import soak_faults
 import soak_rounds
-from test_entry_soak import INSTANCES
-from test_entry_soak import misbehave
 
 import builds
 
 SEED = 53
 LOAD_S = 20.0
 UPGRADE = soak_faults.Planned(
-    2.0, soak_faults.Terminate(INSTANCES, 1.0, builds.ROOT)
+    2.0, soak_faults.Terminate(soak_rounds.INSTANCES, 1.0, builds.ROOT)
 )
 STRAY_RESPONSES = tuple(
-    misbehave(0.5, service, LOAD_S, stray_fraction=0.2, stray="unnamed")
+    soak_faults.misbehave(
+        0.5, service, LOAD_S, stray_fraction=0.2, stray="unnamed"
+    )
     for service in ("ledger", "llm")
 )
 
