--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -47,7 +47,7 @@
 class MemoryConnection(connection.Connection):
     """One end of a connection that passes encoded messages in memory."""
 
-    __slots__ = ("_inbox", "_network", "_to_peer", "own")
+    __slots__ = ("_inbox", "_network", "_received_bytes", "_to_peer", "own")
 
     def __init__(
         self,
@@ -62,11 +62,22 @@
         self.version = messages.PROTOCOL_VERSION
         self.received = 0
         self.sent = 0
+        self._received_bytes = 0
         self._network = network
         self.own = own
         self._inbox = inbox
         self._to_peer = to_peer
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received; messages arrive as a whole."""
+        return self._received_bytes
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of incomplete messages; there are none."""
+        return 0
+
     async def send_encoded(self, data: bytes, name: str = "message") -> None:
         """Passes a message to the other end; a cut network drops it.
 
@@ -100,6 +111,7 @@
             if not self._network.is_connected(self.own, self.peer):
                 continue
             self.received += 1
+            self._received_bytes += len(data)
             message = codec.decode_message(data)
             if message is not None:
                 return message
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -471,9 +471,11 @@
         for peer in self.list_linked():
             for link in peer.links:
                 if link.inactivity.update(link.connection.received, now):
-                    logs.bind(peer=peer.instance, silent_s=LINK_TIMEOUT_S).info(
-                        "link closed: no message within the timeout"
-                    )
+                    logs.bind(
+                        peer=peer.instance,
+                        silent_s=LINK_TIMEOUT_S,
+                        pending_bytes=link.connection.pending_bytes,
+                    ).info("link closed: no message within the timeout")
                     if len(peer.links) == 1:
                         self._record_outage(peer.instance)
                     link.scope.cancel()
--- a/src/tamaracktide/object_api/calls.py
+++ b/src/tamaracktide/object_api/calls.py
@@ -99,6 +99,7 @@
                 another reason.
         """
         operation = f"{method} {path}"
+        body_parts: list[bytes] = []
         try:
             with anyio.fail_after(self._settings.timeout_s + wait_s):
                 async with self._pool.stream(
@@ -107,7 +108,7 @@
                     headers=self._make_headers(headers or {}),
                     content=body,
                 ) as raw_response:
-                    content = await self._read(operation, raw_response)
+                    await self._read(operation, raw_response, body_parts)
         except (
             TimeoutError,
             OSError,
@@ -117,7 +118,8 @@
         ) as error:
             raise errors.PlatformUnavailableError(
                 result_codes.ResultCode.PLATFORM_UNAVAILABLE,
-                f"{operation}: {error!r}",
+                f"{operation}: {error!r} after "
+                f"{sum(map(len, body_parts))} bytes of the body",
             ) from error
         response = Response(
             raw_response.status,
@@ -125,19 +127,20 @@
                 name.decode("latin-1").lower(): value.decode("latin-1")
                 for name, value in raw_response.headers
             },
-            content,
+            b"".join(body_parts),
         )
         if self._on_response is not None:
             self._on_response(response)
         _check_status(operation, response)
         return response
 
-    async def _read(self, operation: str, response: httpcore.Response) -> bytes:
-        """Returns the body of a response; leaves one that is too large."""
+    async def _read(
+        self, operation: str, response: httpcore.Response, parts: list[bytes]
+    ) -> None:
+        """Appends the parts of a body; leaves one that is too large."""
         pending = pending_bytes.PendingBytes(
             self._settings.max_answer_bytes, "the end of the body"
         )
-        parts: list[bytes] = []
         async for part in response.aiter_stream():
             pending.add(len(part))
             if pending.excess is not None:
@@ -146,7 +149,6 @@
                     f"{operation}: {pending.excess}",
                 )
             parts.append(part)
-        return b"".join(parts)
 
     def _make_headers(
         self, headers: Mapping[str, str]
--- a/src/tamaracktide/protocol/client.py
+++ b/src/tamaracktide/protocol/client.py
@@ -39,10 +39,16 @@
     return opened
 
 
+class ClientSocket(
+    connection.CountingSocket, websockets.asyncio.client.ClientConnection
+):
+    """The client's end of a WebSocket."""
+
+
 async def _connect(
     address: str, settings: protocol_settings.InnerSettings
-) -> websockets.asyncio.client.ClientConnection:
-    return await websockets.asyncio.client.connect(
+) -> ClientSocket:
+    socket = await websockets.asyncio.client.connect(
         f"ws://{address}/",
         additional_headers={"Authorization": f"Bearer {settings.token}"},
         compression=None,
@@ -51,7 +57,10 @@
         open_timeout=None,
         close_timeout=connection.GOODBYE_TIMEOUT_S,
         proxy=None,
+        create_connection=ClientSocket,
     )
+    assert isinstance(socket, ClientSocket)
+    return socket
 
 
 def _classify(error: Exception) -> result_codes.ResultCode:
--- a/src/tamaracktide/protocol/connection.py
+++ b/src/tamaracktide/protocol/connection.py
@@ -20,6 +20,21 @@
 _CLOSE_TOO_LARGE = 1009
 
 
+class CountingSocket(websockets.asyncio.connection.Connection):
+    """A WebSocket that counts the bytes it receives.
+
+    Attributes:
+        received_bytes: Bytes received, also of incomplete messages.
+    """
+
+    received_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Counts bytes as they arrive."""
+        self.received_bytes += len(data)
+        super().data_received(data)
+
+
 class Connection:
     """Sends and receives typed messages over a WebSocket.
 
@@ -31,6 +46,7 @@
     """
 
     __slots__ = (
+        "_complete_bytes",
         "_settings",
         "_socket",
         "peer",
@@ -41,11 +57,12 @@
 
     def __init__(
         self,
-        socket: websockets.asyncio.connection.Connection,
+        socket: CountingSocket,
         settings: protocol_settings.InnerSettings,
     ) -> None:
         """Wraps an open WebSocket; `exchange_hello` must be called next."""
         self._socket = socket
+        self._complete_bytes = 0
         self._settings = settings
         self.peer = messages.Hello(
             version=0, instance="", incarnation="", role="", zone=""
@@ -54,6 +71,16 @@
         self.received = 0
         self.sent = 0
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received, also of incomplete messages."""
+        return self._socket.received_bytes
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes received since the last message that was taken."""
+        return self.received_bytes - self._complete_bytes
+
     async def send(self, message: messages.Message) -> None:
         """Sends one message.
 
@@ -99,6 +126,7 @@
         while True:
             data = await self._receive_bytes()
             self.received += 1
+            self._complete_bytes = self.received_bytes
             try:
                 message = codec.decode_message(data)
             except errors.ProtocolError as error:
--- a/src/tamaracktide/protocol/server.py
+++ b/src/tamaracktide/protocol/server.py
@@ -46,6 +46,7 @@
     async def accept(
         socket: websockets.asyncio.server.ServerConnection,
     ) -> None:
+        assert isinstance(socket, connection.CountingSocket)
         opened = connection.Connection(socket, settings)
         with contextlib.suppress(errors.ProtocolError):
             await opened.exchange_hello(hello, first=False)
@@ -92,7 +93,9 @@
 ) -> type[websockets.asyncio.server.ServerConnection]:
     """Returns a type of connections that are in a set while they are open."""
 
-    class RecordedConnection(websockets.asyncio.server.ServerConnection):
+    class RecordedConnection(
+        connection.CountingSocket, websockets.asyncio.server.ServerConnection
+    ):
         """A connection that is recorded before its handshake."""
 
         def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/tests/protocol/test_connection.py
+++ b/tests/protocol/test_connection.py
@@ -120,8 +120,12 @@
     headers = {"Authorization": "Bearer secret"}
     async with run_server(echo) as address:
         socket = await websockets.asyncio.client.connect(
-            f"ws://{address}/", additional_headers=headers, proxy=None
+            f"ws://{address}/",
+            additional_headers=headers,
+            proxy=None,
+            create_connection=client.ClientSocket,
         )
+        assert isinstance(socket, client.ClientSocket)
         opened = connection.Connection(socket, SETTINGS)
         await socket.send(b"\xff")
         await expect_error(
