--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -84,6 +84,7 @@
         upstream_client: streams.StreamClient,
         store: object_store.ValueStore,
         tasks: anyio.abc.TaskGroup,
+        transport: entry_peers.Transport = entry_peers.WEB_SOCKETS,
     ) -> None:
         """Builds every part; `run` starts them."""
         tasks = restarts.ContainedTasks(tasks)
@@ -133,6 +134,7 @@
                 holds_lease=lambda: self._leases.holds_any,
             ),
             tasks,
+            transport,
         )
         self._exchange.peers = self._peers
         self._usage_exchange.peers = self._peers
--- a/tests/fleet/entry_instances.py
+++ b/tests/fleet/entry_instances.py
@@ -13,6 +13,7 @@
 from tamaracktide.core import crash_evidence
 from tamaracktide.entry import app
 from tamaracktide.entry import crashes as entry_crashes
+from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import program
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.upstreams import network
@@ -127,6 +128,7 @@
     is_first_start: bool = True,
     waits_for_lease: bool = True,
     forward_port: int | None = None,
+    transport: entry_peers.Transport = entry_peers.WEB_SOCKETS,
 ) -> AsyncIterator[Instance]:
     """Runs an instance and waits until the cell's lease is held."""
     ports = [deployment.find_port() for _ in range(4)]
@@ -153,7 +155,7 @@
         anyio.create_task_group() as tasks,
     ):
         entry_instance = program.EntryInstance(
-            settings, fleet_adapter, upstream_client, store, tasks
+            settings, fleet_adapter, upstream_client, store, tasks, transport
         )
         instance = Instance(settings, pool, entry_instance.crashes)
 
