--- a/src/tamaracktide/object_api/calls.py
+++ b/src/tamaracktide/object_api/calls.py
@@ -1,5 +1,6 @@
 """HTTP client for the platform; raises typed errors on failures."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Mapping
 import dataclasses
@@ -18,6 +19,9 @@
 
 KEEPALIVE_EXPIRY_S = 30.0
 
+MIN_BYTES_PER_S = 125_000
+"""Minimum average rate of a body that takes longer than the timeout."""
+
 _CODES_BY_STATUS = {
     400: result_codes.ResultCode.BAD_REQUEST,
     401: result_codes.ResultCode.UNAUTHENTICATED,
@@ -78,9 +82,12 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         wait_s: float = 0.0,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> Response:
         """Sends a request and returns the platform's response.
 
+        A body may take longer than the timeout while its parts keep arriving.
+
         Args:
             method: HTTP method.
             path: Path and query, quoted.
@@ -88,6 +95,7 @@
             body: Request body.
             wait_s: Time that the platform is allowed to wait before it
                 responds, in addition to the timeout.
+            on_bytes: Called with the size of each part of the body.
 
         Raises:
             errors.PlatformUnavailableError: No conclusive response was
@@ -101,14 +109,20 @@
         operation = f"{method} {path}"
         body_parts: list[bytes] = []
         try:
-            with anyio.fail_after(self._settings.timeout_s + wait_s):
+            with anyio.fail_after(
+                self._settings.timeout_s + wait_s
+            ) as time_limit:
                 async with self._pool.stream(
                     method,
                     f"http://{self._settings.address}{path}",
                     headers=self._make_headers(headers or {}),
                     content=body,
                 ) as raw_response:
-                    await self._read(operation, raw_response, body_parts)
+                    async for part in self._read(operation, raw_response):
+                        body_parts.append(part)
+                        self._extend(time_limit, len(part))
+                        if on_bytes is not None:
+                            on_bytes(len(part))
         except (
             TimeoutError,
             OSError,
@@ -134,10 +148,17 @@
         _check_status(operation, response)
         return response
 
+    def _extend(self, time_limit: anyio.CancelScope, size: int) -> None:
+        """Allows time for the next part of a body."""
+        time_limit.deadline = min(
+            time_limit.deadline + size / MIN_BYTES_PER_S,
+            anyio.current_time() + self._settings.timeout_s,
+        )
+
     async def _read(
-        self, operation: str, response: httpcore.Response, parts: list[bytes]
-    ) -> None:
-        """Appends the parts of a body; leaves one that is too large."""
+        self, operation: str, response: httpcore.Response
+    ) -> AsyncIterator[bytes]:
+        """Yields the parts of a body; leaves one that is too large."""
         pending = pending_bytes.PendingBytes(
             self._settings.max_answer_bytes, "the end of the body"
         )
@@ -148,7 +169,7 @@
                     result_codes.ResultCode.PLATFORM_UNAVAILABLE,
                     f"{operation}: {pending.excess}",
                 )
-            parts.append(part)
+            yield part
 
     def _make_headers(
         self, headers: Mapping[str, str]
--- a/src/tamaracktide/object_api/object_store.py
+++ b/src/tamaracktide/object_api/object_store.py
@@ -13,6 +13,9 @@
 import dataclasses
 from typing import Protocol
 
+ByteListener = Callable[[int], None]
+"""Called with the size of each part of a response's body as it arrives."""
+
 
 class StoredObject(Protocol):
     """Value and version of an object."""
@@ -140,11 +143,17 @@
 class ValueStore(ObjectStore, Protocol):
     """A store that also lists and watches objects with their values."""
 
-    async def list_values(self, prefix: str) -> Items:
+    async def list_values(
+        self, prefix: str, on_bytes: ByteListener | None = None
+    ) -> Items:
         """Returns the objects under a prefix."""
 
     async def watch_values(
-        self, prefix: str, since: int, timeout_s: float
+        self,
+        prefix: str,
+        since: int,
+        timeout_s: float,
+        on_bytes: ByteListener | None = None,
     ) -> Items:
         """Waits until an object under a prefix changes after a version."""
 
--- a/src/tamaracktide/object_api/objects.py
+++ b/src/tamaracktide/object_api/objects.py
@@ -168,16 +168,24 @@
             return WatchResult(since, (), reset=True)
         return calls.decode_body(response, WatchResult)
 
-    async def list_values(self, prefix: str) -> object_store.Items:
+    async def list_values(
+        self, prefix: str, on_bytes: object_store.ByteListener | None = None
+    ) -> object_store.Items:
         """Returns the objects under a prefix with their values."""
+        del on_bytes
         listing = await self.list(prefix)
         items = [await self._read_item(listed.key) for listed in listing.items]
         return object_store.Items(listing.version, tuple(items))
 
     async def watch_values(
-        self, prefix: str, since: int, timeout_s: float
+        self,
+        prefix: str,
+        since: int,
+        timeout_s: float,
+        on_bytes: object_store.ByteListener | None = None,
     ) -> object_store.Items:
         """Waits for changes under a prefix; returns them with their values."""
+        del on_bytes
         result = await self.watch(prefix, since, timeout_s)
         keys = dict.fromkeys(change.key for change in result.changes)
         items = [await self._read_item(key) for key in keys]
--- a/src/tamaracktide/object_api/settings.py
+++ b/src/tamaracktide/object_api/settings.py
@@ -17,7 +17,7 @@
         token: Bearer token for the platform, empty for none.
         zone: Availability zone of this instance.
         timeout_s: Maximum time to wait for a response, in addition to the
-            wait time of a watch.
+            wait time of a watch, and for each further part of its body.
         max_connections: Maximum number of connections, including watches.
         max_answer_bytes: Maximum size of a response.
     """
