--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -42,8 +42,8 @@
 relay. Their links cross availability zones."""
 
 LINK_TIMEOUT_S = 1.2
-"""Time without a message after which a link is closed: four reports, or two
-between relays, and one lost packet."""
+"""Time without received bytes after which a link is closed: four reports, or
+two between relays, and one lost packet."""
 
 HANDSHAKE_TIMEOUT_S = 1.0
 DIAL_GRACE_S = 0.5
@@ -108,7 +108,7 @@
     Attributes:
         queue: Messages to send.
         connection: Its connection.
-        inactivity: Time without messages.
+        inactivity: Time without received bytes.
         scope: Cancelled to close the link.
         is_dialled: Whether this instance opened it.
         is_current: Whether its peer has received all reports so far, so that
@@ -470,12 +470,13 @@
     def _close_silent(self, now: float) -> None:
         for peer in self.list_linked():
             for link in peer.links:
-                if link.inactivity.update(link.connection.received, now):
+                received_bytes = link.connection.received_bytes
+                if link.inactivity.update(received_bytes, now):
                     logs.bind(
                         peer=peer.instance,
                         silent_s=LINK_TIMEOUT_S,
                         pending_bytes=link.connection.pending_bytes,
-                    ).info("link closed: no message within the timeout")
+                    ).info("link closed: no bytes within the timeout")
                     if len(peer.links) == 1:
                         self._record_outage(peer.instance)
                     link.scope.cancel()
--- a/src/tamaracktide/protocol/heartbeats.py
+++ b/src/tamaracktide/protocol/heartbeats.py
@@ -22,8 +22,8 @@
         """First message of the peer."""
 
     @property
-    def received(self) -> int:
-        """Number of messages received."""
+    def received_bytes(self) -> int:
+        """Bytes received, also of incomplete messages."""
 
     @property
     def sent(self) -> int:
@@ -39,11 +39,12 @@
 
 
 class InactivityTimer:
-    """Measures the time without messages from a peer.
+    """Measures the time without bytes from a peer.
 
-    The time between two updates counts as at most two heartbeat periods: a
-    process that was paused itself must process the messages of its peers before
-    it treats them as unresponsive.
+    Bytes count, not messages: a large message takes longer than the timeout on
+    a narrow link. The time between two updates counts as at most two heartbeat
+    periods: a process that was paused itself must process the messages of its
+    peers before it treats them as unresponsive.
     """
 
     __slots__ = ("_received", "_settings", "_updated_at", "seconds")
@@ -61,7 +62,7 @@
         """Updates the timer; returns whether the timeout has passed.
 
         Args:
-            received: Number of messages received so far.
+            received: Number of bytes received so far.
             now: Current time in seconds.
         """
         elapsed = min(
@@ -107,9 +108,9 @@
                 await link.send(heartbeat)
         sent = link.sent
         await anyio.sleep(settings.heartbeat_period_s)
-        if inactivity.update(link.received, anyio.current_time()):
+        if inactivity.update(link.received_bytes, anyio.current_time()):
             detail = (
-                f"no messages from {link.peer.instance} "
+                f"no bytes from {link.peer.instance} "
                 f"for {inactivity.seconds:g} s"
             )
             code = result_codes.ResultCode.PEER_UNREACHABLE
