--- a/src/tamaracktide/core/catch_up.py
+++ b/src/tamaracktide/core/catch_up.py
@@ -21,6 +21,9 @@
         upstreams: Of the upstreams' entries.
         versions: Of the announced adapter versions.
         instances: Of the entry instances.
+        document_in_force: Version that the routing document in force carries,
+            which decides across eras; 0 if there is none, or from builds before
+            message revision 5.
         era: Era of the store that these versions belong to; 0 if not known.
     """
 
@@ -29,13 +32,21 @@
     versions: int = 0
     instances: int = 0
     era: int = 0
+    document_in_force: int = 0
 
     def covers(self, other: "StoreVersions") -> bool:
-        """Whether nothing of the other is newer."""
+        """Whether nothing of the other is newer.
+
+        The routing document does not count where the other names the one in
+        force: it is fetched by itself (`document_fetch`).
+        """
         if self.era != other.era and other.era:
             return self.era > other.era
-        return (
+        has_document = bool(other.document_in_force) or (
             self.documents >= other.documents
+        )
+        return (
+            has_document
             and self.upstreams >= other.upstreams
             and self.versions >= other.versions
             and self.instances >= other.instances
--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -56,6 +56,8 @@
         versions: Newest version by model and adapter.
         upstreams: Upstreams by instance id, including draining ones.
         instances: Records of the deployment's instances, by instance id.
+        knows_upstreams: Whether the entries of upstreams were listed, or sent
+            by a peer.
         listed: Era of the latest complete listing that was applied, by prefix.
         store_recovered_at: When the store last became reachable after an
             outage.
@@ -74,6 +76,7 @@
         self.versions: dict[tuple[str, str], int] = {}
         self.upstreams: dict[str, upstream_entries.UpstreamEntry] = {}
         self.instances: dict[str, InstanceRecord] = {}
+        self.knows_upstreams = False
         self.listed: dict[str, int] = {}
         self.store_recovered_at = float("-inf")
         self.era = 0
@@ -141,6 +144,15 @@
         ]
         return min(found)[2] if found else None
 
+    @property
+    def document_version(self) -> int:
+        """Version that the routing document in force carries; 0 for none."""
+        return self.table.document.version if self.table else 0
+
+    def find_document(self) -> object_store.Item | None:
+        """Returns the routing document in force."""
+        return self._in_force.get(self._adapter.collections.document)
+
     def find_versions(self) -> catch_up.StoreVersions:
         """Returns the newest known version in each collection."""
         collections = self._adapter.collections
@@ -150,6 +162,7 @@
             versions=self._newest.get(collections.versions, 0),
             instances=self._newest.get(collections.instances, 0),
             era=self.era,
+            document_in_force=self.document_version,
         )
 
     def list_newer(
@@ -205,6 +218,8 @@
         if era < self.era:
             return []
         self.listed[prefix] = era
+        if prefix == self._adapter.collections.upstreams:
+            self.knows_upstreams = True
         present = {item.key for item in listing.items}
         removed = [
             object_store.Item(key, listing.version, None, era)
@@ -376,8 +391,7 @@
     def _apply_document(self, value: bytes) -> int:
         """Applies a document; returns how far its version is ahead."""
         document = self._adapter.decode_document(value)
-        known = self.table.document.version if self.table else 0
-        ahead = document.version - known
+        ahead = document.version - self.document_version
         if ahead <= 0:
             return ahead
         self.table = routing_document.RouteTable(document)
--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -1,7 +1,9 @@
 """Objects of the store: who reads them, and how the others get them.
 
 Relays follow the store and forward changes to their members. A member that is
-without a relay, or whose relays do not reach the store, follows it itself.
+without a relay, or whose relays do not reach the store, follows it itself. The
+routing document is not forwarded (`document_exchange`), but to peers of builds
+that do not fetch it.
 """
 
 from collections.abc import Iterator
@@ -9,12 +11,15 @@
 import random
 
 import anyio
+import anyio.lowlevel
 import msgspec
 
 from tamaracktide import errors
 from tamaracktide import result_codes
+from tamaracktide.core import batches
 from tamaracktide.core import catch_up
 from tamaracktide.entry import cluster_state
+from tamaracktide.entry import document_exchange
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import platform_adapter as entry_adapter
 from tamaracktide.entry import report_exchange
@@ -56,6 +61,10 @@
 forwarding to members it is a fifth of the time in which a drain must be
 observed there."""
 
+MAX_NOTICE_BYTES = 65_536
+"""Size of the objects in one notice, beyond which another one follows. Reports
+wait behind the notice that is being sent."""
+
 REGISTRATION_RETRY_S = 1.0
 
 REGISTRATION_SPREAD_S = 1.0
@@ -64,7 +73,11 @@
 
 
 class ObjectExchange:
-    """Follows the store where this instance must, and forwards its objects."""
+    """Follows the store where this instance must, and forwards its objects.
+
+    Attributes:
+        documents: How the routing document is read.
+    """
 
     def __init__(
         self,
@@ -101,6 +114,14 @@
         self._registered = anyio.Event()
         self._must_register = anyio.Event()
         state.listen_for_eras(self._handle_era)
+        self.documents = document_exchange.DocumentExchange(
+            collections.document,
+            state,
+            store_health,
+            self._store_use,
+            peers,
+            self._apply_document,
+        )
         self._detached_at = anyio.current_time()
         self._substitute_until = float("-inf")
 
@@ -139,9 +160,15 @@
             store_health=self._store_health,
             on_change=self._forward,
         )
-        yield make_follower(
-            collections.documents, wait_until_needed=self._store_use.wait
+        documents = make_follower(
+            collections.documents,
+            store_health=self.documents,
+            wait_until_needed=anyio.lowlevel.checkpoint,
+            find_max_wait_s=self.documents.find_watch_wait_s,
+            on_bytes=self.documents.record_bytes,
         )
+        self.documents.restart = documents.restart_call
+        yield documents
         yield make_follower(
             collections.upstreams,
             wait_until_needed=self._store_use.wait,
@@ -150,22 +177,22 @@
         yield make_follower(
             collections.versions,
             wait_until_needed=self._store_use.wait,
-            max_wait_s=store_follower.MAX_VERSION_WATCH_WAIT_S,
+            find_max_wait_s=lambda: store_follower.MAX_VERSION_WATCH_WAIT_S,
         )
         yield make_follower(
             collections.instances,
             wait_until_needed=self._wait_to_list_instances,
-            max_wait_s=store_follower.MAX_INSTANCE_WATCH_WAIT_S,
+            find_max_wait_s=lambda: store_follower.MAX_INSTANCE_WATCH_WAIT_S,
         )
 
     def update(self) -> None:
         """Decides once per report period who follows the store."""
-        for peer in self._peers.list_relays():
-            if peer.report is not None and peer.report.known.era:
-                self._cluster_state.observe_era(peer.report.known.era)
+        for peer in self._peers.list_linked():
+            if peer.known.era:
+                self._cluster_state.observe_era(peer.known.era)
         self._store_use.update(self._needs_store(anyio.current_time()))
-        if self._peers.is_relay:
-            self._request_missing()
+        self._request_missing()
+        self.documents.update()
         self._send_lost()
 
     async def register(self) -> None:
@@ -218,12 +245,15 @@
             )
             for item in notice.items
         )
+        self._cluster_state.knows_upstreams = True
         self._forward(changed, sender)
 
     def send_all(self, peer: entry_peers.Peer, link: entry_peers.Link) -> None:
         """Sends every known object once on a link to a peer without a store."""
-        items = self._cluster_state.list_items()
-        if link.has_objects or not items or not _lacks_store(peer):
+        if link.has_objects or not _lacks_store(peer):
+            return
+        items = self._select(self._cluster_state.list_items(), peer)
+        if not items:
             return
         link.has_objects = all(
             link.queue.put(notice) for notice in self._make_notices(items)
@@ -234,7 +264,7 @@
     ) -> None:
         """Sends a peer the objects that it lacks."""
         items = self._cluster_state.list_newer(request.known)
-        for notice in self._make_notices(items):
+        for notice in self._make_notices(self._select(items, peer)):
             peer.send(notice)
 
     async def _write_registration(self, key: str, value: bytes) -> None:
@@ -251,21 +281,34 @@
         self, items: list[object_store.Item], sender: str = ""
     ) -> None:
         """Forwards store changes to members and isolated peers."""
-        for notice in self._make_notices(items):
-            self._forward_notice(notice, sender)
-
-    def _forward_notice(
-        self, notice: entry_messages.ObjectsNotice, sender: str
-    ) -> None:
-        encoded = codec.encode_message(notice)
-        for peer in self._peers.list_linked():
-            is_relay = peer.instance == self._peers.relay
-            if peer.instance == sender or not (is_relay or _lacks_store(peer)):
-                continue
-            if not peer.send(encoded):
-                # The queue is full; all objects follow with a later report.
-                for link in peer.links:
-                    link.has_objects = False
+        receivers = [
+            peer
+            for peer in self._peers.list_linked()
+            if peer.instance != sender
+            and (peer.instance == self._peers.relay or _lacks_store(peer))
+        ]
+        pushed = [item for item in items if not self._is_document(item)]
+        for notice in self._make_notices(pushed):
+            _send_notice(receivers, notice)
+        documents = [item for item in items if self._is_document(item)]
+        receivers = [peer for peer in receivers if not _fetches_document(peer)]
+        for notice in self._make_notices(documents):
+            _send_notice(receivers, notice)
+
+    def _apply_document(self, sender: str, item: object_store.Item) -> None:
+        """Applies a routing document that a peer has sent in parts."""
+        self._forward(self._cluster_state.apply([item]), sender)
+
+    def _is_document(self, item: object_store.Item) -> bool:
+        return item.key == self._collections.document
+
+    def _select(
+        self, items: list[object_store.Item], peer: entry_peers.Peer
+    ) -> list[object_store.Item]:
+        """Returns what a peer is sent; the document only if it must be."""
+        if not _fetches_document(peer):
+            return items
+        return [item for item in items if not self._is_document(item)]
 
     def _handle_era(self, era: int) -> None:
         """Writes again what this instance wrote in an earlier era."""
@@ -275,18 +318,20 @@
     def _make_notices(
         self, items: list[object_store.Item]
     ) -> list[entry_messages.ObjectsNotice]:
-        """Returns a notice for each era in which the objects were read."""
+        """Returns notices of bounded size, each of objects of one era."""
+        recovered_s = self._cluster_state.find_recovered_s()
         return [
             entry_messages.ObjectsNotice(
-                items=tuple(
-                    _make_object_update(item)
-                    for item in items
-                    if item.era == era
-                ),
-                recovered_s=self._cluster_state.find_recovered_s(),
+                items=tuple(_make_object_update(item) for item in batch),
+                recovered_s=recovered_s,
                 era=era,
             )
             for era in sorted({item.era for item in items})
+            for batch in batches.split(
+                [item for item in items if item.era == era],
+                lambda item: len(item.key) + len(item.value or b""),
+                MAX_NOTICE_BYTES,
+            )
         ]
 
     async def _wait_to_list_instances(self) -> None:
@@ -305,12 +350,10 @@
         )
 
     def _request_missing(self) -> None:
-        """Asks another relay for changes that the store did not send here."""
+        """Asks a peer for changes that did not arrive here."""
         known = self._cluster_state.find_versions()
         peers = {
-            peer.instance: peer.report.known
-            for peer in self._peers.list_relays()
-            if peer.report is not None
+            peer.instance: peer.known for peer in self._peers.list_linked()
         }
         peer = self._catch_up.update(known, peers, anyio.current_time())
         if not peer:
@@ -322,6 +365,8 @@
             versions=known.versions,
         ).info("changes of the store missed; requesting them from a peer")
         self._peers.send(peer, entry_messages.ObjectsRequest(known=known))
+        if not self._store_use.is_needed:
+            return
         # Other relays forward changes at once to one that reports an outage.
         self._store_health.record_failure(
             errors.PlatformUnavailableError(
@@ -338,10 +383,11 @@
         era = self._cluster_state.era
         if era <= FIRST_ERA:
             return
-        notices = self._make_notices(self._cluster_state.list_lost())
-        if not notices:
+        lost = self._cluster_state.list_lost()
+        if not lost:
             return
         for peer in self._peers.list_linked():
+            notices = self._make_notices(self._select(lost, peer))
             for link in peer.links:
                 if link.lost_era != era and all(
                     link.queue.put(notice) for notice in notices
@@ -372,6 +418,22 @@
     return not report.is_relay or report.store_silent_s > 0
 
 
+def _fetches_document(peer: entry_peers.Peer) -> bool:
+    """Whether a peer's build reads the routing document by itself."""
+    return peer.revision >= document_exchange.PARTS_REVISION
+
+
+def _send_notice(
+    receivers: list[entry_peers.Peer], notice: entry_messages.ObjectsNotice
+) -> None:
+    encoded = codec.encode_message(notice) if receivers else b""
+    for peer in receivers:
+        if not peer.send(encoded):
+            # The queue is full; all objects follow with a later report.
+            for link in peer.links:
+                link.has_objects = False
+
+
 def _make_object_update(item: object_store.Item) -> entry_messages.ObjectUpdate:
     return entry_messages.ObjectUpdate(
         key=item.key,
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -18,6 +18,7 @@
 import anyio.abc
 
 from tamaracktide import errors
+from tamaracktide.core import catch_up
 from tamaracktide.core import relays
 from tamaracktide.entry import restarts
 from tamaracktide.entry import settings as entry_settings
@@ -145,6 +146,7 @@
         cut_off: Services of which it reaches no upstream.
         draining: Whether it is shutting down.
         revision: Revision of the messages of its build.
+        known: What it knows of the store.
     """
 
     instance: str
@@ -156,6 +158,9 @@
     cut_off: frozenset[str] = frozenset()
     draining: bool = False
     revision: int = messages.REVISION
+    known: catch_up.StoreVersions = dataclasses.field(
+        default_factory=catch_up.StoreVersions
+    )
 
     @property
     def is_relay(self) -> bool:
@@ -556,6 +561,7 @@
     def _end_last_link(self, peer: Peer, link: Link) -> None:
         logs.bind(peer=peer.instance).warning("last link to peer closed")
         peer.report = None
+        peer.known = catch_up.StoreVersions()
         peer.stream = None
         if self.relay == peer.instance:
             self.relay = ""
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -589,7 +589,7 @@
     def _handle_other(
         self, peer: entry_peers.Peer, message: messages.Message
     ) -> None:
-        """Handles requests and replies, and objects of the store."""
+        """Handles requests and replies of single instances."""
         match message:
             case entry_messages.LoadRequest():
                 self._loader.handle_load_request(peer.instance, message)
@@ -599,16 +599,28 @@
                 self._relay.handle_write_request(peer.instance, message)
             case entry_messages.WriteReply():
                 self._relay.apply_reply(message)
-            case entry_messages.ObjectsNotice():
-                self._objects.apply(peer.instance, message)
             case entry_messages.StreamsNotice():
                 self._resumption.apply_notice(message)
             case entry_messages.StreamQuery():
                 self._resumption.handle_query(peer, message)
             case entry_messages.StreamReply():
                 self._resumption.apply_reply(message)
+            case _:
+                self._handle_objects(peer, message)
+
+    def _handle_objects(
+        self, peer: entry_peers.Peer, message: messages.Message
+    ) -> None:
+        """Handles objects of the store and requests for them."""
+        match message:
+            case entry_messages.ObjectsNotice():
+                self._objects.apply(peer.instance, message)
             case entry_messages.ObjectsRequest():
                 self._objects.send_newer(peer, message)
+            case entry_messages.DocumentRequest():
+                self._objects.documents.handle_request(peer, message)
+            case entry_messages.DocumentPart():
+                self._objects.documents.apply_part(peer.instance, message)
             case _:
                 logs.bind(peer=peer.instance).warning(
                     "unexpected message type ignored: {}",
--- a/src/tamaracktide/entry/report_exchange.py
+++ b/src/tamaracktide/entry/report_exchange.py
@@ -263,6 +263,7 @@
     ) -> None:
         """Applies the report of a member or of another relay."""
         before, peer.report = peer.report, report
+        peer.known = report.known
         peer.cut_off, peer.draining = frozenset(report.cut_off), report.draining
         if report.draining:
             self._get_peers().avoid_draining(peer.instance)
@@ -332,6 +333,7 @@
         self, peer: entry_peers.Peer, report: entry_messages.ClusterReport
     ) -> None:
         """Applies the report of this member's relay."""
+        peer.known = report.known
         peers = self._get_peers()
         if peers.is_relay:
             return
@@ -454,6 +456,7 @@
             rights=own.rights,
             loads=own.loads,
             store_silent_s=own.store_silent_s,
+            known=own.known,
             quarantined=own.quarantined.requests,
             quarantined_parts=own.quarantined.parts,
             draining=own.draining,
@@ -468,7 +471,6 @@
         return dataclasses.replace(
             report,
             is_relay=True,
-            known=own.known,
             instances=self._count_group(),
             store_silent_s=self._find_store_silence(own, members_only=True),
             quarantined=quarantined.requests,
@@ -559,6 +561,7 @@
             quarantined_parts=quarantined.parts,
             draining=own.draining,
             cut_off=own.cut_off,
+            known=own.known,
         )
 
     def _put_all(
--- a/src/tamaracktide/entry/serving.py
+++ b/src/tamaracktide/entry/serving.py
@@ -124,11 +124,12 @@
         server.force_exit = True
 
     def _is_ready(self) -> bool:
-        return not self.draining and self._cluster_state.table is not None
+        state = self._cluster_state
+        is_informed = state.table is not None and state.knows_upstreams
+        return is_informed and not self.draining
 
     def _update_gauges(self) -> None:
-        table = self._cluster_state.table
-        version = table.document.version if table else 0
+        version = self._cluster_state.document_version
         self._metrics.table_revision.set({}, version)
         self._metrics.table_age_seconds.set(
             {}, self._store_health.unreachable_s
--- a/src/tamaracktide/entry/store_follower.py
+++ b/src/tamaracktide/entry/store_follower.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import random
+from typing import Protocol
 
 import anyio
 
@@ -45,6 +46,23 @@
 """Minimum duration of failures that count as an outage."""
 
 
+class Health(Protocol):
+    """How the calls of a follower fare, and when the next one is due."""
+
+    @property
+    def failing_since(self) -> float | None:
+        """Time of the first failed call, None while calls succeed."""
+
+    async def wait(self) -> None:
+        """Waits until the next call is due."""
+
+    def record_response(self) -> None:
+        """Records that the store responded to a call."""
+
+    def record_failure(self, error: errors.TamaracktideError) -> None:
+        """Records that a call failed."""
+
+
 class StoreHealth:
     """Tracks whether the store is reachable; shared by all of its clients.
 
@@ -150,11 +168,12 @@
         prefix: str,
         store: object_store.ValueStore,
         state: cluster_state.ClusterState,
-        store_health: StoreHealth,
+        store_health: Health,
         on_change: Callable[[list[object_store.Item]], None],
         wait_until_needed: Callable[[], Awaitable[None]],
         find_watch_pause_s: Callable[[], float] | None = None,
-        max_wait_s: float = MAX_WATCH_WAIT_S,
+        find_max_wait_s: Callable[[], float] = lambda: MAX_WATCH_WAIT_S,
+        on_bytes: object_store.ByteListener | None = None,
     ) -> None:
         """Builds a follower; `run` must be running.
 
@@ -168,7 +187,8 @@
                 its relay.
             find_watch_pause_s: Returns the pause before the next watch;
                 None for no pauses.
-            max_wait_s: Maximum wait of a watch.
+            find_max_wait_s: Returns the maximum wait of a watch.
+            on_bytes: Called with the size of each part of a response.
         """
         self._prefix = prefix
         self._store = store
@@ -177,7 +197,8 @@
         self._on_change = on_change
         self._wait_until_needed = wait_until_needed
         self._find_watch_pause_s = find_watch_pause_s
-        self._max_wait_s = max_wait_s
+        self._find_max_wait_s = find_max_wait_s
+        self._on_bytes = on_bytes
         self._listed_era = 0
         self._call_scope = anyio.CancelScope()
         state.listen_for_eras(self._cancel_call)
@@ -204,6 +225,10 @@
             if self._find_watch_pause_s is not None:
                 await anyio.sleep(self._find_watch_pause_s())
 
+    def restart_call(self) -> None:
+        """Ends the call in progress; another one follows at once."""
+        self._call_scope.cancel()
+
     def _cancel_call(self, era: int) -> None:
         """Ends a call of an earlier era, so that the objects are listed."""
         del era
@@ -215,7 +240,7 @@
         Returns:
             The version; None if the objects must be listed again.
         """
-        version = None
+        version = since
         with anyio.CancelScope() as self._call_scope:
             if since is None or self._listed_era != self._cluster_state.era:
                 version = await self._list()
@@ -224,7 +249,7 @@
         return version
 
     async def _list(self) -> int:
-        listing = await self._store.list_values(self._prefix)
+        listing = await self._store.list_values(self._prefix, self._on_bytes)
         self._check_era(listing)
         self._listed_era = self._cluster_state.era
         self._store_health.record_response()
@@ -235,11 +260,13 @@
 
     async def _watch(self, since: int) -> int | None:
         wait_s = (
-            self._max_wait_s
+            self._find_max_wait_s()
             if self._store_health.failing_since is None
             else 0.2
         )
-        changes = await self._store.watch_values(self._prefix, since, wait_s)
+        changes = await self._store.watch_values(
+            self._prefix, since, wait_s, self._on_bytes
+        )
         if self._cluster_state.era != self._listed_era:
             return None
         self._check_era(changes)
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -75,7 +75,7 @@
             the store's era in `known`.
         loads: Number of adapters loading in the sender's cells.
         engines: Engines in the sender's cells whose state changed.
-        known: What a relay knows of the store.
+        known: What the sender knows of the store.
         store_silent_s: Time since the store responded to an instance of the
             group; 0 while it responds, -1 if none of them uses it.
         quarantined: Fingerprints of requests that crash upstreams.
@@ -135,6 +135,7 @@
             instance and upstream.
         cut_off: Services of which the relay reaches no upstream.
         paces: Samples of all instances since its last report, by engine.
+        known: What the relay knows of the store.
     """
 
     is_full: bool
@@ -154,6 +155,9 @@
     paces: dict[str, core_paces.PaceSum] = dataclasses.field(
         default_factory=dict
     )
+    known: catch_up.StoreVersions = dataclasses.field(
+        default_factory=catch_up.StoreVersions
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -382,6 +386,41 @@
     known: catch_up.StoreVersions
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DocumentRequest:
+    """Requests a part of the routing document.
+
+    Attributes:
+        digest: Digest of the document whose first parts the sender has; empty
+            for none. Another document is sent from its beginning.
+        offset: Position of the part, bytes.
+    """
+
+    digest: str = ""
+    offset: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DocumentPart:
+    """Part of the routing document that is in force at the sender.
+
+    Attributes:
+        era: Era of the store in which the document was read.
+        revision: Version of the store at its last change.
+        size: Its size in bytes.
+        digest: Digest of its bytes.
+        offset: Position of the part, bytes.
+        data: The part, compressed.
+    """
+
+    era: int
+    revision: int
+    size: int
+    digest: str
+    offset: int
+    data: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class WriteRequest:
     """Requests a write from a peer while the sender cannot reach the store.
--- a/src/tamaracktide/protocol/messages.py
+++ b/src/tamaracktide/protocol/messages.py
@@ -12,7 +12,7 @@
 from tamaracktide.protocol import peer_messages
 
 PROTOCOL_VERSION = 1
-REVISION = 4
+REVISION = 5
 """Grows with each landing that adds messages or fields. Peers of all revisions
 of a protocol version work together; logs and metrics show which are met."""
 
@@ -391,6 +391,8 @@
     | peer_messages.InstancesReply
     | peer_messages.ShareRequest
     | entry_messages.CrashNotice
+    | entry_messages.DocumentPart
+    | entry_messages.DocumentRequest
     | entry_messages.InstanceReport
     | entry_messages.ClusterReport
     | entry_messages.EngineNotice
@@ -447,4 +449,6 @@
     37: entry_messages.SendLimitNotice,
     38: entry_messages.UsageReport,
     39: entry_messages.UsageTotals,
+    40: entry_messages.DocumentRequest,
+    41: entry_messages.DocumentPart,
 }
--- a/tests/fleet/test_entry_outages.py
+++ b/tests/fleet/test_entry_outages.py
@@ -73,6 +73,11 @@
             assert leases["llm.z1"]["Spec"]["epoch"] == 1
 
 
+LIST_AND_WATCHES = 3
+"""Calls for a document that changes once: a listing, and a watch before and
+after the change."""
+
+
 @contextlib.asynccontextmanager
 async def _run_relay_and_member(
     cluster: fleet_cluster.Cluster, monkeypatch: pytest.MonkeyPatch
@@ -110,8 +115,9 @@
 ) -> None:
     """Load pattern: hundreds of instances, of which few follow the store.
 
-    Changes reach a member that makes no call itself, and a load that it needs
-    is ordered by the lease holder.
+    A member calls the store for the routing document only, once and after each
+    change. Upstreams reach it through its relay, and a load that it needs is
+    ordered by the lease holder.
     """
     async with fleet_cluster.run_cluster() as cluster:
         engine = await cluster.add_server(fleet_cluster.Server("e1", slots=3))
@@ -137,7 +143,9 @@
             assert set(calls) <= {
                 "POST tamaracktide-instances",
                 "GET tamaracktide-instances",
+                "GET config",
             }
+            assert calls.count("GET config") <= LIST_AND_WATCHES
 
 
 async def test_member_without_its_relay_follows_the_store_itself(
