--- a/tests/fleet/test_entry_outages.py
+++ b/tests/fleet/test_entry_outages.py
@@ -11,7 +11,9 @@
 import pytest
 
 import deployment
+from tamaracktide.core import document_fetch
 from tamaracktide.core import relays
+from tamaracktide.entry import document_exchange
 from tamaracktide.entry import object_exchange
 
 pytestmark = pytest.mark.anyio
@@ -148,6 +150,32 @@
             assert calls.count("GET config") <= LIST_AND_WATCHES
 
 
+async def test_member_of_an_earlier_build_is_sent_the_document(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Load pattern: an upgrade, in which relays are replaced before members.
+
+    Earlier builds neither read the document themselves nor fetch it.
+    """
+    next_revision = document_exchange.PARTS_REVISION + 1
+    monkeypatch.setattr(document_exchange, "PARTS_REVISION", next_revision)
+    async with fleet_cluster.run_cluster() as cluster:
+        await cluster.add_server(fleet_cluster.Server("p1"))
+        async with _run_relay_and_member(cluster, monkeypatch) as (
+            instances,
+            proxies,
+            relay,
+        ):
+            (name,) = instances.keys() - {relay}
+            proxies[name].is_silent = True
+            put_document(cluster, 3, routes=1)
+            with anyio.fail_after(document_fetch.MAX_BEHIND_S):
+                while (
+                    await instances[name].send("/safe/x", "r")
+                ).status == 200:
+                    await anyio.sleep(0.02)
+
+
 async def test_member_without_its_relay_follows_the_store_itself(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
