--- a/src/tamaracktide/core/document_fetch.py
+++ b/src/tamaracktide/core/document_fetch.py
@@ -22,6 +22,10 @@
 PART_TIMEOUT_S = 1.0
 """Time without a requested part after which another peer is asked."""
 
+REPEAT_DELAY_S = 10.0
+"""Time for which a document that was fetched, and did not come into force, is
+not fetched again."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Content:
@@ -95,6 +99,9 @@
         "_behind_since",
         "_content",
         "_failed",
+        "_fetched_at",
+        "_fetched_version",
+        "_newest",
         "_requested_at",
         "_store_active_at",
         "_value",
@@ -110,6 +117,9 @@
         self._value = bytearray()
         self._requested_at = float("-inf")
         self._failed: set[str] = set()
+        self._newest = 0
+        self._fetched_version = 0
+        self._fetched_at = float("-inf")
 
     @property
     def is_behind(self) -> bool:
@@ -136,15 +146,20 @@
             now: Current time, seconds.
             reaches_store: Whether the latest call to the store succeeded.
         """
+        if now < self._fetched_at + REPEAT_DELAY_S:
+            own = max(own, self._fetched_version)
         newer = sorted(name for name, known in peers.items() if known > own)
         if not newer:
             self._reset()
             return None
+        self._newest = max(peers[name] for name in newer)
         if self._behind_since is None:
             self._behind_since = now
         if not self.peer:
-            waits_since = max(self._behind_since, self._store_active_at)
-            if reaches_store and now < waits_since + MAX_BEHIND_S:
+            waits_since = self._store_active_at
+            if reaches_store:
+                waits_since = max(waits_since, self._behind_since)
+            if now < waits_since + MAX_BEHIND_S:
                 return None
         elif self.peer in newer and now < self._requested_at + PART_TIMEOUT_S:
             return None
@@ -171,6 +186,7 @@
         if end < part.content.size:
             return self._request(now)
         document = Document(content=part.content, value=bytes(self._value))
+        self._fetched_version, self._fetched_at = self._newest, now
         self._reset()
         return document
 
--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -2,8 +2,8 @@
 
 Relays follow the store and forward changes to their members. A member that is
 without a relay, or whose relays do not reach the store, follows it itself. The
-routing document is not forwarded (`document_exchange`), but to peers of builds
-that do not fetch it.
+routing document is forwarded only to peers of builds that do not read it
+themselves (`document_exchange`).
 """
 
 from collections.abc import Iterator
--- a/src/tamaracktide/entry/peers.py
+++ b/src/tamaracktide/entry/peers.py
@@ -532,6 +532,7 @@
         if peer_connection.peer.incarnation != peer.incarnation:
             peer.incarnation = peer_connection.peer.incarnation
             peer.report = None
+            peer.known = catch_up.StoreVersions()
             peer.cut_off, peer.draining = frozenset(), False
         link = Link(
             outbox.Outbox(peer_connection, MAX_QUEUED),
--- a/src/tamaracktide/entry/store_follower.py
+++ b/src/tamaracktide/entry/store_follower.py
@@ -232,7 +232,7 @@
     def _cancel_call(self, era: int) -> None:
         """Ends a call of an earlier era, so that the objects are listed."""
         del era
-        self._call_scope.cancel()
+        self.restart_call()
 
     async def _follow_once(self, since: int | None) -> int | None:
         """Lists or watches once; returns the version to watch from next.
--- a/tests/core/test_document_fetch.py
+++ b/tests/core/test_document_fetch.py
@@ -82,6 +82,30 @@
     assert asked_at == 0.0
 
 
+def test_response_after_failed_calls_is_waited_for() -> None:
+    """The store is back, and asking a peer would end the call that succeeds."""
+    fetch = document_fetch.DocumentFetch()
+    asked_at, _ = find_first_request(
+        fetch, reaches_store=False, active_until=3.0
+    )
+    assert asked_at >= 3.0
+
+
+def test_document_that_does_not_come_into_force_is_not_fetched_at_once() -> (
+    None
+):
+    """Guards against a megabyte each second that changes nothing."""
+    fetch = document_fetch.DocumentFetch()
+    _, request = find_first_request(fetch, reaches_store=False)
+    assert transfer(fetch, request, CONTENT, VALUE, 3) is not None
+    at = 1.0 + document_fetch.REPEAT_DELAY_S
+    assert fetch.update(1, PEERS, at - 0.1, reaches_store=False) is None
+    newer = {**PEERS, "n3": 3}
+    assert fetch.update(1, newer, at - 0.1, reaches_store=False) is not None
+    fetch.update(3, newer, at - 0.1, reaches_store=True)
+    assert fetch.update(1, PEERS, at, reaches_store=False) is not None
+
+
 def test_parts_make_up_the_document() -> None:
     """One part is requested at a time."""
     fetch = document_fetch.DocumentFetch()
