--- a/tests/fleet/narrow_links.py
+++ b/tests/fleet/narrow_links.py
@@ -24,6 +24,10 @@
 """Receive buffer of a link, beyond which a sender has to wait."""
 
 
+MAX_TIMER_DELAY_S = 0.05
+"""Lateness of timers that does not lower the rate of a busy link."""
+
+
 class _Direction:
     """One direction of a link, which is used by one chunk at a time."""
 
@@ -33,7 +37,8 @@
 
     async def carry(self, size: int) -> None:
         now = anyio.current_time()
-        self._free_at = max(now, self._free_at) + size / self._bytes_per_s
+        begins_at = max(now - MAX_TIMER_DELAY_S, self._free_at)
+        self._free_at = begins_at + size / self._bytes_per_s
         await anyio.sleep_until(self._free_at)
 
 
