--- a/src/tamaracktide/bench/slopes/memory_network.py
+++ b/src/tamaracktide/bench/slopes/memory_network.py
@@ -60,7 +60,6 @@
         """Creates an end whose handshake is complete."""
         self.peer = peer
         self.version = messages.PROTOCOL_VERSION
-        self.received = 0
         self.sent = 0
         self._received_bytes = 0
         self._network = network
@@ -110,7 +109,6 @@
                 raise _Closed from None
             if not self._network.is_connected(self.own, self.peer):
                 continue
-            self.received += 1
             self._received_bytes += len(data)
             message = codec.decode_message(data)
             if message is not None:
--- a/src/tamaracktide/protocol/connection.py
+++ b/src/tamaracktide/protocol/connection.py
@@ -41,7 +41,6 @@
     Attributes:
         peer: First message of the peer.
         version: Negotiated protocol version.
-        received: Number of messages received, including unknown ones.
         sent: Number of messages sent.
     """
 
@@ -50,7 +49,6 @@
         "_settings",
         "_socket",
         "peer",
-        "received",
         "sent",
         "version",
     )
@@ -68,7 +66,6 @@
             version=0, instance="", incarnation="", role="", zone=""
         )
         self.version = 0
-        self.received = 0
         self.sent = 0
 
     @property
@@ -125,7 +122,6 @@
         """
         while True:
             data = await self._receive_bytes()
-            self.received += 1
             self._complete_bytes = self.received_bytes
             try:
                 message = codec.decode_message(data)
