--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""Sound requests are refused for their first part after others crashed servers."""
+"""A server says in its answers that it leaves, and still gets new streams."""
 
 import asyncio
 import os
@@ -11,80 +11,76 @@
 import standins
 
 MODEL = "daka510000"
-FIRST = "5c1e07a2"
-DEADLY = "deadbeef"
-CONTACT_S = 3.0
-DOWN_S = 3.0
-LULL_S = float(os.environ.get("LULL", "12"))
-SOUND_PER_S = 4.0
-BEFORE_S = 10.0
-AFTER_S = 10.0
-MIN_REQUESTS = 20
+DRAIN_S = 2.0
+OUTAGE_S = 8.0
+NOTICE_S = 2.5
+STREAMS_PER_S = 60.0
+EVENTS = 60
 
 
 def make_manifest() -> dict:
     service = standins.make_service("drafter", Engine=engines.make_profile(MODEL))
     route = standins.make_route(
         "r1",
-        "/draft/",
+        "/roles/",
         "streaming",
         "drafter",
-        TimeoutMs=8000,
-        TargetLatencyMs=800,
-        MaxAttempts=2,
+        TimeoutMs=25000,
+        TargetLatencyMs=1000,
+        Priority=1,
         SessionAffinity=True,
-        Resumable=True,
+        Resumable=False,
         GapAimMs=250,
     )
     return standins.make_manifest([route], [service])
 
 
-class Fleet:
-    """Servers that a part of a prompt crashes; each is back after a while."""
-
-    def __init__(self, store: standins.Store, record: standins.Record) -> None:
-        self.store, self.record = store, record
-        self.crashes: list[float] = []
-        self.begun: set[str] = set()
-        self.tasks: list[asyncio.Task] = []
-
-    async def start(self, name: str, port: int = 0) -> None:
-        server = DeadlyEngine(self, name)
-        await server.listen("127.0.0.1", port)
-        self.record.write(f"server {name} registers")
-        server.beating = asyncio.create_task(server.beat())
-        self.tasks.append(server.beating)
-
-    def crash(self, server: "DeadlyEngine", request_id: str) -> None:
-        self.record.write(f"server {server.name}: {request_id} crashes it")
-        self.crashes.append(standins.clock())
-        server.beating.cancel()
-        server.stop()
-        self.tasks.append(asyncio.create_task(self._restart(server)))
-
-    async def _restart(self, server: "DeadlyEngine") -> None:
-        await asyncio.sleep(DOWN_S)
-        name, _, start = server.name.partition(".")
-        port = int(server.address.rpartition(":")[2])
-        await self.start(f"{name}.{int(start or 0) + 1}", port)
-
-
-class DeadlyEngine(engines.Engine):
-    """A model server that crashes as it begins an answer on one part."""
-
-    def __init__(self, fleet: Fleet, name: str) -> None:
-        super().__init__(fleet.store, fleet.record, name, "drafter", MODEL, events=8)
-        self.fleet = fleet
-        self.beating: asyncio.Task
-
-    async def answer(
-        self, head: standins.Head, body: bytes, writer: asyncio.StreamWriter
-    ) -> None:
-        if DEADLY in head.values.get("x-prompt-prefix", ""):
-            self.fleet.crash(self, head.values["x-request-id"])
-            return
-        self.fleet.begun.add(head.values.get("x-request-id", ""))
-        await super().answer(head, body, writer)
+class Sent:
+    """A stream that a requester has asked for.
+
+    Attributes:
+        named_at: When the head of its answer arrived, if it says that the
+            server leaves.
+    """
+
+    def __init__(self, number: int) -> None:
+        self.request_id = f"q{number}"
+        self.sent_at = standins.clock()
+        self.named_at: float | None = None
+        self.status = 0
+        self.is_whole = False
+
+    async def run(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        writer = None
+        try:
+            async with asyncio.timeout(20.0):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                self.sent_at = standins.clock()
+                lines = [
+                    "POST /roles/x HTTP/1.1",
+                    "Host: ficu95.example",
+                    f"X-Request-Id: {self.request_id}",
+                    "X-Deadline-Ms: 25000",
+                    f"X-Model: {MODEL}",
+                    "X-Token-Count: 500,240",
+                    "X-Prompt-Prefix: 5c1e07a2:155,91bd3f06:345",
+                    "Content-Length: 4",
+                ]
+                writer.write("\r\n".join(lines).encode() + b"\r\n\r\nbody")
+                head = await standins.read_head(reader)
+                if head is None:
+                    return
+                self.status = int(head.line.split(" ")[1])
+                if head.values.get("server-leaving") == "1":
+                    self.named_at = standins.clock()
+                await standins.read_body(reader, head)
+                self.is_whole = True
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+            pass
+        finally:
+            if writer is not None:
+                writer.close()
 
 
 async def case(
@@ -94,93 +90,91 @@
     store = standins.Store(record)
     await store.listen("127.0.0.1")
     store.put("config", "main", make_manifest())
-    fleet = Fleet(store, record)
-    fleet.tasks.append(asyncio.create_task(store.expire()))
-    instances = [
-        standins.Instance(record, directory, name, host, ports, store.address)
-        for name, host in (("front-1", "127.0.0.2"), ("front-2", "127.0.0.3"))
-    ]
-    jobs: list[asyncio.Task] = []
-    statuses: dict[str, int] = {}
-
-    async def send(request_id: str, number: int, part: str) -> None:
-        instance = instances[number % 2]
-        headers = {
-            "Host": "ficu95.example",
-            "X-Request-Id": request_id,
-            "X-Deadline-Ms": "8000",
-            "X-Model": MODEL,
-            "X-Token-Count": "500,24",
-            "X-Prompt-Prefix": f"{FIRST}:155,{part}:200,{number:x}a:145",
-        }
-        body = f"{request_id}".encode()
-        reply = await standins.send(
-            instance.front, "POST", "/draft/x", headers, body
-        )
-        statuses[request_id] = reply.status
-        record.write(
-            f"{instance.name}: {request_id} answered {reply.status} "
-            f"{reply.headers.get('x-result-code', '')}"
+    tasks = [asyncio.create_task(store.expire())]
+    instance = standins.Instance(
+        record, directory, "front-1", "127.0.0.2", ports, store.address
+    )
+    servers = []
+    for number in range(1, 5):
+        server = engines.Engine(
+            store, record, f"i-{number}", "drafter", MODEL, events=EVENTS
         )
+        await server.listen("127.0.0.1")
+        tasks.append(asyncio.create_task(server.beat()))
+        servers.append(server)
+    leaving = servers[0]
+    streams: list[Sent] = []
+    jobs: list[asyncio.Task] = []
 
-    async def send_sound(prefix: str, for_s: float) -> list[str]:
-        until = standins.clock() + for_s
-        sent = []
-        while standins.clock() < until:
-            sent.append(f"{prefix}{len(sent)}")
-            job = send(sent[-1], len(sent), "91bd3f06")
-            jobs.append(asyncio.create_task(job))
-            await asyncio.sleep(1 / SOUND_PER_S)
-        return sent
-
-    async def send_deadly() -> None:
-        number = 0
+    async def send_all() -> None:
         while True:
-            jobs.append(asyncio.create_task(send(f"deadly{number}", number, DEADLY)))
-            number += 1
-            await asyncio.sleep(1.0)
+            stream = Sent(len(streams))
+            streams.append(stream)
+            jobs.append(asyncio.create_task(stream.run(instance.front)))
+            await asyncio.sleep(1 / STREAMS_PER_S)
 
     try:
-        for number in range(1, 7):
-            await fleet.start(f"i-{number}")
-        await asyncio.gather(*(instance.start() for instance in instances))
-        await asyncio.sleep(3.0)
-        before = await send_sound("before", BEFORE_S)
-        record.write("the caller is quiet")
-        await asyncio.sleep(LULL_S)
+        await instance.start()
+        await asyncio.sleep(2.0)
+        sender = asyncio.create_task(send_all())
+        await asyncio.sleep(2.0)
+        if trouble:
+            store.set_refusing(True)
+        outage_at = standins.clock()
+        await asyncio.sleep(0.5)
+        leaving.state, leaving.remaining_ms = "draining", int(NOTICE_S * 1000)
+        leaving.extra_headers["Server-Leaving"] = "1"
+        accepted = leaving.beat_now()
+        record.write(
+            f"server {leaving.name}: to be taken away in {NOTICE_S} s, report "
+            f"{'accepted' if accepted else 'refused'} by the store"
+        )
+        await asyncio.sleep(NOTICE_S)
+        leaving.is_beating = False
+        leaving.stop()
+        gone_at = standins.clock()
+        record.write(f"server {leaving.name}: gone")
+        await asyncio.sleep(max(0.0, outage_at + OUTAGE_S - standins.clock()))
         if trouble:
-            fleet.tasks.append(asyncio.create_task(send_deadly()))
-        await asyncio.sleep(8.0)
-        crashes = sorted(fleet.crashes)
-        if trouble and not crashes:
-            raise standins.CannotRunError("no server has crashed")
-        counted_from = (crashes[:5] or [0.0])[-1] + 2 * CONTACT_S
-        await asyncio.sleep(max(0.0, counted_from - standins.clock()))
-        after = await send_sound("after", AFTER_S)
-        await asyncio.sleep(3.0)
+            store.set_refusing(False)
+        await asyncio.sleep(1.0)
+        sender.cancel()
+        await asyncio.gather(*jobs)
     finally:
-        for task in [*fleet.tasks, *jobs]:
+        await instance.stop()
+        for task in tasks:
             task.cancel()
-        for instance in instances:
-            await instance.stop()
-    shares = []
-    for sent in (before, after):
-        if len(sent) < MIN_REQUESTS:
-            raise standins.CannotRunError("too few sound requests")
-        shares.append(sum(name in fleet.begun for name in sent) / len(sent))
+    named = [s.named_at for s in streams if s.named_at is not None]
+    if not named:
+        if trouble:
+            raise standins.CannotRunError("no answer says that its server leaves")
+        record.write("no stream reached the server after its report")
+        return []
+    named_at = min(named)
+    record.write(f"first answer with Server-Leaving passed on at {named_at:.3f} s")
+    arrived = {request_id for _, request_id in leaving.arrived}
+    late = [
+        s
+        for s in streams
+        if s.sent_at > named_at + DRAIN_S and s.request_id in arrived
+    ]
+    lost = [s for s in late if not s.is_whole]
+    for stream in late:
+        record.write(
+            f"{stream.request_id}: sent at {stream.sent_at:.3f} s, "
+            f"{stream.sent_at - named_at:.3f} s after that answer, reaches "
+            f"{leaving.name}; status {stream.status}, whole: {stream.is_whole}"
+        )
     record.write(
-        f"{len(fleet.crashes)} crashes at "
-        f"{[round(at, 2) for at in sorted(fleet.crashes)]}; sound requests that "
-        f"began: {shares[0]:.2f} of {len(before)} before, {shares[1]:.2f} of "
-        f"{len(after)} from {counted_from:.2f} s"
+        f"{len(streams)} streams sent, {len(arrived)} reached {leaving.name}, "
+        f"{len(late)} late, {len(lost)} of them lost; gone at {gone_at:.3f} s"
     )
-    if shares[1] >= shares[0] / 2:
+    if not late:
         return []
-    refused = sum(statuses.get(name) == 503 for name in after)
     return [
-        f"LOST: {shares[1]:.2f} of {len(after)} sound requests with the same first "
-        f"part began from 2 x ContactMs after the last counted crash, "
-        f"{shares[0]:.2f} of {len(before)} before; {refused} were refused with 503"
+        f"DRAIN: {len(late)} streams that requesters sent later than {DRAIN_S} s "
+        f"after front-1 had passed on an answer with Server-Leaving reached that "
+        f"server from front-1; {len(lost)} of them were lost as it went"
     ]
 
 
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,83 +1,90 @@
-"""The body of a request that offers an upgrade runs as a request of its own.
-
-Half of the bodies are plain records. The other half hold the text of a request, as
-a note that somebody typed may. Each body follows its head after a moment.
-"""
+"""Sound requests are refused for their first part after others crashed servers."""
 
 import asyncio
-import hashlib
+import os
 import pathlib
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "standins-2"))
 
+import engines
 import standins
 
-REQUESTS = 20
-BODY_BYTES = 600
-BODY_DELAY_S = 0.05
-OFFER = {
-    "Connection": "Upgrade, HTTP2-Settings",
-    "Upgrade": "h2c",
-    "HTTP2-Settings": "AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA",
-}
-
-
-def make_body(number: int) -> bytes:
-    """Returns the body of a sign-off; every second one holds a request's text."""
-    if number % 2:
-        return f"sign-off {number} ".encode().ljust(BODY_BYTES, b".")
-    inner = (
-        f"POST /sign/inner{number} HTTP/1.1\r\nHost: ficu95.example\r\n"
-        f"X-Request-Id: inner{number}\r\nContent-Length: 0\r\n\r\n"
+MODEL = "daka510000"
+FIRST = "5c1e07a2"
+DEADLY = "deadbeef"
+CONTACT_S = 3.0
+DOWN_S = 3.0
+LULL_S = float(os.environ.get("LULL", "12"))
+SOUND_PER_S = 4.0
+BEFORE_S = 10.0
+AFTER_S = 10.0
+MIN_REQUESTS = 20
+
+
+def make_manifest() -> dict:
+    service = standins.make_service("drafter", Engine=engines.make_profile(MODEL))
+    route = standins.make_route(
+        "r1",
+        "/draft/",
+        "streaming",
+        "drafter",
+        TimeoutMs=8000,
+        TargetLatencyMs=800,
+        MaxAttempts=2,
+        SessionAffinity=True,
+        Resumable=True,
+        GapAimMs=250,
     )
-    return inner.encode()
-
-
-async def send(
-    address: str, number: int, headers: dict[str, str], body: bytes
-) -> list[int]:
-    """Sends a request; returns the statuses of all that comes back in a second."""
-    host, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
-    lines = [f"POST /sign/{number} HTTP/1.1", f"Content-Length: {len(body)}"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-    await writer.drain()
-    await asyncio.sleep(BODY_DELAY_S)
-    writer.write(body)
-    statuses = []
-    try:
-        async with asyncio.timeout(1.0):
-            while (head := await standins.read_head(reader)) is not None:
-                await standins.read_body(reader, head)
-                statuses.append(int(head.line.split(" ")[1]))
-    except (TimeoutError, OSError, asyncio.IncompleteReadError):
-        pass
-    writer.close()
-    return statuses
-
-
-class Tracker(standins.Server):
-    """A server that keeps what it has been sent."""
-
-    def __init__(self, *args: object, **options: object) -> None:
-        super().__init__(*args, **options)
-        self.bodies: dict[str, bytes] = {}
-
-    async def run(
-        self,
-        request_id: str,
-        headers: dict[str, str],
-        body: bytes,
-        writer: asyncio.StreamWriter,
+    return standins.make_manifest([route], [service])
+
+
+class Fleet:
+    """Servers that a part of a prompt crashes; each is back after a while."""
+
+    def __init__(self, store: standins.Store, record: standins.Record) -> None:
+        self.store, self.record = store, record
+        self.crashes: list[float] = []
+        self.begun: set[str] = set()
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self, name: str, port: int = 0) -> None:
+        server = DeadlyEngine(self, name)
+        await server.listen("127.0.0.1", port)
+        self.record.write(f"server {name} registers")
+        server.beating = asyncio.create_task(server.beat())
+        self.tasks.append(server.beating)
+
+    def crash(self, server: "DeadlyEngine", request_id: str) -> None:
+        self.record.write(f"server {server.name}: {request_id} crashes it")
+        self.crashes.append(standins.clock())
+        server.beating.cancel()
+        server.stop()
+        self.tasks.append(asyncio.create_task(self._restart(server)))
+
+    async def _restart(self, server: "DeadlyEngine") -> None:
+        await asyncio.sleep(DOWN_S)
+        name, _, start = server.name.partition(".")
+        port = int(server.address.rpartition(":")[2])
+        await self.start(f"{name}.{int(start or 0) + 1}", port)
+
+
+class DeadlyEngine(engines.Engine):
+    """A model server that crashes as it begins an answer on one part."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        super().__init__(fleet.store, fleet.record, name, "drafter", MODEL, events=8)
+        self.fleet = fleet
+        self.beating: asyncio.Task
+
+    async def answer(
+        self, head: standins.Head, body: bytes, writer: asyncio.StreamWriter
     ) -> None:
-        self.bodies[request_id] = body
-        self.record.write(
-            f"server {self.name}: {request_id} runs with {len(body)} B, "
-            f"sha256 {hashlib.sha256(body).hexdigest()[:12]}"
-        )
-        await super().run(request_id, headers, body, writer)
+        if DEADLY in head.values.get("x-prompt-prefix", ""):
+            self.fleet.crash(self, head.values["x-request-id"])
+            return
+        self.fleet.begun.add(head.values.get("x-request-id", ""))
+        await super().answer(head, body, writer)
 
 
 async def case(
@@ -86,74 +93,95 @@
     ports = standins.find_ports(6)
     store = standins.Store(record)
     await store.listen("127.0.0.1")
-    route = standins.make_route(
-        "r1", "/sign/", "non_idempotent", "tracker", TimeoutMs=1200
-    )
-    manifest = standins.make_manifest([route], [standins.make_service("tracker")])
-    store.put("config", "main", manifest)
-    tasks = [asyncio.create_task(store.expire())]
-    servers = []
-    for number in (1, 2, 3):
-        server = Tracker(store, record, f"i-{number}", "tracker")
-        await server.listen("127.0.0.1")
-        tasks.append(asyncio.create_task(server.beat()))
-        servers.append(server)
-    instance = standins.Instance(
-        record, directory, "front-1", "127.0.0.2", ports, store.address
-    )
-    sent: dict[str, bytes] = {}
-    answers: dict[str, list[int]] = {}
-
-    async def send_one(number: int) -> None:
-        request_id = f"q{number}"
-        sent[request_id] = body = make_body(number)
+    store.put("config", "main", make_manifest())
+    fleet = Fleet(store, record)
+    fleet.tasks.append(asyncio.create_task(store.expire()))
+    instances = [
+        standins.Instance(record, directory, name, host, ports, store.address)
+        for name, host in (("front-1", "127.0.0.2"), ("front-2", "127.0.0.3"))
+    ]
+    jobs: list[asyncio.Task] = []
+    statuses: dict[str, int] = {}
+
+    async def send(request_id: str, number: int, part: str) -> None:
+        instance = instances[number % 2]
         headers = {
             "Host": "ficu95.example",
             "X-Request-Id": request_id,
-            "X-Deadline-Ms": "2500",
+            "X-Deadline-Ms": "8000",
+            "X-Model": MODEL,
+            "X-Token-Count": "500,24",
+            "X-Prompt-Prefix": f"{FIRST}:155,{part}:200,{number:x}a:145",
         }
-        if trouble:
-            headers.update(OFFER)
+        body = f"{request_id}".encode()
+        reply = await standins.send(
+            instance.front, "POST", "/draft/x", headers, body
+        )
+        statuses[request_id] = reply.status
         record.write(
-            f"{request_id} sent with {len(body)} B, sha256 "
-            f"{hashlib.sha256(body).hexdigest()[:12]}"
+            f"{instance.name}: {request_id} answered {reply.status} "
+            f"{reply.headers.get('x-result-code', '')}"
         )
-        answers[request_id] = await send(instance.front, number, headers, body)
-        record.write(f"{request_id} answered {answers[request_id]}")
+
+    async def send_sound(prefix: str, for_s: float) -> list[str]:
+        until = standins.clock() + for_s
+        sent = []
+        while standins.clock() < until:
+            sent.append(f"{prefix}{len(sent)}")
+            job = send(sent[-1], len(sent), "91bd3f06")
+            jobs.append(asyncio.create_task(job))
+            await asyncio.sleep(1 / SOUND_PER_S)
+        return sent
+
+    async def send_deadly() -> None:
+        number = 0
+        while True:
+            jobs.append(asyncio.create_task(send(f"deadly{number}", number, DEADLY)))
+            number += 1
+            await asyncio.sleep(1.0)
 
     try:
-        await instance.start()
-        await asyncio.sleep(1.0)
-        for number in range(REQUESTS):
-            await send_one(number)
+        for number in range(1, 7):
+            await fleet.start(f"i-{number}")
+        await asyncio.gather(*(instance.start() for instance in instances))
+        await asyncio.sleep(3.0)
+        before = await send_sound("before", BEFORE_S)
+        record.write("the caller is quiet")
+        await asyncio.sleep(LULL_S)
+        if trouble:
+            fleet.tasks.append(asyncio.create_task(send_deadly()))
+        await asyncio.sleep(8.0)
+        crashes = sorted(fleet.crashes)
+        if trouble and not crashes:
+            raise standins.CannotRunError("no server has crashed")
+        counted_from = (crashes[:5] or [0.0])[-1] + 2 * CONTACT_S
+        await asyncio.sleep(max(0.0, counted_from - standins.clock()))
+        after = await send_sound("after", AFTER_S)
+        await asyncio.sleep(3.0)
     finally:
-        await instance.stop()
-        for task in tasks:
+        for task in [*fleet.tasks, *jobs]:
             task.cancel()
-    ran = {name: body for server in servers for name, body in server.bodies.items()}
-    if not ran:
-        raise standins.CannotRunError("no request has run")
-    broken = []
-    unknown = sorted(ran.keys() - sent.keys())
-    if unknown:
-        broken.append(
-            f"UNASKED: {len(unknown)} requests ran whose id no requester sent, "
-            f"smuggled inside others: {', '.join(unknown)}"
-        )
-    changed = [name for name in sent if name in ran and ran[name] != sent[name]]
-    if changed:
-        successes = sum(answers[name][:1] == [200] for name in changed)
-        broken.append(
-            f"UNASKED: {len(changed)} of {len(sent)} requests ran with their body "
-            f"changed, to {sorted({len(ran[name]) for name in changed})} B; "
-            f"{successes} of them were answered with 200"
-        )
-    extra = sum(len(statuses) > 1 for statuses in answers.values())
-    if extra:
-        broken.append(
-            f"MIXED: {extra} requesters got a second answer, with no request waiting"
-        )
-    return broken
+        for instance in instances:
+            await instance.stop()
+    shares = []
+    for sent in (before, after):
+        if len(sent) < MIN_REQUESTS:
+            raise standins.CannotRunError("too few sound requests")
+        shares.append(sum(name in fleet.begun for name in sent) / len(sent))
+    record.write(
+        f"{len(fleet.crashes)} crashes at "
+        f"{[round(at, 2) for at in sorted(fleet.crashes)]}; sound requests that "
+        f"began: {shares[0]:.2f} of {len(before)} before, {shares[1]:.2f} of "
+        f"{len(after)} from {counted_from:.2f} s"
+    )
+    if shares[1] >= shares[0] / 2:
+        return []
+    refused = sum(statuses.get(name) == 503 for name in after)
+    return [
+        f"LOST: {shares[1]:.2f} of {len(after)} sound requests with the same first "
+        f"part began from 2 x ContactMs after the last counted crash, "
+        f"{shares[0]:.2f} of {len(before)} before; {refused} were refused with 503"
+    ]
 
 
 standins.main(case)
