--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A server says in its answers that it leaves, and still gets new streams."""
+"""Streams that a lost instance began are refused at an undisturbed one."""
 
 import asyncio
 import os
@@ -9,172 +9,145 @@
 
 import engines
 import standins
+import streams
 
 MODEL = "daka510000"
-DRAIN_S = 2.0
-OUTAGE_S = 8.0
-NOTICE_S = 2.5
-STREAMS_PER_S = 60.0
-EVENTS = 60
+STREAMS = 24
+EVENTS = 120
+MIN_TAKEN_UP = 12
+CUT_S = 5.5
+DOWN_S = 3.5
+HEADERS = {
+    "Host": "ficu95.example",
+    "X-Deadline-Ms": "15000",
+    "X-Model": MODEL,
+    "X-Token-Count": "500,360",
+    "X-Prompt-Prefix": "5c1e07a2:155,91bd3f06:345",
+}
 
 
 def make_manifest() -> dict:
     service = standins.make_service("drafter", Engine=engines.make_profile(MODEL))
     route = standins.make_route(
         "r1",
-        "/roles/",
+        "/draft/",
         "streaming",
         "drafter",
-        TimeoutMs=25000,
-        TargetLatencyMs=1000,
-        Priority=1,
+        TimeoutMs=15000,
+        TargetLatencyMs=800,
+        MaxAttempts=2,
         SessionAffinity=True,
-        Resumable=False,
+        Resumable=True,
         GapAimMs=250,
     )
     return standins.make_manifest([route], [service])
 
 
-class Sent:
-    """A stream that a requester has asked for.
-
-    Attributes:
-        named_at: When the head of its answer arrived, if it says that the
-            server leaves.
-    """
-
-    def __init__(self, number: int) -> None:
-        self.request_id = f"q{number}"
-        self.sent_at = standins.clock()
-        self.named_at: float | None = None
-        self.status = 0
-        self.is_whole = False
-
-    async def run(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        writer = None
-        try:
-            async with asyncio.timeout(20.0):
-                reader, writer = await asyncio.open_connection(host, int(port))
-                self.sent_at = standins.clock()
-                lines = [
-                    "POST /roles/x HTTP/1.1",
-                    "Host: ficu95.example",
-                    f"X-Request-Id: {self.request_id}",
-                    "X-Deadline-Ms: 25000",
-                    f"X-Model: {MODEL}",
-                    "X-Token-Count: 500,240",
-                    "X-Prompt-Prefix: 5c1e07a2:155,91bd3f06:345",
-                    "Content-Length: 4",
-                ]
-                writer.write("\r\n".join(lines).encode() + b"\r\n\r\nbody")
-                head = await standins.read_head(reader)
-                if head is None:
-                    return
-                self.status = int(head.line.split(" ")[1])
-                if head.values.get("server-leaving") == "1":
-                    self.named_at = standins.clock()
-                await standins.read_body(reader, head)
-                self.is_whole = True
-        except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
-            pass
-        finally:
-            if writer is not None:
-                writer.close()
-
-
 async def case(
     record: standins.Record, directory: pathlib.Path, trouble: bool
 ) -> list[str]:
+    mode = os.environ.get("TROUBLE", "1")
+    is_cut, is_killed = mode in ("1", "cut"), mode in ("1", "kill")
     ports = standins.find_ports(6)
     store = standins.Store(record)
     await store.listen("127.0.0.1")
     store.put("config", "main", make_manifest())
     tasks = [asyncio.create_task(store.expire())]
-    instance = standins.Instance(
-        record, directory, "front-1", "127.0.0.2", ports, store.address
+    # What lies between front-1 and the store, and between the two instances.
+    to_store = standins.Proxy(store.address)
+    await to_store.listen("127.0.0.1")
+    to_first = standins.Proxy(f"127.0.0.2:{ports[3]}")
+    await to_first.listen("127.0.0.12", ports[3])
+    to_second = standins.Proxy(f"127.0.0.3:{ports[3]}")
+    await to_second.listen("127.0.0.13", ports[3])
+    between = (to_store, to_first, to_second)
+    store.shown_ips = {"127.0.0.2": "127.0.0.12", "127.0.0.3": "127.0.0.13"}
+    first = standins.Instance(
+        record, directory, "front-1", "127.0.0.2", ports, to_store.address
     )
-    servers = []
-    for number in range(1, 5):
-        server = engines.Engine(
-            store, record, f"i-{number}", "drafter", MODEL, events=EVENTS
-        )
+    second = standins.Instance(
+        record, directory, "front-2", "127.0.0.3", ports, store.address
+    )
+
+    async def add_server(name: str, version: str) -> None:
+        server = engines.Engine(store, record, name, "drafter", MODEL, events=EVENTS)
+        server.version = version
         await server.listen("127.0.0.1")
+        record.write(f"server {name} of software version {version} registers")
         tasks.append(asyncio.create_task(server.beat()))
-        servers.append(server)
-    leaving = servers[0]
-    streams: list[Sent] = []
-    jobs: list[asyncio.Task] = []
 
-    async def send_all() -> None:
-        while True:
-            stream = Sent(len(streams))
-            streams.append(stream)
-            jobs.append(asyncio.create_task(stream.run(instance.front)))
-            await asyncio.sleep(1 / STREAMS_PER_S)
+    def start_all(
+        chosen: list[streams.Stream], instance: standins.Instance
+    ) -> list[asyncio.Task]:
+        return [
+            asyncio.create_task(
+                stream.attempt(instance.front, "/draft/x", HEADERS, 14.0)
+            )
+            for stream in chosen
+        ]
 
     try:
-        await instance.start()
-        await asyncio.sleep(2.0)
-        sender = asyncio.create_task(send_all())
-        await asyncio.sleep(2.0)
-        if trouble:
-            store.set_refusing(True)
-        outage_at = standins.clock()
-        await asyncio.sleep(0.5)
-        leaving.state, leaving.remaining_ms = "draining", int(NOTICE_S * 1000)
-        leaving.extra_headers["Server-Leaving"] = "1"
-        accepted = leaving.beat_now()
-        record.write(
-            f"server {leaving.name}: to be taken away in {NOTICE_S} s, report "
-            f"{'accepted' if accepted else 'refused'} by the store"
-        )
-        await asyncio.sleep(NOTICE_S)
-        leaving.is_beating = False
-        leaving.stop()
-        gone_at = standins.clock()
-        record.write(f"server {leaving.name}: gone")
-        await asyncio.sleep(max(0.0, outage_at + OUTAGE_S - standins.clock()))
-        if trouble:
-            store.set_refusing(False)
-        await asyncio.sleep(1.0)
-        sender.cancel()
-        await asyncio.gather(*jobs)
+        await add_server("i-1", "v1")
+        await add_server("i-2", "v1")
+        await asyncio.gather(first.start(), second.start())
+        await asyncio.sleep(4.0)
+        if is_cut:
+            record.write("front-1 is partitioned from the store and from front-2")
+            for proxy in between:
+                proxy.cut()
+        began_at = standins.clock()
+        await asyncio.sleep(0.2)
+        await add_server("i-3", "v2")
+        await add_server("i-4", "v2")
+        await asyncio.sleep(0.8)
+        held = [streams.Stream(f"q{number}") for number in range(STREAMS)]
+        tries = start_all(held, first)
+        await asyncio.sleep(0.7)
+        killed_at = standins.clock()
+        if is_killed:
+            first.signal(9)
+        await asyncio.gather(*tries)
+        taken_up = [s for s in held if s.events and not s.is_complete]
+        if is_killed and len(taken_up) < MIN_TAKEN_UP:
+            raise standins.CannotRunError("too few streams were broken off")
+        before = {s.request_id: len(s.events) for s in taken_up}
+        new = [streams.Stream(f"n{number}") for number in range(STREAMS)]
+        tries = start_all(taken_up + new, second)
+        if is_killed:
+            await asyncio.sleep(max(0.0, killed_at + DOWN_S - standins.clock()))
+            tasks.append(asyncio.create_task(first.start(first=False)))
+        await asyncio.sleep(max(0.0, began_at + CUT_S - standins.clock()))
+        if is_cut:
+            record.write("the partition ends")
+            for proxy in between:
+                proxy.heal()
+        await asyncio.gather(*tries)
     finally:
-        await instance.stop()
+        await first.stop()
+        await second.stop()
         for task in tasks:
             task.cancel()
-    named = [s.named_at for s in streams if s.named_at is not None]
-    if not named:
-        if trouble:
-            raise standins.CannotRunError("no answer says that its server leaves")
-        record.write("no stream reached the server after its report")
-        return []
-    named_at = min(named)
-    record.write(f"first answer with Server-Leaving passed on at {named_at:.3f} s")
-    arrived = {request_id for _, request_id in leaving.arrived}
-    late = [
-        s
-        for s in streams
-        if s.sent_at > named_at + DRAIN_S and s.request_id in arrived
-    ]
-    lost = [s for s in late if not s.is_whole]
-    for stream in late:
+    for stream in [*held, *new]:
         record.write(
-            f"{stream.request_id}: sent at {stream.sent_at:.3f} s, "
-            f"{stream.sent_at - named_at:.3f} s after that answer, reaches "
-            f"{leaving.name}; status {stream.status}, whole: {stream.is_whole}"
+            f"{stream.request_id}: {[t[1:] for t in stream.tries]}, "
+            f"{len(stream.events)} events of {sorted(stream.versions)}"
         )
+    if not taken_up:
+        record.write("no stream was broken off")
+        return []
+    went_on = sum(len(s.events) > before[s.request_id] for s in taken_up)
+    began = sum(bool(s.events) for s in new)
     record.write(
-        f"{len(streams)} streams sent, {len(arrived)} reached {leaving.name}, "
-        f"{len(late)} late, {len(lost)} of them lost; gone at {gone_at:.3f} s"
+        f"{went_on} of {len(taken_up)} streams that were taken up went on, "
+        f"{began} of {len(new)} new ones began"
     )
-    if not late:
+    if went_on / len(taken_up) >= began / len(new) / 2:
         return []
+    refused = sum(s.tries[-1][2] == 503 for s in taken_up)
     return [
-        f"DRAIN: {len(late)} streams that requesters sent later than {DRAIN_S} s "
-        f"after front-1 had passed on an answer with Server-Leaving reached that "
-        f"server from front-1; {len(lost)} of them were lost as it went"
+        f"LOST: {went_on} of {len(taken_up)} streams that requesters took up again at "
+        f"front-2, which is in touch, went on ({refused} were refused with 503); "
+        f"{began} of {len(new)} new ones began; two servers of their version serve"
     ]
 
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -96,6 +96,7 @@
             for stream in held
         ]
         await asyncio.sleep(0.7)
+        killed_at = standins.clock()
         if is_killed:
             first.signal(9)
         await asyncio.gather(*tries)
@@ -112,13 +113,14 @@
             asyncio.create_task(stream.attempt(second.front, "/draft/x", HEADERS, 14.0))
             for stream in broken_off
         ]
+        if is_killed:
+            await asyncio.sleep(max(0.0, killed_at + DOWN_S - standins.clock()))
+            tasks.append(asyncio.create_task(first.start(first=False)))
         await asyncio.sleep(max(0.0, began_at + CUT_S - standins.clock()))
         if is_cut:
             record.write("the partition ends")
             for proxy in between:
                 proxy.heal()
-        if is_killed:
-            await first.start(first=False)
         await asyncio.gather(*tries)
     finally:
         await first.stop()
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,6 +5,8 @@
 python3 - <<'P'
 import pathlib
 
-for path in [*pathlib.Path("standins-2").glob("*.py"), *pathlib.Path(".").glob("*/case.py")]:
+root = pathlib.Path(".")
+cases = [root / str(number) / "case.py" for number in range(6, 11)]
+for path in [*root.glob("standins-2/*.py"), *root.glob("trials-2/*/case.py"), *cases]:
     compile(path.read_text(), str(path), "exec")
 P
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import signal
 import socket
@@ -21,6 +22,9 @@
 HEARTBEAT_S = 1.2
 STORE_LATENCY_S = 0.004
 START_TIMEOUT_S = 20.0
+HOSTS = tuple(f"127.0.0.{number}" for number in (1, 2, 3, 4, 12, 13))
+"""Loopback addresses of the stand-ins and the instances."""
+
 STARTED_AT = time.monotonic()
 
 
@@ -41,16 +45,25 @@
 
 
 def find_ports(count: int) -> list[int]:
-    """Returns ports that are free on all loopback addresses."""
-    sockets = []
-    for _ in range(count):
-        opened = socket.socket()
-        opened.bind(("0.0.0.0", 0))
-        sockets.append(opened)
-    ports = [opened.getsockname()[1] for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
+    """Returns consecutive ports that are free on the loopback addresses used.
+
+    They lie below those that the kernel gives to outgoing connections.
+    """
+    for _ in range(200):
+        first = random.randrange(20000, 32000)
+        ports = list(range(first, first + count))
+        pairs = [(host, port) for host in HOSTS for port in ports]
+        opened = [socket.socket() for _ in pairs]
+        try:
+            for one, pair in zip(opened, pairs, strict=True):
+                one.bind(pair)
+            return ports
+        except OSError:
+            continue
+        finally:
+            for one in opened:
+                one.close()
+    raise CannotRunError("no free ports")
 
 
 class Head:
@@ -748,6 +761,12 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record.write(f"trouble: {trouble}")
+
+    def end(number: int, frame: object) -> None:
+        raise KeyboardInterrupt
+
+    # The processes that were started end with this one.
+    signal.signal(signal.SIGTERM, end)
     try:
         with tempfile.TemporaryDirectory() as directory:
             broken = asyncio.run(case(record, pathlib.Path(directory), trouble))
@@ -755,6 +774,9 @@
         record.write(f"cannot run: {error}")
         print(f"cannot run: {error}")
         sys.exit(2)
+    except KeyboardInterrupt:
+        record.write("ended from outside")
+        sys.exit(2)
     for line in broken:
         record.write(f"BROKEN {line}")
         print(f"BROKEN {line}")
--- /dev/null
+++ b/review/trials-2/retry-after/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exit 1: the rule was broken; 0: it held; 2: the case couldn't run.
+# TROUBLE=0: no server turns requests away.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py "$PWD"
