--- a/review/10/case.py
+++ b/review/10/case.py
@@ -100,7 +100,7 @@
         await add_server("i-3", "v2")
         await add_server("i-4", "v2")
         await asyncio.sleep(0.8)
-        held = [streams.Stream(f"q{number}") for number in range(STREAMS)]
+        held = [streams.Stream(record, f"q{number}") for number in range(STREAMS)]
         tries = start_all(held, first)
         await asyncio.sleep(0.7)
         killed_at = standins.clock()
@@ -111,7 +111,7 @@
         if is_killed and len(taken_up) < MIN_TAKEN_UP:
             raise standins.CannotRunError("too few streams were broken off")
         before = {s.request_id: len(s.events) for s in taken_up}
-        new = [streams.Stream(f"n{number}") for number in range(STREAMS)]
+        new = [streams.Stream(record, f"n{number}") for number in range(STREAMS)]
         tries = start_all(taken_up + new, second)
         if is_killed:
             await asyncio.sleep(max(0.0, killed_at + DOWN_S - standins.clock()))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -90,7 +90,7 @@
         await add_server("i-3", "v2")
         await add_server("i-4", "v2")
         await asyncio.sleep(0.8)
-        held = [streams.Stream(f"q{number}") for number in range(STREAMS)]
+        held = [streams.Stream(record, f"q{number}") for number in range(STREAMS)]
         tries = [
             asyncio.create_task(stream.attempt(first.front, "/draft/x", HEADERS, 14.0))
             for stream in held
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -114,6 +114,7 @@
             "X-Prompt-Prefix": f"{FIRST}:155,{part}:200,{number:x}a:145",
         }
         body = f"{request_id}".encode()
+        record.write(f"{request_id} sent to {instance.name}")
         reply = await standins.send(
             instance.front, "POST", "/draft/x", headers, body
         )
--- a/review/standins-2/engines.py
+++ b/review/standins-2/engines.py
@@ -42,6 +42,9 @@
         self.first_event = 1
         self.orders: list[Order] = []
 
+    def describe(self, request_id: str) -> dict[str, str]:
+        return {**super().describe(request_id), "X-Weight-Versions": "1"}
+
     def make_entry(self) -> dict:
         adapters = [f"{name}@{at}" for name, at in self.adapters.items()]
         return {
--- a/review/standins-2/streams.py
+++ b/review/standins-2/streams.py
@@ -9,12 +9,14 @@
     """What a requester holds of one stream.
 
     Attributes:
+        record: Where it writes what it sends and gets.
         request_id: Id of the attempt that brought the first event.
         events: Id and data of each event, in order of arrival.
         tries: Address, id, status and end of each attempt.
     """
 
-    def __init__(self, request_id: str) -> None:
+    def __init__(self, record: standins.Record, request_id: str) -> None:
+        self.record = record
         self.request_id = request_id
         self.events: list[tuple[int, str]] = []
         self.tries: list[tuple[str, str, int, str]] = []
@@ -37,6 +39,8 @@
             sent["Resumes"] = self.request_id
         else:
             self.request_id = request_id
+        after = sent.get("Last-Event-Id", "none")
+        self.record.write(f"{request_id} sent to {address}, last event {after}")
         status, end = 0, "complete"
         writer = None
         try:
@@ -63,6 +67,7 @@
         finally:
             if writer is not None:
                 writer.close()
+        self.record.write(f"{request_id} answered {status}, {end}")
         self.tries.append((address, request_id, status, end))
 
     async def _read_events(self, reader: asyncio.StreamReader) -> None:
