--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -30,9 +30,13 @@
 from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.protocol import entry_messages
 
+READ_TIMEOUT_S = 0.3
+"""Time in which the records are read as a rule: the pause between two reads and
+the network round trip."""
+
 QUERY_TIMEOUT_S = 0.4
-"""Time for which a resumption waits until another instance or the store knows
-its stream: two hops and the links of an instance that has just started."""
+"""Time for which a resumption then waits until another instance knows its
+stream: two hops and the links of an instance that has just started."""
 
 RETRY_AFTER_S = 1.0
 """Retry-After of a refusal while the records could not be read."""
@@ -155,7 +159,7 @@
             return None
         begun_as, service = request.resumed_request, request.service.name
         arrived_at = anyio.current_time()
-        found = self._find(begun_as, service, arrived_at)
+        found = self.history.find(begun_as, arrived_at)
         if found is None:
             found = await self.learn(
                 begun_as, lambda: self._find(begun_as, service, arrived_at)
@@ -175,13 +179,21 @@
     async def learn(
         self, begun_as: str, find: Callable[[], _T | None]
     ) -> _T | None:
-        """Asks the other instances and the records for a stream.
+        """Reads the records and asks the other instances for a stream.
+
+        The others are asked at once only while they may know better.
 
         Args:
             begun_as: Id of the request that began it.
             find: Returns what must be known of it, None as long as it is not.
         """
+        self._get_records().request_load()
+        if self.history.tracked:
+            self._ask(begun_as)
+        with anyio.move_on_after(READ_TIMEOUT_S):
+            return await self._wait_for(begun_as, find)
         self._ask(begun_as)
+        self._get_records().request_load()
         with anyio.move_on_after(QUERY_TIMEOUT_S):
             return await self._wait_for(begun_as, find)
         return None
@@ -271,7 +283,7 @@
             if other is not peer:
                 other.send(query)
         self._keep(query)
-        self._request_load()
+        self._get_records().request_load()
 
     def _keep(self, query: entry_messages.StreamQuery) -> None:
         """Keeps a question until the records are read, and the newest only."""
@@ -322,7 +334,8 @@
         """Continues what waited until the records in the store were read."""
         self._announce_tracked(newly_tracked)
         self._wake_all()
-        if not self._get_peers().plan.is_flat:
+        peers = self._get_peers()
+        if peers.is_relay and not peers.plan.is_flat:
             self._tell_versions()
         queries, self._queries = self._queries, {}
         for query in queries.values():
@@ -351,14 +364,17 @@
     def _find(
         self, begun_as: str, service: str, arrived_at: float
     ) -> stream_history.Found | None:
+        """Returns the version of a stream.
+
+        The only version that is known began a stream that nobody knows, if the
+        records were read since its retry arrived. That no call has failed says
+        nothing: a cut may be silent.
+        """
         now = anyio.current_time()
         found = self.history.find(begun_as, now)
-        if found is not None:
-            return found
-        has_read = self._get_records().loaded_at >= arrived_at
-        if self._is_view_current() or has_read:
+        if found is None and self.has_read_records(arrived_at):
             return self.history.find_only_version(service, now)
-        return None
+        return found
 
     def _wake_all(self) -> None:
         for event in self._waiting.values():
@@ -426,14 +442,6 @@
         )
         for peer in self._get_peers().list_linked():
             peer.send(query)
-        self._request_load()
-
-    def _request_load(self) -> None:
-        """Reads the records, unless a relay does so for this instance."""
-        peers = self._get_peers()
-        follows_store = peers.is_relay or not peers.is_discovered
-        if follows_store:
-            self._get_records().request_load()
 
     async def _wait_for(
         self, begun_as: str, find: Callable[[], _T | None]
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -150,6 +150,7 @@
         self._on_restore = on_restore
         self._tasks = tasks
         self._is_loading = False
+        self._load_requested_at = float("-inf")
         self._versions: _Versions | None = None
         self._versions_revision: int | None = None
         self._differs_since: float | None = None
@@ -210,24 +211,31 @@
         self._revision = None
 
     def request_load(self) -> None:
-        """Reads all records soon; `on_restore` is called afterwards."""
+        """Reads all records soon; `on_restore` is called afterwards.
+
+        One read serves all requests that precede it.
+        """
+        self._load_requested_at = anyio.current_time()
         if not self._is_loading:
             self._is_loading = True
             self._tasks.start_soon(self._load)
 
     async def _load(self) -> None:
         try:
-            wait_s = self.loaded_at + LOAD_PERIOD_S - anyio.current_time()
-            await anyio.sleep(max(0.0, wait_s))
-            started_at = anyio.current_time()
-            found = await self._store.list_values(self._prefix)
+            while self.loaded_at < self._load_requested_at:
+                await self._load_once()
         except errors.PlatformError as error:
             logs.bind(code=error.code.value).warning(
                 "records of streams not read: {}", error.detail
             )
-            return
         finally:
             self._is_loading = False
+
+    async def _load_once(self) -> None:
+        wait_s = self.loaded_at + LOAD_PERIOD_S - anyio.current_time()
+        await anyio.sleep(max(0.0, wait_s))
+        started_at = anyio.current_time()
+        found = await self._store.list_values(self._prefix)
         self.loaded_at = started_at
         self._apply(found)
 
--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -216,30 +216,43 @@
         await asker.resumption.find_software(_make_retry())
 
 
+async def _tell_one_version(instance: _Links) -> None:
+    """Tells an instance that one version may have begun streams."""
+    await anyio.sleep(NOTICE_S)
+    instance.resumption.apply_notice(
+        entry_messages.StreamsNotice(
+            streams={}, versions={"llm": {"v1": 0.0}}, is_complete=True
+        )
+    )
+
+
 async def test_retry_goes_on_once_a_peer_tells_that_there_is_one_version() -> (
     None
 ):
-    """Guards against refusals after a start beside one version.
+    """Guards against refusals after a start beside one version (LOST).
 
-    The relay of a member answers a question that it cannot answer with the
-    versions that it has read.
+    The records say nothing of it, and were read after the retry had arrived.
     """
     member = _Links("n1", {})
+    member.resumption.records = _ReadRecords()  # type: ignore[assignment]
     _list_upstreams(member, "v1")
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_tell_one_version, member)
+        assert await member.resumption.find_software(_make_retry()) == "v1"
 
-    async def tell() -> None:
-        await anyio.sleep(NOTICE_S)
-        member.resumption.apply_notice(
-            entry_messages.StreamsNotice(
-                streams={},
-                versions={"llm": {"v1": 0.0}},
-                is_complete=True,
-            )
-        )
 
+async def test_one_version_says_nothing_while_no_records_are_read() -> None:
+    """Guards against a view that a silent cut has made old (ORDER).
+
+    The instance counts its view as current, and so does the peer that tells it
+    of one version.
+    """
+    member = _Links("n1", {})
+    _list_upstreams(member, "v1")
     async with anyio.create_task_group() as tasks:
-        tasks.start_soon(tell)
-        assert await member.resumption.find_software(_make_retry()) == "v1"
+        tasks.start_soon(_tell_one_version, member)
+        with pytest.raises(errors.RefusalError):
+            await member.resumption.find_software(_make_retry())
 
 
 async def test_stream_that_no_record_knows_is_not_asked_for_again() -> None:
