--- a/src/tamaracktide/core/stream_history.py
+++ b/src/tamaracktide/core/stream_history.py
@@ -144,6 +144,10 @@
         """Returns the recent software versions of every service."""
         return self._versions.list_all(now)
 
+    def list_recent(self, service: str, now: float) -> frozenset[str]:
+        """Returns the recent software versions of a service."""
+        return self._versions.list_recent(service, now)
+
     def record_begin(
         self, service: str, request_id: str, software: str, now: float
     ) -> None:
--- a/src/tamaracktide/core/stream_origins.py
+++ b/src/tamaracktide/core/stream_origins.py
@@ -38,6 +38,7 @@
     PEER = "peer"
     STORE = "store"
     ONLY_VERSION = "only version"
+    STATED = "stated"
 
 
 class StreamOrigins:
@@ -157,6 +158,13 @@
             del self._counts[key]
             self._last_seen[key] = now
 
+    def count_upstreams(self) -> dict[str, dict[str, int]]:
+        """Returns the numbers of upstreams by service and version."""
+        found: dict[str, dict[str, int]] = {}
+        for (service, software), count in self._counts.items():
+            found.setdefault(service, {})[software] = count
+        return found
+
     def restore(self, ages: AgesByService, now: float) -> None:
         """Records versions that others observed, and how long ago."""
         for service, versions in ages.items():
--- a/src/tamaracktide/entry/cluster_state.py
+++ b/src/tamaracktide/entry/cluster_state.py
@@ -42,10 +42,28 @@
     Attributes:
         ip: Its address on the deployment's network.
         zone: Its availability zone.
+        states_versions: Whether its build states at which software versions it
+            begins streams.
     """
 
     ip: Annotated[str, msgspec.Meta(pattern=r"^[0-9.]+$")]
     zone: str = ""
+    states_versions: bool = False
+
+
+def decode_instance(name: str, value: bytes) -> InstanceRecord:
+    """Decodes the registration of an instance.
+
+    Raises:
+        errors.PlatformError: It is malformed.
+    """
+    try:
+        return msgspec.json.decode(value, type=InstanceRecord)
+    except msgspec.DecodeError as error:
+        raise errors.PlatformError(
+            result_codes.ResultCode.MALFORMED_MESSAGE,
+            f"instance {name!r}: {error}",
+        ) from error
 
 
 class ClusterState:
@@ -379,14 +397,7 @@
         return ahead > 0
 
     def _apply_instance(self, name: str, value: bytes) -> None:
-        try:
-            record = msgspec.json.decode(value, type=InstanceRecord)
-        except msgspec.DecodeError as error:
-            raise errors.PlatformError(
-                result_codes.ResultCode.MALFORMED_MESSAGE,
-                f"instance {name!r}: {error}",
-            ) from error
-        self.instances[name] = record
+        self.instances[name] = decode_instance(name, value)
 
     def _apply_document(self, value: bytes) -> int:
         """Applies a document; returns how far its version is ahead."""
--- a/src/tamaracktide/entry/forwarding.py
+++ b/src/tamaracktide/entry/forwarding.py
@@ -447,17 +447,46 @@
                 )
             if block is None:
                 continue
-            if progress.software is None and not attempt.is_relayed:
-                progress.software = await self._attestor.find_software(
-                    run.request, attempt.placement.entry, opened.process
-                )
-                self._resumption.record_begin(run.request, progress.software)
+            fault = await self._admit_events(run, attempt, opened)
+            if fault is not None:
+                return results.LostResponse(fault)
             _record_events(run, attempt, block)
             await responder.write(block.data)
         if splitter.pending or progress.last_id is None:
             return results.LostResponse("stream ended within an event")
         return await self._finish_stream(run, attempt, opened)
 
+    async def _admit_events(
+        self,
+        run: runs.Run,
+        attempt: runs.Attempt,
+        opened: streams.StreamedResponse,
+    ) -> str | None:
+        """Records which software version writes a stream, before its events.
+
+        Returns:
+            Why they must not be forwarded, or None.
+        """
+        if attempt.is_admitted or attempt.is_relayed:
+            return None
+        request, progress = run.request, run.progress
+        software = progress.software
+        if software is None:
+            software = await self._attestor.find_software(
+                request, attempt.placement.entry, opened.process
+            )
+        if not await self._resumption.hold(request, software):
+            return f"software version {software!r} is not stated"
+        if progress.software not in (None, software):
+            return (
+                f"{progress.software!r} has begun the stream, not {software!r}"
+            )
+        progress.software = software
+        if not await self._resumption.record_begin(request, software):
+            return f"stream of {software!r} is not confirmed"
+        attempt.is_admitted = True
+        return None
+
     async def _finish_stream(
         self,
         run: runs.Run,
--- a/src/tamaracktide/entry/object_exchange.py
+++ b/src/tamaracktide/entry/object_exchange.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Iterator
+import contextlib
 import functools
 import random
 
@@ -18,6 +19,9 @@
 from tamaracktide import result_codes
 from tamaracktide.core import batches
 from tamaracktide.core import catch_up
+from tamaracktide.core import rendezvous
+from tamaracktide.core import stream_origins
+from tamaracktide.core import version_statements
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import document_exchange
 from tamaracktide.entry import peers as entry_peers
@@ -110,6 +114,8 @@
         self._store_use = store_follower.StoreUse()
         self._catch_up = catch_up.CatchUp()
         self._is_new = False
+        self._has_stated = False
+        self._unstated_until = anyio.current_time() + stream_origins.RETENTION_S
         self._is_first_start: bool | None = None
         self._registered = anyio.Event()
         self._must_register = anyio.Event()
@@ -150,6 +156,58 @@
             )
         return self._is_first_start
 
+    @property
+    def is_new_to_streams(self) -> bool | None:
+        """Whether earlier processes have stated all that they began.
+
+        None until this instance has registered. A restored store may lack what
+        they stated.
+        """
+        if not self._registered.is_set():
+            return None
+        has_stated = self._is_new or self._has_stated
+        return has_stated and self._cluster_state.era <= FIRST_ERA
+
+    @property
+    def may_be_unstated(self) -> bool:
+        """Whether an instance of an earlier build may have begun streams."""
+        if not self._cluster_state.instances:
+            return True
+        if not self._list_unstated():
+            return False
+        is_recent = anyio.current_time() < self._unstated_until
+        return is_recent or not self._peers.plan.is_flat
+
+    def choose_witness(
+        self, present: version_statements.Witness
+    ) -> version_statements.Witness | None:
+        """Returns the process that is told of the streams of this instance.
+
+        In a large cluster instances are told with the reports only, and nobody
+        is a witness. Without a linked peer, the store is.
+        """
+        if not self._peers.plan.is_flat:
+            return None
+        unstated = self._list_unstated()
+        linked = {
+            peer.instance: peer.incarnation
+            for peer in self._peers.list_linked()
+            if peer.instance not in unstated
+        }
+        if linked.get(present.instance) == present.process:
+            return present
+        own = self._settings.instance
+        for name in rendezvous.sort_members(own, linked):
+            return version_statements.Witness(name, linked[name])
+        return version_statements.Witness()
+
+    def _list_unstated(self) -> set[str]:
+        """Returns the instances of builds that state no versions."""
+        records = self._cluster_state.instances.items()
+        return {name for name, r in records if not r.states_versions} - {
+            self._settings.instance
+        }
+
     def make_followers(self) -> Iterator[store_follower.Follower]:
         """Returns the followers of all collections, which must be run."""
         collections = self._collections
@@ -194,6 +252,11 @@
         self._request_missing()
         self.documents.update()
         self._send_lost()
+        linked = {peer.instance for peer in self._peers.list_linked()}
+        if linked & self._list_unstated():
+            self._unstated_until = (
+                anyio.current_time() + stream_origins.RETENTION_S
+            )
 
     async def register(self) -> None:
         """Keeps this instance's address registered until cancelled.
@@ -211,7 +274,9 @@
         key = self._collections.instances + settings.instance
         value = msgspec.json.encode(
             cluster_state.InstanceRecord(
-                ip=settings.ip, zone=settings.availability_zone
+                ip=settings.ip,
+                zone=settings.availability_zone,
+                states_versions=True,
             )
         )
         while True:
@@ -274,6 +339,10 @@
             await anyio.sleep(FIRST_LIST_DELAY_S)
         except errors.PreconditionFailedError:
             stored = await self._store.read(key)
+            # One that cannot be decoded is replaced.
+            with contextlib.suppress(errors.PlatformError):
+                before = cluster_state.decode_instance(key, stored.value)
+                self._has_stated = before.states_versions
             if stored.value != value:
                 await self._store.update(key, value, stored.version)
 
--- a/src/tamaracktide/entry/program.py
+++ b/src/tamaracktide/entry/program.py
@@ -38,6 +38,7 @@
 from tamaracktide.entry import serving
 from tamaracktide.entry import settings as entry_settings
 from tamaracktide.entry import settings_watch
+from tamaracktide.entry import stated_versions
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
 from tamaracktide.entry import stream_records
@@ -116,8 +117,15 @@
         )
         self._usage = self._make_usage_meter()
         self._usage_exchange.meter = self._usage
+        process = uuid.uuid4().hex[:12]
+        self._stated = stated_versions.StatedVersions(
+            settings.instance, process, lambda: self._cluster_state.era
+        )
         self._resumption = entry_resumption.Resumption(
-            settings.instance, self._is_view_current, self._metrics
+            settings.instance,
+            self._stated,
+            self._is_view_current,
+            self._metrics,
         )
         self._pauses = pauses.PauseDetector(self._metrics)
         self._peer_forwarder = peer_forwarding.PeerForwarder(
@@ -125,7 +133,7 @@
         )
         self._peers = entry_peers.Peers(
             settings,
-            uuid.uuid4().hex[:12],
+            process,
             entry_peers.Callbacks(
                 handle=self._handle_message,
                 handle_open=self._handle_open,
@@ -154,6 +162,12 @@
             store, self._cluster_state, self._peers, tasks
         )
         self._stream_records = self._make_stream_records()
+        self._stream_records.is_new = lambda: (
+            settings.is_first_start or self._objects.is_new_to_streams
+        )
+        self._stream_records.on_recorded = self._resumption.wake_recorded
+        self._stated.choose_witness = self._objects.choose_witness
+        self._stated.may_be_unstated = lambda: self._objects.may_be_unstated
         self._resumption.records = self._stream_records
         self._awaited = awaited_streams.AwaitedStreams(
             lambda: self._cluster_state.upstreams.values(),
@@ -233,6 +247,7 @@
             self._store,
             self._store_health,
             self._resumption.history,
+            self._stated,
             lambda: self._cluster_state.era,
             self._find_store_rank,
             self._count_instances,
@@ -458,6 +473,7 @@
                 ),
                 load_margin=self._loader.margin,
                 load=self._loader.load,
+                list_withheld=self._stated.list_withheld,
                 record_exit=self.crashes.record_exit,
                 was_held_up=lambda: self._pauses.was_held_up,
                 backend=self._upstream_client.backend,
@@ -604,7 +620,7 @@
             case entry_messages.StreamQuery():
                 self._resumption.handle_query(peer, message)
             case entry_messages.StreamReply():
-                self._resumption.apply_reply(message)
+                self._resumption.apply_reply(peer.instance, message)
             case _:
                 self._handle_objects(peer, message)
 
--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -6,13 +6,15 @@
 began which stream before the first event reaches the client. In a small cluster
 all others learn it; in a larger one the relay of the instance and one more, and
 an instance that does not know a stream asks its relay, which asks the others.
-What all of them have lost is read from the store.
+What all of them have lost is read from the store. What no record names began
+at a version that some instance had stated (`stated_versions`).
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import itertools
+import random
 from typing import TypeVar
 
 import anyio
@@ -23,8 +25,10 @@
 from tamaracktide.core import stream_history
 from tamaracktide.core import stream_origins
 from tamaracktide.core import upstream_entries
+from tamaracktide.core import version_statements
 from tamaracktide.entry import peers as entry_peers
 from tamaracktide.entry import requests
+from tamaracktide.entry import stated_versions
 from tamaracktide.entry import stream_records
 from tamaracktide.observability import logs
 from tamaracktide.observability import metrics as metrics_module
@@ -45,7 +49,13 @@
 """Maximum number of streams that are kept for an instance without a relay."""
 
 MAX_QUERIES = 1_000
-"""Maximum number of questions of members that wait for the records."""
+"""Maximum number of questions of others that wait for the records."""
+
+MAX_READERS = 2
+"""Peers that read the records for an instance that does not reach the store."""
+
+READER_MAX_SILENT_S = 0.5
+"""Maximum time since the store responded to such a peer."""
 
 
 _T = TypeVar("_T")
@@ -64,6 +74,7 @@
     def __init__(
         self,
         instance: str,
+        stated: stated_versions.StatedVersions,
         is_view_current: Callable[[], bool],
         metrics: metrics_module.Metrics,
     ) -> None:
@@ -71,6 +82,7 @@
 
         Args:
             instance: Id of this instance.
+            stated: The versions that instances may begin streams at.
             is_view_current: Whether this instance would know by now of another
                 software version.
             metrics: Counts the streams that clients resume.
@@ -81,11 +93,13 @@
         self._started_at = anyio.current_time()
         self.history = stream_history.StreamHistory(self._started_at)
         self._instance = instance
+        self._stated = stated
         self._is_view_current = is_view_current
         self._metrics = metrics
         self._is_first_start = False
         self._unsent: dict[str, str] = {}
         self._waiting: dict[str, anyio.Event] = {}
+        self._unconfirmed: dict[str, set[str]] = {}
         self._queries: dict[tuple[str, str], entry_messages.StreamQuery] = {}
 
     def apply_upstreams(
@@ -99,9 +113,10 @@
         had several versions.
         """
         now = anyio.current_time()
-        self._announce_tracked(
-            self.history.apply_upstreams(changed, removed, now)
-        )
+        entries, gone = list(changed), list(removed)
+        self._stated.own.apply_upstreams(entries, gone, now)
+        self._announce_tracked(self.history.apply_upstreams(entries, gone, now))
+        self._record_unstated()
 
     def apply_document(
         self, document: routing_document.RoutingDocument
@@ -112,10 +127,16 @@
         shares.
         """
         now = anyio.current_time()
+        self._stated.own.apply_document(document)
         self._announce_tracked(self.history.apply_document(document, now))
+        self._record_unstated()
 
     def record_unlisted(self, service: str, software: str) -> None:
         """Records that upstreams run a version that no entry names."""
+        self._stated.own.record_unlisted(
+            service, software, anyio.current_time()
+        )
+        self._get_records().record_soon()
         self._announce_tracked(
             self.history.restore_ages(
                 {service: {software: 0.0}},
@@ -124,25 +145,85 @@
             )
         )
 
-    def record_begin(
+    def _record_unstated(self) -> None:
+        """States new versions without waiting for the end of the period."""
+        if self._stated.lacks_versions():
+            self._get_records().record_soon()
+
+    async def hold(
         self, request: requests.ClientRequest, software: str
-    ) -> None:
-        """Records which version begins a stream, before its first event."""
+    ) -> bool:
+        """Waits until a version is stated, before it writes a stream.
+
+        Returns:
+            Whether it may write the stream.
+        """
         if not request.route.resumable:
-            return
-        now = anyio.current_time()
+            return True
+        return await self._stated.hold(request.service.name, software)
+
+    async def record_begin(
+        self, request: requests.ClientRequest, software: str
+    ) -> bool:
+        """Records which version writes a stream, before its first event.
+
+        Returns:
+            Whether whoever must know of it does.
+        """
+        if not request.route.resumable:
+            return True
+        begun_as = _get_begun_as(request)
         service = request.service.name
-        self.history.record_begin(service, request.request_id, software, now)
-        self._wake(request.request_id)
+        self.history.record_begin(
+            service, begun_as, software, anyio.current_time()
+        )
+        self._wake(begun_as)
         if service in self.history.tracked:
-            self._announce({software: (request.request_id,)})
+            self._announce({software: (begun_as,)})
+        witnesses = self._stated.list_witnesses(service, software)
+        if not witnesses:
+            return True
+        is_confirmed = await self._confirm(begun_as, witnesses)
+        if not is_confirmed:
+            self._stated.record_unconfirmed(service, software)
+        return is_confirmed
+
+    async def _confirm(
+        self,
+        begun_as: str,
+        witnesses: frozenset[version_statements.Witness],
+    ) -> bool:
+        """Waits until all witnesses of a stream know it, or the store does.
+
+        A witness that knows it replies to a question.
+        """
+        records = self._get_records()
+        records.record_soon()
+        waiting = {witness.instance for witness in witnesses}
+        for instance in sorted(waiting):
+            query = entry_messages.StreamQuery(
+                request_id=begun_as, asker=self._instance
+            )
+            self._get_peers().send(instance, query)
+        self._unconfirmed[begun_as] = waiting
+        try:
+            with anyio.move_on_after(QUERY_TIMEOUT_S):
+                return await self._wait_for(
+                    begun_as,
+                    lambda: not waiting or records.holds(begun_as) or None,
+                )
+            return False
+        finally:
+            del self._unconfirmed[begun_as]
+
+    def wake_recorded(self) -> None:
+        """Continues the streams that the store knows now."""
+        for begun_as in self._unconfirmed:
+            self._wake(begun_as)
 
     def record_end(self, request: requests.ClientRequest) -> None:
         """Records that a stream of this instance is complete."""
-        begun_as = request.request_id
-        if request.resume_after:
-            begun_as = request.resumed_request
-        self.history.record_end(request.service.name, begun_as)
+        self.history.record_end(request.service.name, _get_begun_as(request))
 
     async def find_software(
         self, request: requests.ClientRequest
@@ -162,13 +243,13 @@
         found = self.history.find(begun_as, arrived_at)
         if found is None:
             found = await self.learn(
-                begun_as, lambda: self._find(begun_as, service, arrived_at)
+                begun_as,
+                lambda: self._find(begun_as, service, arrived_at),
+                service,
             )
         self._log_found(request, found)
         if found is not None:
             self.on_return(begun_as)
-            # What the client holds from now on is of this version, too.
-            self.history.record_begin(service, begun_as, found[0], arrived_at)
             return found[0]
         raise errors.RefusalError(
             result_codes.ResultCode.SOFTWARE_UNKNOWN,
@@ -177,22 +258,30 @@
         )
 
     async def learn(
-        self, begun_as: str, find: Callable[[], _T | None]
+        self, begun_as: str, find: Callable[[], _T | None], service: str = ""
     ) -> _T | None:
         """Reads the records and asks the other instances for a stream.
 
-        The others are asked at once only while they may know better.
+        The others are asked at once only while they may have to deny it.
 
         Args:
             begun_as: Id of the request that began it.
             find: Returns what must be known of it, None as long as it is not.
+            service: Its service, empty if that is what must be known.
         """
+        since = anyio.current_time()
+        query = entry_messages.StreamQuery(
+            request_id=begun_as,
+            asker=self._instance,
+            process=self._stated.own.process,
+            service=service,
+        )
         self._get_records().request_load()
         if self.history.tracked:
-            self._ask(begun_as)
+            self._ask(query)
         with anyio.move_on_after(READ_TIMEOUT_S):
             return await self._wait_for(begun_as, find)
-        self._ask(begun_as)
+        self._ask(query, needs_records=not self.has_read_records(since))
         self._get_records().request_load()
         with anyio.move_on_after(QUERY_TIMEOUT_S):
             return await self._wait_for(begun_as, find)
@@ -260,16 +349,25 @@
             )
             self._wake_all()
 
-    def apply_reply(self, reply: entry_messages.StreamReply) -> None:
+    def apply_reply(
+        self, sender: str, reply: entry_messages.StreamReply
+    ) -> None:
         """Applies a reply, or passes it on to the member that asked."""
+        if reply.asker != self._instance:
+            self._get_peers().send(reply.asker, reply)
+        if reply.denied_by:
+            self._stated.record_denial(
+                reply.request_id, reply.denied_by, reply.process
+            )
+            self._wake(reply.request_id)
+            return
         streams = {reply.software: (reply.request_id,)}
         now = anyio.current_time()
         self.history.record(streams, stream_origins.Source.PEER, now)
+        self._unconfirmed.get(reply.request_id, set()).discard(sender)
         if reply.service:
             self.history.record_services({reply.service: (reply.request_id,)})
         self._wake(reply.request_id)
-        if reply.asker != self._instance:
-            self._get_peers().send(reply.asker, reply)
 
     def handle_query(
         self, peer: entry_peers.Peer, query: entry_messages.StreamQuery
@@ -277,13 +375,31 @@
         """Replies to a query, or passes that of a member on to the others."""
         if self._reply(query, peer.instance):
             return
-        if not (peer.is_member and query.asker == peer.instance):
+        self._deny(query, peer.instance)
+        is_of_member = peer.is_member and query.asker == peer.instance
+        if is_of_member:
+            forwarded = dataclasses.replace(query, reads_records=False)
+            for other in self._get_peers().list_linked():
+                if other is not peer:
+                    other.send(forwarded)
+        if query.reads_records or (is_of_member and not query.process):
+            self._keep(query)
+            self._get_records().request_load()
+
+    def _deny(self, query: entry_messages.StreamQuery, receiver: str) -> None:
+        """Tells that this process did not begin a stream."""
+        if not query.process:
             return
-        for other in self._get_peers().list_linked():
-            if other is not peer:
-                other.send(query)
-        self._keep(query)
-        self._get_records().request_load()
+        self._get_peers().send(
+            receiver,
+            entry_messages.StreamReply(
+                request_id=query.request_id,
+                software="",
+                asker=query.asker,
+                denied_by=self._instance,
+                process=self._stated.own.process,
+            ),
+        )
 
     def _keep(self, query: entry_messages.StreamQuery) -> None:
         """Keeps a question until the records are read, and the newest only."""
@@ -339,42 +455,68 @@
             self._tell_versions()
         queries, self._queries = self._queries, {}
         for query in queries.values():
-            self._reply(query, query.asker)
+            self._reply_from_records(query)
 
     def _reply(self, query: entry_messages.StreamQuery, receiver: str) -> bool:
-        """Replies to a query; returns whether the stream is recorded.
-
-        The only version that this instance knows of is no reply: the asker may
-        know of another one.
-        """
+        """Replies to a query; returns whether the stream is recorded."""
         found = self.history.find(query.request_id, anyio.current_time())
         if found is None:
             return False
+        self._send_reply(query, receiver, found[0])
+        return True
+
+    def _reply_from_records(self, query: entry_messages.StreamQuery) -> None:
+        """Replies to a query for which the records have been read."""
+        now = anyio.current_time()
+        if self._reply(query, query.asker) or not query.reads_records:
+            return
+        possible = self._stated.find_possible(
+            query.request_id,
+            query.service,
+            self.history.list_recent(query.service, now),
+            (query.asker, query.process),
+        )
+        if possible is not None and len(possible) == 1:
+            self._send_reply(query, query.asker, next(iter(possible)))
+
+    def _send_reply(
+        self,
+        query: entry_messages.StreamQuery,
+        receiver: str,
+        software: str,
+    ) -> None:
         self._get_peers().send(
             receiver,
             entry_messages.StreamReply(
                 request_id=query.request_id,
-                software=found[0],
+                software=software,
                 asker=query.asker,
                 service=self.history.find_service(query.request_id),
             ),
         )
-        return True
 
     def _find(
         self, begun_as: str, service: str, arrived_at: float
     ) -> stream_history.Found | None:
         """Returns the version of a stream.
 
-        The only version that is known began a stream that nobody knows, if the
-        records were read since its retry arrived. That no call has failed says
-        nothing: a cut may be silent.
+        A stream that nobody knows is of the only version that any instance may
+        have begun it at, by records that were read since its retry arrived.
         """
         now = anyio.current_time()
         found = self.history.find(begun_as, now)
-        if found is None and self.has_read_records(arrived_at):
+        if found is not None:
+            return found
+        if not self.has_read_records(arrived_at):
+            return None
+        possible = self._stated.find_possible(
+            begun_as, service, self.history.list_recent(service, now)
+        )
+        if not possible:
             return self.history.find_only_version(service, now)
-        return found
+        if len(possible) > 1:
+            return None
+        return next(iter(possible)), stream_origins.Source.STATED
 
     def _wake_all(self) -> None:
         for event in self._waiting.values():
@@ -436,12 +578,24 @@
             ),
         )
 
-    def _ask(self, request_id: str) -> None:
-        query = entry_messages.StreamQuery(
-            request_id=request_id, asker=self._instance
-        )
-        for peer in self._get_peers().list_linked():
-            peer.send(query)
+    def _ask(
+        self, query: entry_messages.StreamQuery, *, needs_records: bool = False
+    ) -> None:
+        """Asks the linked instances for a stream.
+
+        Args:
+            query: The question.
+            needs_records: Whether some of them must read the records, as this
+                instance does not reach the store.
+        """
+        linked = self._get_peers().list_linked()
+        readers: list[entry_peers.Peer] = []
+        if needs_records:
+            able = [p for p in linked if p.reaches_store(READER_MAX_SILENT_S)]
+            readers = random.sample(able, min(MAX_READERS, len(able)))
+        reading = dataclasses.replace(query, reads_records=True)
+        for peer in linked:
+            peer.send(reading if peer in readers else query)
 
     async def _wait_for(
         self, begun_as: str, find: Callable[[], _T | None]
@@ -464,3 +618,10 @@
     def _get_peers(self) -> entry_peers.Peers:
         assert self.peers is not None
         return self.peers
+
+
+def _get_begun_as(request: requests.ClientRequest) -> str:
+    """Returns the id of the request that began a stream."""
+    return (
+        request.resumed_request if request.resume_after else request.request_id
+    )
--- a/src/tamaracktide/entry/runs.py
+++ b/src/tamaracktide/entry/runs.py
@@ -55,6 +55,7 @@
         is_given_up: Whether it was ended for that one, which may answer.
         successor: The attempt that takes over; None while there is none.
         is_relayed: Whether it was sent to another instance.
+        is_admitted: Whether its events may be forwarded.
         timing: When its events arrived; None until it is sent.
     """
 
@@ -68,6 +69,7 @@
     is_given_up: bool = False
     successor: "Attempt | None" = None
     is_relayed: bool = False
+    is_admitted: bool = False
     timing: stream_timing.StreamTiming | None = None
 
     @property
--- a/src/tamaracktide/entry/service_cell.py
+++ b/src/tamaracktide/entry/service_cell.py
@@ -114,6 +114,8 @@
             started upstreams begin slowly.
         load_margin: Learns how late adapters are loaded.
         load: Requests the load of an adapter and waits for its end.
+        list_withheld: Returns the software versions of a service at which no
+            stream that may be resumed may begin yet.
         record_exit: Called when an upstream refuses connections.
         was_held_up: Returns whether a pause of this process has just ended.
         backend: Opens the connections that check upstreams.
@@ -129,6 +131,7 @@
     slow_start_min_instances: int
     load_margin: load_margin.LoadMargin
     load: Callable[[str, cell_actions.Load], Awaitable[cell_events.LoadEnded]]
+    list_withheld: Callable[[str], frozenset[str]]
     record_exit: Callable[[upstream_entries.UpstreamEntry], None]
     was_held_up: Callable[[], bool]
     backend: network.Backend
@@ -239,7 +242,7 @@
                 self.service,
                 request,
                 self.find_key(request),
-                (*avoid, *self._list_other_versions(software)),
+                (*avoid, *self._list_excluded(request, software)),
                 resume_after or 0,
             )
             if is_hedge:
@@ -250,7 +253,8 @@
                 )
             grant = await self._acquire_grant(submit)
             entry = self._entries.get(grant.upstream)
-            if entry is not None and software in (None, entry.software):
+            excluded = self._list_excluded(request, software)
+            if entry is not None and entry.upstream not in excluded:
                 return self._make_placement(request, grant, entry, submitted_at)
             # The upstream left or appeared while the request waited.
             self._handle(cell_events.GrantEnded(grant_id=grant.grant_id))
@@ -310,15 +314,30 @@
             **dataclasses.asdict(found),
         ).info("resumed stream {}", outcome)
 
-    def _list_other_versions(self, software: str | None) -> list[str]:
-        """Returns the upstreams of other software versions."""
-        if software is None:
+    def _list_excluded(
+        self, request: requests.ClientRequest, software: str | None
+    ) -> list[str]:
+        """Returns the upstreams whose software version must not run it.
+
+        A stream that may be resumed begins at a version that is not stated yet
+        only if no upstream of another one takes requests.
+
+        Args:
+            request: The request.
+            software: Version that began its stream; None for a new one.
+        """
+        entries = self._entries.items()
+        if software is not None:
+            return [n for n, entry in entries if entry.software != software]
+        if not request.route.resumable:
             return []
-        return [
-            name
-            for name, entry in self._entries.items()
-            if entry.software != software
-        ]
+        withheld = self._dependencies.list_withheld(self.service.name)
+        if not withheld:
+            return []
+        excluded = [n for n, entry in entries if entry.software in withheld]
+        if self._entries.keys() - self._leaving <= set(excluded):
+            return []
+        return excluded
 
     def _describe_refusal(self, code: result_codes.ResultCode) -> str:
         usable = len(self._entries) - len(self._leaving)
--- a/src/tamaracktide/entry/stream_records.py
+++ b/src/tamaracktide/entry/stream_records.py
@@ -1,26 +1,27 @@
 """Records in the store which software version began which stream.
 
-What the instances know of streams is lost if all of them are killed. While a
-service has several software versions, each instance records the streams that it
-began and that have not ended; one of them records the versions of all services.
+What the instances know of streams is lost if all of them are killed. Each
+instance states which versions it may begin streams at and, while a service has
+several, records the streams that it began and that have not ended; one of them
+records the versions of all services.
 """
 
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import itertools
 import random
-from typing import TypeVar
 
 import anyio
 import anyio.abc
 import msgspec
 
 from tamaracktide import errors
-from tamaracktide.core import route_history
 from tamaracktide.core import stream_history
 from tamaracktide.core import stream_origins
+from tamaracktide.core import version_statements
+from tamaracktide.entry import record_formats
 from tamaracktide.entry import settings as entry_settings
+from tamaracktide.entry import stated_versions
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import store_relay
 from tamaracktide.object_api import object_store
@@ -42,54 +43,15 @@
 LOAD_PERIOD_S = 0.25
 """Minimum time between two reads of all records."""
 
+REGISTRATION_S = 1.0
+"""Time for which the first statement waits until it is known whether earlier
+processes of this instance may have begun streams."""
+
 VERSIONS_NAME = "versions"
 STREAMS_NAME = "begun."
 """Start of the names of the records of instances."""
 
-_Ids = dict[str, tuple[str, ...]]
-"""Ids of the requests that began streams, by software version or service."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Streams:
-    """The recorded streams of an instance.
-
-    A record without services is written as the streams alone, which builds that
-    know no services read, too.
-
-    Attributes:
-        streams: Ids by software version.
-        services: Ids by service, of the streams whose service must be known.
-    """
-
-    streams: _Ids
-    services: _Ids
-
-    def encode(self) -> bytes:
-        """Returns the record as it is stored."""
-        return msgspec.json.encode(self if self.services else self.streams)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Versions:
-    """The recorded software versions.
-
-    Attributes:
-        services: Versions by service.
-        is_complete: Whether they are all that may have begun a stream.
-        era: Era of the store in which they were recorded.
-        tables: Shares of the resumable routes in recent tables, oldest first;
-            none if all streams are of one service.
-    """
-
-    services: dict[str, tuple[str, ...]]
-    is_complete: bool
-    era: int = 0
-    tables: tuple[route_history.SharesByHost, ...] = ()
-
-
-_UNREADABLE = _Versions({}, is_complete=False)
-_T = TypeVar("_T")
+_UNREADABLE = record_formats.Versions({}, is_complete=False)
 
 
 class StreamRecords:
@@ -100,6 +62,9 @@
             of the loop's clock.
         on_inherit: Called with the number of streams that this instance had
             recorded before it was started again, by software version.
+        on_recorded: Called when the store holds the streams of this instance.
+        is_new: Returns whether no earlier process of this instance has begun a
+            stream unless it has stated so; None while that is unknown.
     """
 
     def __init__(
@@ -109,6 +74,7 @@
         store: object_store.ValueStore,
         store_health: store_follower.StoreHealth,
         history: stream_history.StreamHistory,
+        stated: stated_versions.StatedVersions,
         find_era: Callable[[], int],
         find_rank: Callable[[], int | None],
         count_instances: Callable[[], int],
@@ -124,6 +90,7 @@
             store: The store.
             store_health: Tracks whether the store is reachable.
             history: What this instance knows of streams.
+            stated: The versions that instances may begin streams at.
             find_era: Returns the era of the store.
             find_rank: Returns the rank of this instance among those that follow
                 the store, None if it does not.
@@ -135,14 +102,19 @@
         """
         self.loaded_at = float("-inf")
         self.on_inherit: Callable[[dict[str, int]], None] = lambda _: None
+        self.on_recorded: Callable[[], None] = lambda: None
+        self.is_new: Callable[[], bool | None] = lambda: settings.is_first_start
         self._prefix = prefix
         self._key = f"{prefix}{STREAMS_NAME}{settings.instance}"
         # Without a record, versions may have served before, unless nothing has.
-        self._not_recorded = _Versions({}, settings.is_first_start)
+        self._not_recorded = record_formats.Versions(
+            {}, settings.is_first_start
+        )
         self._versions_key = prefix + VERSIONS_NAME
         self._store = store
         self._store_health = store_health
         self._history = history
+        self._stated = stated
         self._find_era = find_era
         self._find_rank = find_rank
         self._count_instances = count_instances
@@ -151,11 +123,15 @@
         self._tasks = tasks
         self._is_loading = False
         self._load_requested_at = float("-inf")
-        self._versions: _Versions | None = None
+        self._recorded_ids: frozenset[str] = frozenset()
+        self._is_unrecorded = False
+        self._inherited: dict[str, int] = {}
+        self._states_from = anyio.current_time() + REGISTRATION_S
+        self._versions: record_formats.Versions | None = None
         self._versions_revision: int | None = None
         self._differs_since: float | None = None
         self._revision: int | None = None
-        self._streams = _Streams({}, {})
+        self._recorded = record_formats.InstanceStreams({}, {})
         self._is_due = anyio.Event()
 
     async def run(self) -> None:
@@ -171,8 +147,8 @@
             if not self._store_health.allows_calls:
                 continue
             try:
-                await self._record_versions()
                 await self._record_streams()
+                await self._record_versions()
             except (
                 errors.PreconditionFailedError,
                 errors.ObjectMissingError,
@@ -210,6 +186,10 @@
         self._versions = self._versions_revision = None
         self._revision = None
 
+    def holds(self, request_id: str) -> bool:
+        """Whether the store holds which version began a stream here."""
+        return request_id in self._recorded_ids
+
     def request_load(self) -> None:
         """Reads all records soon; `on_restore` is called afterwards.
 
@@ -242,26 +222,38 @@
     def _apply(self, found: object_store.Items) -> None:
         now = anyio.current_time()
         versions, revision = self._not_recorded, 0
-        streams = 0
+        stated: dict[str, tuple[version_statements.Statement | None, int]] = {}
+        own, streams = (b"", 0), 0
         for item in found.items:
             value = item.value or b""
             if item.key == self._versions_key:
                 versions = self._decode_versions(value)
                 revision = item.version
                 continue
-            record = _decode_streams(item.key, value)
+            record = record_formats.decode_streams(item.key, value)
             streams += sum(map(len, record.streams.values()))
             source = stream_origins.Source.STORE
             self._history.record(record.streams, source, now)
             self._history.record_services(record.services)
+            if item.key == self._key:
+                own = value, item.version
+            else:
+                name = item.key.removeprefix(self._prefix + STREAMS_NAME)
+                stated[name] = record.statement, item.version
+        self._stated.others.apply(stated, now)
+        if self._revision is None:
+            self._take_over(*own)
         logs.bind(
             versions=versions.services,
             complete=versions.is_complete,
             streams=streams,
+            statements=len(stated),
         ).info("records of streams read")
         self._restore(versions, revision)
 
-    def _restore(self, versions: _Versions, revision: int) -> None:
+    def _restore(
+        self, versions: record_formats.Versions, revision: int
+    ) -> None:
         """Applies the recorded versions, unless this instance knows the record.
 
         What it has seen expire must not count anew.
@@ -279,10 +271,12 @@
             )
         )
 
-    def _decode_versions(self, value: bytes) -> _Versions:
+    def _decode_versions(self, value: bytes) -> record_formats.Versions:
         if not value:
             return self._not_recorded
-        versions = _decode(self._versions_key, value, _Versions)
+        versions = record_formats.decode(
+            self._versions_key, value, record_formats.Versions
+        )
         if versions is None:
             return _UNREADABLE
         if versions.era == self._find_era():
@@ -290,9 +284,9 @@
         # The store came back from a copy, which may lack a later version.
         return dataclasses.replace(versions, is_complete=False)
 
-    def _make_versions(self) -> _Versions:
+    def _make_versions(self) -> record_formats.Versions:
         now = anyio.current_time()
-        return _Versions(
+        return record_formats.Versions(
             self._history.list_versions(now),
             self._history.is_complete(now),
             self._find_era(),
@@ -326,37 +320,84 @@
             ).info("software versions recorded")
         self._versions = wanted
         if rank == 0 and stored.services and not self._history.tracked:
-            await self._delete_streams()
+            await self._clean_records()
 
     async def _record_streams(self) -> None:
-        """Records the streams of this instance, if they have changed."""
-        if not (self._history.tracked or self._streams.streams):
-            return
+        """Records what this instance states and has begun, if it has changed.
+
+        Others must know of a version before streams begin at it.
+        """
         if self._revision is None:
-            value, self._revision = await self._read(self._key)
-            self._streams = _decode_streams(self._key, value)
-            streams = self._streams.streams
-            self._history.inherit(streams, anyio.current_time())
-            self._history.record_services(self._streams.services)
-            self.on_inherit({v: len(ids) for v, ids in streams.items()})
-        wanted = self._find_streams()
-        if wanted == self._streams:
+            found = await self._read(self._key)
+            # The records may have been read meanwhile.
+            if self._revision is None:
+                self._take_over(*found)
+        if self._is_unrecorded and not self._check_new():
+            return
+        if self._inherited and self._history.tracked:
+            # By now the upstreams of their versions are known.
+            self.on_inherit(self._inherited)
+            self._inherited = {}
+        wanted = self._make_record()
+        if wanted == self._recorded:
             return
-        if wanted.streams:
+        assert self._revision is not None
+        if wanted.statement is not None:
+            self._stated.record_sent(wanted.statement)
+        if not _is_empty(wanted):
             self._revision = await self._write(
-                self._key, wanted.encode(), self._revision
+                self._key, msgspec.json.encode(wanted), self._revision
             )
         elif self._revision:
             await self._store.delete(self._key, self._revision)
             self._store_health.record_response()
             self._revision = 0
-        self._streams = wanted
-
-    def _find_streams(self) -> _Streams:
+        self._set_recorded(wanted)
+
+    def _check_new(self) -> bool:
+        """Whether it is known if earlier processes may have begun streams."""
+        is_new = self.is_new()
+        if is_new is None and anyio.current_time() < self._states_from:
+            return False
+        self._is_unrecorded = False
+        if is_new:
+            self._stated.own.take_over(None, anyio.current_time())
+        return True
+
+    def _set_recorded(self, record: record_formats.InstanceStreams) -> None:
+        self._recorded = record
+        self._recorded_ids = frozenset(
+            itertools.chain.from_iterable(record.streams.values())
+        )
+        self.on_recorded()
+        if record.statement is not None:
+            self._stated.record_held(record.statement)
+
+    def _take_over(self, value: bytes, revision: int) -> None:
+        """Continues the record of this instance, also of an earlier process."""
+        record = record_formats.InstanceStreams({}, {})
+        if revision:
+            record = record_formats.decode_streams(self._key, value)
+        now = anyio.current_time()
+        self._history.inherit(record.streams, now)
+        self._history.record_services(record.services)
+        self._inherited = {v: len(ids) for v, ids in record.streams.items()}
+        statement = record.statement
+        if statement is not None and statement.era == self._find_era():
+            self._stated.own.take_over(statement, now)
+        self._is_unrecorded = not revision
+        self._revision, self._recorded = revision, record
+        self._recorded_ids = frozenset()
+
+    def _make_record(self) -> record_formats.InstanceStreams:
         """Returns what must be recorded now."""
         streams = self._history.list_to_record(anyio.current_time())
         request_ids = itertools.chain.from_iterable(streams.values())
-        return _Streams(streams, self._history.group_by_service(request_ids))
+        return record_formats.InstanceStreams(
+            streams,
+            self._history.group_by_service(request_ids),
+            self._stated.make_statement(),
+        )
 
     async def _read(self, key: str) -> tuple[bytes, int]:
         """Returns a record and its revision, empty and 0 if there is none."""
@@ -375,31 +416,45 @@
         self._store_health.record_response()
         return written
 
-    async def _delete_streams(self) -> None:
-        """Deletes the records of instances that are gone."""
+    async def _clean_records(self) -> None:
+        """Removes what instances that are gone have recorded and stated.
+
+        An instance that is not gone records it again.
+        """
         found = await self._store.list_values(self._prefix)
         for item in found.items:
             if item.key in (self._key, self._versions_key):
                 continue
+            record = record_formats.decode_streams(item.key, item.value or b"")
+            wanted = self._reduce(record)
+            if wanted == record:
+                continue
             try:
-                await self._store.delete(item.key, item.version)
+                if _is_empty(wanted):
+                    await self._store.delete(item.key, item.version)
+                else:
+                    encoded = msgspec.json.encode(wanted)
+                    await self._write(item.key, encoded, item.version)
             except (errors.ObjectMissingError, errors.PreconditionFailedError):
                 continue
 
-
-def _decode_streams(key: str, value: bytes) -> _Streams:
-    """Decodes the streams of an instance; none if they cannot be decoded."""
-    with contextlib.suppress(msgspec.DecodeError):
-        return msgspec.json.decode(value, type=_Streams)
-    return _Streams(_decode(key, value, _Ids) or {}, {})
+    def _reduce(
+        self, record: record_formats.InstanceStreams
+    ) -> record_formats.InstanceStreams:
+        """Returns what still counts of the record of another instance."""
+        statement = record.statement
+        if statement is None:
+            return record_formats.InstanceStreams({}, {})
+        if statement.era != self._find_era():
+            return record
+        recent = self._history.list_versions(anyio.current_time())
+        return record_formats.InstanceStreams(
+            {}, {}, statement.restrict(recent)
+        )
 
 
-def _decode(key: str, value: bytes, kind: type[_T]) -> _T | None:
-    """Decodes a record; None if there is none or it cannot be decoded."""
-    if not value:
-        return None
-    try:
-        return msgspec.json.decode(value, type=kind)
-    except msgspec.DecodeError as error:
-        logs.bind(key=key).error("record cannot be decoded: {}", error)
-        return None
+def _is_empty(record: record_formats.InstanceStreams) -> bool:
+    """Whether a record says nothing that others must know."""
+    statement = record.statement
+    says_nothing = statement is None or statement.is_empty
+    return says_nothing and not record.streams
--- a/src/tamaracktide/protocol/entry_messages.py
+++ b/src/tamaracktide/protocol/entry_messages.py
@@ -286,27 +286,40 @@
     Attributes:
         request_id: Id of the request that began it.
         asker: Instance that needs to know.
+        process: Process of the asker, which did not begin it; builds before
+            statements of versions send none, and understand no denials.
+        reads_records: Whether the asker needs the records in the store read on
+            its behalf.
+        service: Service that began it, empty if unknown.
     """
 
     request_id: str
     asker: str
+    process: str = ""
+    reads_records: bool = False
+    service: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StreamReply:
-    """Replies to a query; nothing is sent for an unknown stream.
+    """Replies to a query.
 
     Attributes:
         request_id: Id of the request that began the stream.
-        software: Software version that began it.
+        software: Software version that began it, empty in a denial.
         asker: Instance that needs to know.
         service: Service that began it, empty if unknown.
+        denied_by: Instance whose process did not begin the stream, empty if the
+            version is known.
+        process: This process.
     """
 
     request_id: str
     software: str
     asker: str
     service: str = ""
+    denied_by: str = ""
+    process: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -16,6 +16,7 @@
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import requests
 from tamaracktide.entry import resumption
+from tamaracktide.entry import stated_versions
 from tamaracktide.observability import metrics as metrics_module
 from tamaracktide.protocol import entry_messages
 
@@ -48,6 +49,10 @@
     links: dict[str, "_Links"]
     is_member: bool = False
 
+    def reaches_store(self, max_silent_s: float) -> bool:
+        """It does not."""
+        return False
+
     def send(self, message: object) -> bool:
         """Delivers a message."""
         receiver = self.links[self.instance]
@@ -107,7 +112,10 @@
         self.relay = ""
         self.is_relay = self.is_discovered = True
         self.resumption = resumption.Resumption(
-            instance, lambda: True, metrics_module.Metrics()
+            instance,
+            stated_versions.StatedVersions(instance, instance, lambda: 0),
+            lambda: True,
+            metrics_module.Metrics(),
         )
         self.resumption.peers = self  # type: ignore[assignment]
         self.resumption.records = _Records()  # type: ignore[assignment]
@@ -139,7 +147,7 @@
                 peer: Any = _Peer(sender, self._instance, self._links)
                 self.resumption.handle_query(peer, message)
             case entry_messages.StreamReply():
-                self.resumption.apply_reply(message)
+                self.resumption.apply_reply(sender, message)
             case entry_messages.StreamsNotice():
                 self.resumption.apply_notice(message)
 
--- a/tests/entry/test_service_cell.py
+++ b/tests/entry/test_service_cell.py
@@ -103,6 +103,7 @@
                 slow_start_min_instances=13,
                 load_margin=load_margin.LoadMargin(),
                 load=self._load,
+                list_withheld=lambda _: frozenset(),
                 record_exit=lambda entry: None,
                 was_held_up=lambda: False,
                 backend=network.Backend(),
--- a/tests/entry/test_stream_records.py
+++ b/tests/entry/test_stream_records.py
@@ -17,6 +17,7 @@
 from tamaracktide.core import upstream_entries
 from tamaracktide.entry import cluster_state
 from tamaracktide.entry import settings as entry_settings
+from tamaracktide.entry import stated_versions
 from tamaracktide.entry import store_follower
 from tamaracktide.entry import stream_records
 from tamaracktide.object_api import object_store
@@ -124,6 +125,7 @@
         store,  # type: ignore[arg-type]
         store_follower.StoreHealth(state),
         history,
+        stated_versions.StatedVersions("n1", "p1", lambda: 0),
         lambda: 0,
         lambda: 0,
         lambda: 1,
--- a/tests/fleet/test_entry_outages.py
+++ b/tests/fleet/test_entry_outages.py
@@ -75,6 +75,10 @@
             assert leases["llm.z1"]["Spec"]["epoch"] == 1
 
 
+READ_AND_STATEMENT = 2
+"""Calls with which an instance reads its record of streams at its start, and
+states which software versions it may use."""
+
 LIST_AND_WATCHES = 3
 """Calls for a document that changes once: a listing, and a watch before and
 after the change."""
@@ -118,8 +122,9 @@
     """Load pattern: hundreds of instances, of which few follow the store.
 
     A member calls the store for the routing document only, once and after each
-    change. Upstreams reach it through its relay, and a load that it needs is
-    ordered by the lease holder.
+    change, and to state the software versions of its upstreams. Upstreams reach
+    it through its relay, and a load that it needs is ordered by the lease
+    holder.
     """
     async with fleet_cluster.run_cluster() as cluster:
         engine = await cluster.add_server(fleet_cluster.Server("e1", slots=3))
@@ -146,8 +151,12 @@
                 "POST tamaracktide-instances",
                 "GET tamaracktide-instances",
                 "GET config",
+                "GET tamaracktide-streams",
+                "POST tamaracktide-streams",
             }
             assert calls.count("GET config") <= LIST_AND_WATCHES
+            streams = [c for c in calls if c.endswith("tamaracktide-streams")]
+            assert len(streams) <= READ_AND_STATEMENT, streams
 
 
 async def test_member_of_an_earlier_build_is_sent_the_document(
