--- a/src/tamaracktide/object_api/calls.py
+++ b/src/tamaracktide/object_api/calls.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from tamaracktide import errors
+from tamaracktide import http_status
 from tamaracktide import result_codes
 from tamaracktide import sockets
 from tamaracktide.core import pending_bytes
@@ -143,6 +144,11 @@
             },
             b"".join(body_parts),
         )
+        if response.status not in http_status.FINAL:
+            raise errors.PlatformUnavailableError(
+                result_codes.ResultCode.PLATFORM_UNAVAILABLE,
+                f"{operation}: status {response.status:03}",
+            )
         if self._on_response is not None:
             self._on_response(response)
         _check_status(operation, response)
--- a/src/tamaracktide/upstreams/calls.py
+++ b/src/tamaracktide/upstreams/calls.py
@@ -15,6 +15,7 @@
 import anyio
 import httpcore
 
+from tamaracktide import http_status
 from tamaracktide import sockets
 from tamaracktide.core import pending_bytes
 from tamaracktide.upstreams import bounded_heads
@@ -318,6 +319,9 @@
         stream = response.extensions["network_stream"]
         assert isinstance(stream, bounded_heads.Stream)
         stream.end_head()
+        if response.status not in http_status.FINAL:
+            await response.aclose()
+            return Failure(FailureKind.BROKEN, f"status {response.status:03}")
         return OpenResponse(response, self._total, pool if fresh else None)
 
     async def send(
--- a/src/tamaracktide/upstreams/connections.py
+++ b/src/tamaracktide/upstreams/connections.py
@@ -3,6 +3,7 @@
 import httpcore
 import httptools
 
+from tamaracktide import http_status
 from tamaracktide.core import connected_processes
 from tamaracktide.core import pending_bytes
 from tamaracktide.upstreams import calls
@@ -12,9 +13,6 @@
 HEADER_OVERHEAD_BYTES = 144
 """Memory of a stored header in addition to its name and value."""
 
-FIRST_FINAL_STATUS = 200
-"""Lowest status code of a response that no other one follows."""
-
 FRAMING_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
 """Headers without which the end of the connection ends a body."""
 
@@ -127,9 +125,16 @@
             self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Records the end of the headers; called by the parser."""
-        if self.parser.get_status_code() < FIRST_FINAL_STATUS:
+        """Records the end of the headers; called by the parser.
+
+        Raises:
+            ValueError: The bytes are no response.
+        """
+        status = self.parser.get_status_code()
+        if status in http_status.INTERIM:
             return
+        if status not in http_status.FINAL:
+            raise ValueError(f"status {status:03}")
         self.headers_complete = True
         self.complete = not self._has_body
 
