--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -247,7 +247,7 @@
                 lambda: self._find(begun_as, service, arrived_at),
                 service,
             )
-        self._log_found(request, found)
+        self._log_found(request, found, arrived_at)
         if found is not None:
             self.on_return(begun_as)
             return found[0]
@@ -308,6 +308,7 @@
         self,
         request: requests.ClientRequest,
         found: stream_history.Found | None,
+        arrived_at: float,
     ) -> None:
         now = anyio.current_time()
         service = request.service.name
@@ -319,11 +320,24 @@
             software=None if found is None else found[0],
             source=source,
             versions=self.history.list_versions(now).get(service, ()),
+            possible=self._find_possible(request),
             complete=self.history.is_complete(now),
-            current=self._is_view_current(),
+            read=self.has_read_records(arrived_at),
             uptime_s=round(now - self._started_at, 3),
         ).info("version of a resumed stream determined")
 
+    def _find_possible(
+        self, request: requests.ClientRequest
+    ) -> list[str] | None:
+        """Returns the versions that lost processes had stated, for logs."""
+        service = request.service.name
+        found = self._stated.find_possible(
+            request.resumed_request,
+            service,
+            self.history.list_recent(service, anyio.current_time()),
+        )
+        return None if found is None else sorted(found)
+
     def handle_open(self, link: entry_peers.Link) -> None:
         """Sends what is known of streams on a new link."""
         now = anyio.current_time()
