--- a/src/tamaracktide/entry/resumption.py
+++ b/src/tamaracktide/entry/resumption.py
@@ -214,7 +214,9 @@
                 )
             return False
         finally:
-            del self._unconfirmed[begun_as]
+            # Another attempt at the same stream may wait, too.
+            if self._unconfirmed.get(begun_as) is waiting:
+                del self._unconfirmed[begun_as]
 
     def wake_recorded(self) -> None:
         """Continues the streams that the store knows now."""
--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -14,6 +14,7 @@
 from tamaracktide import errors
 from tamaracktide.core import routing_document
 from tamaracktide.core import upstream_entries
+from tamaracktide.core import version_statements
 from tamaracktide.entry import requests
 from tamaracktide.entry import resumption
 from tamaracktide.entry import stated_versions
@@ -95,6 +96,10 @@
     def record_soon(self) -> None:
         """Records nothing."""
 
+    def holds(self, request_id: str) -> bool:
+        """Whether a stream is recorded: none is."""
+        return False
+
 
 class _ReadRecords(_Records):
     """Records that are read at once, and empty."""
@@ -301,3 +306,19 @@
     history = member.resumption.history
     known = [name for name in streams["v1"] if history.find(name, now)]
     assert known == ["r0", "r2"]
+
+
+async def test_attempts_at_one_stream_wait_for_their_witness_together() -> None:
+    """Guards against an error as a hedged attempt begins the same stream."""
+    instance = _Links("n1", {})
+    instance.resumption.records = _ReadRecords()  # type: ignore[assignment]
+    witnesses = frozenset((version_statements.Witness("n2", "p2"),))
+    confirmed = []
+
+    async def confirm() -> None:
+        confirmed.append(await instance.resumption._confirm("r0", witnesses))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(confirm)
+        tasks.start_soon(confirm)
+    assert confirmed == [False, False]
