--- a/tests/entry/test_resumption.py
+++ b/tests/entry/test_resumption.py
@@ -310,8 +310,8 @@
 
 async def test_attempts_at_one_stream_wait_for_their_witness_together() -> None:
     """Guards against an error as a hedged attempt begins the same stream."""
-    instance = _Links("n1", {})
-    instance.resumption.records = _ReadRecords()  # type: ignore[assignment]
+    links: dict[str, _Links] = {}
+    instance, _ = _Links("n1", links), _Links("n2", links)
     witnesses = frozenset((version_statements.Witness("n2", "p2"),))
     confirmed = []
 
