--- a/src/tamaracktide/core/part_evidence.py
+++ b/src/tamaracktide/core/part_evidence.py
@@ -37,6 +37,9 @@
 """Time for which groups are announced; less than `QUARANTINE_S`, so that
 instances cannot extend it forever by telling each other."""
 
+NOT_ANNOUNCED = -math.inf
+"""Time of a group that is refused here only."""
+
 Group = frozenset[str]
 """Parts that are refused together."""
 
@@ -129,9 +132,9 @@
         """
         for parts in groups:
             group = frozenset(p for p in parts if not self.has_survived(p, now))
-            if group and len(self._told) < MAX_TOLD:
-                self._told.setdefault(group, now)
-        self._is_changed = True
+            if group and group not in self._told and len(self._told) < MAX_TOLD:
+                self._told[group] = now
+                self._is_changed = True
 
     def is_refused(self, parts: Iterable[str], now: float) -> bool:
         """Returns whether a request with parts must be refused."""
@@ -191,8 +194,13 @@
         found: dict[Group, float] = {}
         for group, times in self._explain(likely).items():
             is_on_probation = now < times[-1] + PROBATION_S
-            if group & convicted and (is_on_probation or _has_failed(times)):
+            if not group & convicted:
+                continue
+            if _has_failed(times):
                 found[group] = times[-1]
+            elif is_on_probation:
+                # Others would refuse what they are told for much longer.
+                found[group] = NOT_ANNOUNCED
         for group, times in self._explain(suspects).items():
             is_certain = len(times) >= MIN_UNEXPLAINED
             if group & convicted and is_certain:
--- a/tests/core/test_part_evidence.py
+++ b/tests/core/test_part_evidence.py
@@ -135,6 +135,16 @@
     assert upstreams.crashes <= 2 * crashes.PART_SETTINGS.crashes
 
 
+def test_verdict_on_probation_is_told_to_nobody() -> None:
+    """Guards against others that refuse a likely cause for good (LOST)."""
+    upstreams = Upstreams("bad", "worse")
+    for number in range(12):
+        upstreams.send("first", ("bad", "worse")[number % 2], f"p{number}")
+    assert not upstreams.send("first", "good")
+    told = upstreams.evidence.list_announced(upstreams.now)
+    assert ("first",) not in told
+
+
 def test_verdict_of_others_ends_for_what_survives() -> None:
     """Guards against a mistake that lasts as long as a quarantine (LOST).
 
